--- a/src/main/java/moorshift/Api.java
+++ b/src/main/java/stagepier/Api.java
@@ -1,4 +1,4 @@
-package moorshift;
+package stagepier;
 
 import java.util.List;
 
--- a/src/main/java/moorshift/Brain.java
+++ b/src/main/java/stagepier/Brain.java
@@ -1,19 +1,19 @@
-package moorshift;
+package stagepier;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
-import moorshift.Api.Fetching;
-import moorshift.Api.Lookup;
-import moorshift.Api.Member;
-import moorshift.Api.MemberState;
-import moorshift.Api.Outcome;
-import moorshift.Api.Repeat;
-import moorshift.Api.RequestClass;
-import moorshift.Api.Scope;
-import moorshift.Api.WeightMeaning;
+import stagepier.Api.Fetching;
+import stagepier.Api.Lookup;
+import stagepier.Api.Member;
+import stagepier.Api.MemberState;
+import stagepier.Api.Outcome;
+import stagepier.Api.Repeat;
+import stagepier.Api.RequestClass;
+import stagepier.Api.Scope;
+import stagepier.Api.WeightMeaning;
 
 /**
  * Every decision of one balancer. Its interface (types, events, actions) is in {@code Api.java}.
--- a/src/main/java/moorshift/adapter/Adapter.java
+++ b/src/main/java/stagepier/adapter/Adapter.java
@@ -1,4 +1,4 @@
-package moorshift.adapter;
+package stagepier.adapter;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -6,8 +6,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import moorshift.Api;
-import moorshift.Brain;
+import stagepier.Api;
+import stagepier.Brain;
 
 /**
  * Speaks the wire: reads batches of events, hands each to the instance that it names and writes one reply a
--- a/src/main/java/moorshift/adapter/Main.java
+++ b/src/main/java/stagepier/adapter/Main.java
@@ -1,4 +1,4 @@
-package moorshift.adapter;
+package stagepier.adapter;
 
 import java.io.BufferedInputStream;
 import java.io.FileDescriptor;
@@ -17,7 +17,7 @@
 
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar moorshift.jar adapter");
+            System.err.println("usage: java -jar stagepier.jar adapter");
             System.exit(USAGE);
         }
         try {
@@ -25,10 +25,10 @@
             new Adapter(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
                     new FileOutputStream(FileDescriptor.out)).run();
         } catch (WireException e) {
-            System.err.println("moorshift: " + e.getMessage());
+            System.err.println("stagepier: " + e.getMessage());
             System.exit(BAD_INPUT);
         } catch (IOException e) {
-            System.err.println("moorshift: " + e.getMessage());
+            System.err.println("stagepier: " + e.getMessage());
             System.exit(IO_ERROR);
         }
     }
--- a/src/main/java/moorshift/adapter/RecordReader.java
+++ b/src/main/java/stagepier/adapter/RecordReader.java
@@ -1,4 +1,4 @@
-package moorshift.adapter;
+package stagepier.adapter;
 
 import java.nio.charset.StandardCharsets;
 
--- a/src/main/java/moorshift/adapter/ReplyWriter.java
+++ b/src/main/java/stagepier/adapter/ReplyWriter.java
@@ -1,10 +1,10 @@
-package moorshift.adapter;
+package stagepier.adapter;
 
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import moorshift.Api;
+import stagepier.Api;
 
 /** Collects one reply in a reused buffer: header (length, count), then records. */
 final class ReplyWriter {
--- a/src/main/java/moorshift/adapter/SettingsParser.java
+++ b/src/main/java/stagepier/adapter/SettingsParser.java
@@ -1,4 +1,4 @@
-package moorshift.adapter;
+package stagepier.adapter;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -7,7 +7,7 @@
 import com.google.gson.JsonParser;
 import java.util.ArrayList;
 import java.util.List;
-import moorshift.Api;
+import stagepier.Api;
 
 /**
  * Turns the settings text into {@link Api.Settings}: by key, unknown keys skipped, absent ones with the
--- a/src/main/java/moorshift/adapter/WireException.java
+++ b/src/main/java/stagepier/adapter/WireException.java
@@ -1,4 +1,4 @@
-package moorshift.adapter;
+package stagepier.adapter;
 
 /** Input that is not the wire: its message names what is wrong and where. */
 final class WireException extends RuntimeException {
--- a/src/test/java/moorshift/BulkheadTest.java
+++ b/src/test/java/stagepier/BulkheadTest.java
@@ -1,4 +1,4 @@
-package moorshift;
+package stagepier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
--- a/src/test/java/moorshift/CircuitBreakerTest.java
+++ b/src/test/java/stagepier/CircuitBreakerTest.java
@@ -1,11 +1,11 @@
-package moorshift;
+package stagepier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import moorshift.Api.Outcome;
+import stagepier.Api.Outcome;
 import org.junit.jupiter.api.Test;
 
 class CircuitBreakerTest {
--- a/src/test/java/moorshift/EmbeddingExampleTest.java
+++ b/src/test/java/stagepier/EmbeddingExampleTest.java
@@ -1,4 +1,4 @@
-package moorshift;
+package stagepier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -88,7 +88,7 @@
         String readme = Files.readString(Path.of("README.md"));
         String code = readme.substring(readme.indexOf("```java") + 7);
         code = code.substring(code.indexOf("Embedded() {"), code.indexOf("public static void main"));
-        String here = squeeze(Files.readString(Path.of("src/test/java/moorshift/EmbeddingExampleTest.java")));
+        String here = squeeze(Files.readString(Path.of("src/test/java/stagepier/EmbeddingExampleTest.java")));
         for (String statement : code.replace("System.out.println(", "printed.add(").split(";")) {
             assertTrue(here.contains(squeeze(statement)), statement);
         }
--- a/src/test/java/moorshift/Fixture.java
+++ b/src/test/java/stagepier/Fixture.java
@@ -1,15 +1,15 @@
-package moorshift;
+package stagepier;
 
 import java.util.ArrayList;
 import java.util.List;
-import moorshift.Api.Fetching;
-import moorshift.Api.Lookup;
-import moorshift.Api.Member;
-import moorshift.Api.MemberState;
-import moorshift.Api.Outcome;
-import moorshift.Api.Repeat;
-import moorshift.Api.Scope;
-import moorshift.Api.WeightMeaning;
+import stagepier.Api.Fetching;
+import stagepier.Api.Lookup;
+import stagepier.Api.Member;
+import stagepier.Api.MemberState;
+import stagepier.Api.Outcome;
+import stagepier.Api.Repeat;
+import stagepier.Api.Scope;
+import stagepier.Api.WeightMeaning;
 
 /** One balancer with a fleet, and short words for what happens to it. Classes: 0 safe, 1 keyed, 2 unsafe. */
 final class Fixture {
--- a/src/test/java/moorshift/ModuleGuardTest.java
+++ b/src/test/java/stagepier/ModuleGuardTest.java
@@ -1,4 +1,4 @@
-package moorshift;
+package stagepier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,7 +12,7 @@
 
 /** Keeps the module printable and free of all but the JDK. */
 class ModuleGuardTest {
-    private static final Path SOURCES = Path.of("src/main/java/moorshift");
+    private static final Path SOURCES = Path.of("src/main/java/stagepier");
 
     private static List<String> lines(String file) throws IOException {
         return Files.readAllLines(SOURCES.resolve(file));
@@ -33,9 +33,9 @@
         for (String file : List.of("Brain.java", "Api.java")) {
             for (String line : lines(file)) {
                 if (line.startsWith("import ")) {
-                    assertTrue(line.startsWith("import java.util.") || line.startsWith("import moorshift.Api."), line);
+                    assertTrue(line.startsWith("import java.util.") || line.startsWith("import stagepier.Api."), line);
                 }
-                assertTrue(!line.contains("moorshift.adapter") && !line.contains("System.")
+                assertTrue(!line.contains("stagepier.adapter") && !line.contains("System.")
                         && !line.contains("Math.random"), line);
             }
         }
@@ -55,7 +55,7 @@
     void theModuleNamesItsInterfaceAndTheDeployFileNamesTheModule() throws IOException {
         assertTrue(String.join("\n", lines("Brain.java")).contains("Api.java"));
         String deploy = Files.readString(Path.of("deploy/balancer.toml"));
-        assertTrue(deploy.contains("policy = [\"src/main/java/moorshift/Brain.java\"]"));
+        assertTrue(deploy.contains("policy = [\"src/main/java/stagepier/Brain.java\"]"));
         try (Stream<Path> files = Files.list(SOURCES)) {
             assertEquals(2, files.filter(Files::isRegularFile).count(), "decisions have one home");
         }
--- a/src/test/java/moorshift/ProtectionTest.java
+++ b/src/test/java/stagepier/ProtectionTest.java
@@ -1,4 +1,4 @@
-package moorshift;
+package stagepier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -6,13 +6,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
-import moorshift.Api.Fetching;
-import moorshift.Api.Lookup;
-import moorshift.Api.Member;
-import moorshift.Api.MemberState;
-import moorshift.Api.Outcome;
-import moorshift.Api.Scope;
-import moorshift.Api.WeightMeaning;
+import stagepier.Api.Fetching;
+import stagepier.Api.Lookup;
+import stagepier.Api.Member;
+import stagepier.Api.MemberState;
+import stagepier.Api.Outcome;
+import stagepier.Api.Scope;
+import stagepier.Api.WeightMeaning;
 import org.junit.jupiter.api.Test;
 
 /** What guards servers and the origin: warm-up, hot keys, crowding, the fetch gate. */
--- a/src/test/java/moorshift/RandomStreamTest.java
+++ b/src/test/java/stagepier/RandomStreamTest.java
@@ -1,4 +1,4 @@
-package moorshift;
+package stagepier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,14 +10,14 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import moorshift.Api.Fetching;
-import moorshift.Api.Lookup;
-import moorshift.Api.Member;
-import moorshift.Api.MemberState;
-import moorshift.Api.Outcome;
-import moorshift.Api.Repeat;
-import moorshift.Api.Scope;
-import moorshift.Api.WeightMeaning;
+import stagepier.Api.Fetching;
+import stagepier.Api.Lookup;
+import stagepier.Api.Member;
+import stagepier.Api.MemberState;
+import stagepier.Api.Outcome;
+import stagepier.Api.Repeat;
+import stagepier.Api.Scope;
+import stagepier.Api.WeightMeaning;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
--- a/src/test/java/moorshift/RepeatRulesTest.java
+++ b/src/test/java/stagepier/RepeatRulesTest.java
@@ -1,15 +1,15 @@
-package moorshift;
+package stagepier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import moorshift.Api.Fetching;
-import moorshift.Api.Lookup;
-import moorshift.Api.Outcome;
-import moorshift.Api.Scope;
-import moorshift.Api.WeightMeaning;
+import stagepier.Api.Fetching;
+import stagepier.Api.Lookup;
+import stagepier.Api.Outcome;
+import stagepier.Api.Scope;
+import stagepier.Api.WeightMeaning;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/src/test/java/moorshift/ScriptedHost.java
+++ b/src/test/java/stagepier/ScriptedHost.java
@@ -1,4 +1,4 @@
-package moorshift;
+package stagepier;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/moorshift/adapter/AdapterTest.java
+++ b/src/test/java/stagepier/adapter/AdapterTest.java
@@ -1,4 +1,4 @@
-package moorshift.adapter;
+package stagepier.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -318,8 +318,8 @@
         assertEquals(1, s.balancers());
         assertEquals(0.5, s.classes().get(0).aim());
         assertEquals(1.0, s.classes().get(1).aim(), "without an aim, the deadline is the aim");
-        assertEquals(moorshift.Api.WeightMeaning.NONE, s.weights());
-        assertEquals(moorshift.Api.Fetching.THROUGH, s.fetching());
+        assertEquals(stagepier.Api.WeightMeaning.NONE, s.weights());
+        assertEquals(stagepier.Api.Fetching.THROUGH, s.fetching());
         assertTrue(s.tenants().isEmpty());
     }
 }
