Serve real clients: router on Netty around the decision module

Seen: nothing spoke PROTOCOL yet. The module now runs behind one event loop: client, server and discovery meet in Exchange; ModuleHost queues whatever arises inside a module event and tells it afterwards, as the adapter does. The settings parser moved to its own package, shared by both hosts.

--- a/src/main/java/stagepier/adapter/Adapter.java
+++ b/src/main/java/stagepier/adapter/Adapter.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import stagepier.Api;
 import stagepier.Brain;
+import stagepier.settings.SettingsException;
+import stagepier.settings.SettingsParser;
 
 /**
  * Speaks the wire: reads batches of events, hands each to the instance that it names and writes one reply a
@@ -186,10 +188,12 @@
 
     private void start(int who) {
         long seed = record.u64();
-        SettingsParser.Parsed parsed = SettingsParser.parse(record.text());
         try {
+            SettingsParser.Parsed parsed = SettingsParser.parse(record.text());
             instances[who] = new Instance(new Brain(parsed.settings(), seed, reply.hostFor(who)),
                     new float[parsed.reportFields()]);
+        } catch (SettingsException e) {
+            throw new WireException(e.getMessage());
         } catch (IllegalArgumentException e) {
             throw new WireException("settings: " + e.getMessage());
         }
--- a/src/main/java/stagepier/adapter/WireException.java
+++ b/src/main/java/stagepier/adapter/WireException.java
@@ -1,7 +1,7 @@
 package stagepier.adapter;
 
 /** Input that is not the wire: its message names what is wrong and where. */
-final class WireException extends RuntimeException {
+public final class WireException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     WireException(String message) {
--- /dev/null
+++ b/src/main/java/stagepier/app/Main.java
@@ -0,0 +1,79 @@
+package stagepier.app;
+
+import java.io.BufferedInputStream;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stagepier.adapter.Adapter;
+import stagepier.adapter.WireException;
+
+/** Command line: {@code serve} is a router, {@code adapter} speaks the simulator's wire on standard input and output. */
+public final class Main {
+    private static final int USAGE = 64;
+    private static final int BAD_INPUT = 65;
+    private static final int IO_ERROR = 74;
+    private static final int BAD_CONFIG = 78;
+    /** No client waits longer than this; what is open then will never end. */
+    private static final int STOP_MOST_S = 30;
+
+    private Main() {
+    }
+
+    public static void main(String[] args) {
+        String word = args.length == 1 ? args[0] : "";
+        switch (word) {
+            case "adapter" -> adapter();
+            case "serve" -> serve();
+            default -> exit(USAGE, "usage: java -jar stagepier.jar serve|adapter");
+        }
+    }
+
+    private static void adapter() {
+        try {
+            // Unbuffered output: each reply is one write of a whole buffer.
+            new Adapter(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
+                    new FileOutputStream(FileDescriptor.out)).run();
+        } catch (WireException e) {
+            exit(BAD_INPUT, "stagepier: " + e.getMessage());
+        } catch (IOException e) {
+            exit(IO_ERROR, "stagepier: " + e.getMessage());
+        }
+    }
+
+    private static void serve() {
+        try {
+            Router router = new Router(Config.read(System.getenv("GW_CONFIG")));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router), "stop"));
+            router.start().join();
+        } catch (Config.BadConfigException | IllegalArgumentException e) {
+            exit(BAD_CONFIG, "stagepier: " + e.getMessage());
+        } catch (CompletionException e) {
+            exit(IO_ERROR, "stagepier: cannot listen: " + e.getCause().getMessage());
+        }
+    }
+
+    /** Runs on SIGTERM. Ends the process itself, for the exit code of a signal would look like a crash. */
+    private static void stop(Router router) {
+        Logger log = LoggerFactory.getLogger(Main.class);
+        try {
+            router.stop().get(STOP_MOST_S, TimeUnit.SECONDS);
+            log.info("{}", router.counters().get(1, TimeUnit.SECONDS));
+        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+            log.error("did not stop in order", e);
+            Runtime.getRuntime().halt(1);
+        }
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void exit(int code, String line) {
+        System.err.println(line);
+        Runtime.getRuntime().halt(code);
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/app/Router.java
@@ -0,0 +1,150 @@
+package stagepier.app;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stagepier.Api;
+import stagepier.Brain;
+import stagepier.client.ClientListener;
+import stagepier.discovery.DiscoveryWatch;
+import stagepier.discovery.HostGroup;
+import stagepier.exchange.Clock;
+import stagepier.exchange.ModuleHost;
+import stagepier.server.ServerPools;
+
+/** One running router: puts the parts together on one event loop, starts them and stops them. */
+final class Router {
+    private static final Logger LOG = LoggerFactory.getLogger(Router.class);
+    /** After the word to stop, clients still come and ask for so long. */
+    private static final int STILL_SERVING_MS = 700;
+    private static final int POLL_MS = 10;
+
+    private final Config config;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private final HostGroup hosts;
+    private final ModuleHost host;
+    private final ServerPools servers;
+    private final ClientListener clients;
+    private final DiscoveryWatch watch;
+    private boolean listening;
+    private boolean stopping;
+
+    Router(Config config) {
+        this.config = config;
+        Clock clock = new Clock();
+        Api.Settings settings = config.settings().settings();
+        hosts = new HostGroup(config.settings().names());
+        host = new ModuleHost(loop, clock, config.settings());
+        servers = new ServerPools(loop, clock, host, settings.limits().connectTimeout(),
+                config.settings().idleClose());
+        host.connect(new Brain(settings, config.seed(), host), servers);
+        clients = new ClientListener(host, this::stats);
+        watch = new DiscoveryWatch(loop, config.discovery(), hosts, this::changed, host::membersFailed);
+    }
+
+    /** Completes once clients can be served. */
+    CompletableFuture<Void> start() {
+        loop.execute(() -> {
+            try {
+                if (config.known() != null) {
+                    changed(hosts.apply(config.known()));
+                }
+            } catch (IllegalArgumentException e) {
+                LOG.warn("the known list is of no use: {}", e.getMessage());
+            }
+            watch.start();
+        });
+        return ready;
+    }
+
+    private void changed(HostGroup.Change change) {
+        List<Api.Member> members = new ArrayList<>();
+        for (HostGroup.Host h : change.hosts()) {
+            members.add(h.member());
+            if (h.member().state() == Api.MemberState.READY) {
+                servers.ready(h.member().id(), h.address(), h.member().startedAt());
+            }
+        }
+        // The module first: what a retired server ends must not be sent to another that is on its way out.
+        host.members(change.complete(), members);
+        for (HostGroup.Host h : change.hosts()) {
+            if (h.member().state() != Api.MemberState.READY) {
+                servers.retire(h.member().id());
+            }
+        }
+        change.left().forEach(h -> servers.retire(h.member().id()));
+        if (!listening) {
+            listening = true;
+            listen();
+        }
+    }
+
+    private void listen() {
+        clients.listen(group, config.listen()).addListener(done -> {
+            if (done.isSuccess()) {
+                ready.complete(null);
+            } else {
+                ready.completeExceptionally(done.cause());
+            }
+        });
+    }
+
+    /** Goes on serving for a while, then finishes all that was taken. Completes when that is done. */
+    CompletableFuture<Void> stop() {
+        loop.execute(() -> {
+            if (!stopping) {
+                stopping = true;
+                loop.schedule(this::leave, STILL_SERVING_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+        return stopped;
+    }
+
+    private void leave() {
+        clients.leave();
+        awaitEnd();
+    }
+
+    private void awaitEnd() {
+        if (clients.isEmpty() && host.unanswered() == 0) {
+            watch.stop();
+            stopped.complete(null);
+        } else {
+            loop.schedule(this::awaitEnd, POLL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** All counters, a line each, as {@code stats} answers them. On the event loop. */
+    private String stats() {
+        StringBuilder text = new StringBuilder();
+        count((name, value) -> text.append("STAT ").append(name).append(' ').append(value).append("\r\n"));
+        return text.append("END").toString();
+    }
+
+    private void count(java.util.function.ObjLongConsumer<String> to) {
+        clients.count(to);
+        host.count(to);
+        servers.count(to);
+        watch.count(to);
+    }
+
+    /** All counters in one line for the log. On the event loop. */
+    CompletableFuture<String> counters() {
+        CompletableFuture<String> line = new CompletableFuture<>();
+        loop.execute(() -> {
+            StringBuilder text = new StringBuilder("counters:");
+            count((name, value) -> text.append(' ').append(name).append('=').append(value));
+            line.complete(text.toString());
+        });
+        return line;
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -0,0 +1,181 @@
+package stagepier.discovery;
+
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.NetUtil;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps a watch on discovery: the next call follows the last answer at once, and a call that failed or had no
+ * answer is made again on a new connection, each time after a longer wait. Owns its connection and its timer.
+ */
+public final class DiscoveryWatch {
+    private static final Logger LOG = LoggerFactory.getLogger(DiscoveryWatch.class);
+    private static final String PATH = "/discovery/hosts";
+    /** Longest wait that is asked for; a connection that fell silent costs no more than this and the slack. */
+    private static final int HOLD_MS = 3000;
+    private static final int SLACK_MS = 1000;
+    private static final int RETRY_FIRST_MS = 50;
+    private static final int RETRY_MOST_MS = 1000;
+    private static final int LARGEST_LIST = 1 << 20;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final HostGroup group;
+    private final Consumer<HostGroup.Change> changed;
+    private final Runnable failed;
+    private Channel channel;
+    private Future<?> timer;
+    private int retryMs = RETRY_FIRST_MS;
+    private boolean stopped;
+    private long calls;
+    private long failures;
+
+    public DiscoveryWatch(EventLoop loop, InetSocketAddress address, HostGroup group,
+            Consumer<HostGroup.Change> changed, Runnable failed) {
+        this.loop = loop;
+        this.address = address;
+        this.group = group;
+        this.changed = changed;
+        this.failed = failed;
+    }
+
+    /** Begins the watch from the list that the group has. */
+    public void start() {
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, SLACK_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel own) {
+                        own.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_LIST),
+                                new Answers());
+                    }
+                });
+        channel = bootstrap.connect(address).addListener(done -> {
+            if (!done.isSuccess()) {
+                again("no connection: " + done.cause().getMessage());
+            }
+        }).channel();
+    }
+
+    public void stop() {
+        stopped = true;
+        giveBack();
+    }
+
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            call(ctx.channel());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (ctx.channel() == channel) {
+                answered(response);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel) {
+                again("the connection ended");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (ctx.channel() == channel) {
+                again(cause.toString());
+            }
+        }
+    }
+
+    private void call(Channel on) {
+        calls++;
+        String from = group.generation() < 0 ? "" : "?from=" + group.generation() + "&hold_ms=" + HOLD_MS;
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH + from);
+        request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(address));
+        on.writeAndFlush(request);
+        timer = loop.schedule(() -> again("no answer in time"), HOLD_MS + SLACK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void answered(FullHttpResponse response) {
+        timer.cancel(false);
+        HostGroup.Change change;
+        try {
+            if (response.status().code() != 200 || response.decoderResult().isFailure()) {
+                throw new IllegalArgumentException("status " + response.status());
+            }
+            change = group.apply(JsonParser.parseString(response.content().toString(StandardCharsets.UTF_8)));
+        } catch (IllegalArgumentException | JsonParseException e) {
+            // The last list stays in force: a bad message must not take servers away.
+            again(e.getMessage());
+            return;
+        }
+        retryMs = RETRY_FIRST_MS;
+        if (HttpUtil.isKeepAlive(response)) {
+            call(channel);
+        } else {
+            giveBack();
+            start();
+        }
+        if (change.complete() || !change.hosts().isEmpty()) {
+            changed.accept(change);
+        }
+    }
+
+    /** A call failed: the next one comes after a wait that grows, so that a dead agent costs nothing. */
+    private void again(String why) {
+        if (stopped) {
+            return;
+        }
+        failures++;
+        LOG.debug("discovery: {}", why);
+        giveBack();
+        timer = loop.schedule(this::start, retryMs, TimeUnit.MILLISECONDS);
+        retryMs = Math.min(RETRY_MOST_MS, retryMs * 2);
+        failed.run();
+    }
+
+    /** The one place where connection and timer are given back. */
+    private void giveBack() {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        Channel old = channel;
+        channel = null;
+        if (old != null) {
+            old.close();
+        }
+    }
+
+    public void count(ObjLongConsumer<String> to) {
+        to.accept("discovery_calls", calls);
+        to.accept("discovery_failures", failures);
+        to.accept("discovery_generation", group.generation());
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/discovery/HostGroup.java
@@ -0,0 +1,124 @@
+package stagepier.discovery;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import stagepier.Api;
+import stagepier.exchange.Ids;
+import stagepier.settings.SettingsParser;
+
+/** Discovery's list of cache servers as this router last had it. */
+public final class HostGroup {
+    /** A cache server: as the module knows it, and where it is. */
+    public record Host(Api.Member member, InetSocketAddress address) {
+    }
+
+    /**
+     * What one message of discovery changed.
+     *
+     * @param complete the message held the whole list
+     * @param hosts    the entries of the message
+     * @param left     hosts that a whole list no longer names
+     */
+    public record Change(boolean complete, List<Host> hosts, List<Host> left) {
+    }
+
+    private final SettingsParser.Names names;
+    private final Map<Long, Host> hosts = new LinkedHashMap<>();
+    private long generation = -1;
+
+    public HostGroup(SettingsParser.Names names) {
+        this.names = names;
+    }
+
+    /** Version of the list; -1 where there is none yet. */
+    public long generation() {
+        return generation;
+    }
+
+    /**
+     * Takes a message, whole or not at all.
+     *
+     * @throws IllegalArgumentException where it makes no sense; the list is then as before
+     */
+    public Change apply(JsonElement message) {
+        List<Host> told = new ArrayList<>();
+        boolean complete;
+        long version;
+        try {
+            JsonObject o = message.getAsJsonObject();
+            version = o.get("generation").getAsLong();
+            complete = o.get("reset").getAsBoolean();
+            JsonArray entries = o.getAsJsonArray("instances");
+            for (JsonElement e : entries) {
+                told.add(host(e.getAsJsonObject()));
+            }
+        } catch (NullPointerException | ClassCastException | IllegalStateException | UnsupportedOperationException
+                | NumberFormatException e) {
+            throw new IllegalArgumentException("not a host group: " + e.getMessage(), e);
+        }
+        Map<Long, Host> before = new LinkedHashMap<>(hosts);
+        if (complete) {
+            hosts.clear();
+        }
+        for (Host host : told) {
+            before.remove(host.member().id());
+            if (host.member().state() == Api.MemberState.GONE) {
+                hosts.remove(host.member().id());
+            } else {
+                hosts.put(host.member().id(), host);
+            }
+        }
+        generation = version;
+        return new Change(complete, told, complete ? List.copyOf(before.values()) : List.of());
+    }
+
+    private Host host(JsonObject o) {
+        Api.MemberState state = switch (o.get("lifecycle").getAsString()) {
+            case "up" -> Api.MemberState.READY;
+            case "draining" -> Api.MemberState.DRAINING;
+            case "removed" -> Api.MemberState.GONE;
+            default -> throw new IllegalArgumentException("unknown lifecycle " + o.get("lifecycle"));
+        };
+        Api.Member member = new Api.Member(Ids.of(o.get("instanceId").getAsString()),
+                names.zones().indexOf(text(o, "zone")), (int) number(o, "cell", 0),
+                Math.max(0, names.kinds().indexOf(text(o, "machineType"))), state, number(o, "weight", 1),
+                number(o, "startedAtMs", 0) / 1e3);
+        // One that is removed need not tell where it was.
+        return new Host(member, state == Api.MemberState.GONE ? null : address(o.get("hostPort").getAsString()));
+    }
+
+    private static String text(JsonObject o, String key) {
+        return o.has(key) ? o.get(key).getAsString() : "";
+    }
+
+    private static double number(JsonObject o, String key, double absent) {
+        double value = o.has(key) ? o.get(key).getAsDouble() : absent;
+        if (!Double.isFinite(value)) {
+            throw new IllegalArgumentException(key + " is not a finite number");
+        }
+        return value;
+    }
+
+    /** An address and port in figures; names are refused, for there is no DNS. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        try {
+            if (ip != null) {
+                return new InetSocketAddress(InetAddress.getByAddress(ip), Integer.parseInt(text.substring(colon + 1)));
+            }
+        } catch (UnknownHostException | IllegalArgumentException e) {
+            throw new IllegalArgumentException("'" + text + "' is not an address and a port", e);
+        }
+        throw new IllegalArgumentException("'" + text + "' is not an address and a port");
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/exchange/Exchange.java
@@ -0,0 +1,69 @@
+package stagepier.exchange;
+
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+import stagepier.memcache.Command;
+
+/**
+ * One request from its last byte to its one final answer, and on to the outcome of its last execution. The only
+ * thing that client side and server side share. Owned by {@link ModuleHost}.
+ */
+public final class Exchange {
+    private final long id;
+    private final Command command;
+    private final Asker asker;
+    private final double deadlineAt;
+    private final List<Carrier.Sending> sendings = new ArrayList<>(2);
+    private int outstanding;
+    private boolean finished;
+    private Future<?> backstop;
+
+    Exchange(long id, Command command, Asker asker, double deadlineAt) {
+        this.id = id;
+        this.command = command;
+        this.asker = asker;
+        this.deadlineAt = deadlineAt;
+    }
+
+    /** What is to be passed on. */
+    public Command command() {
+        return command;
+    }
+
+    long id() {
+        return id;
+    }
+
+    Asker asker() {
+        return asker;
+    }
+
+    double deadlineAt() {
+        return deadlineAt;
+    }
+
+    List<Carrier.Sending> sendings() {
+        return sendings;
+    }
+
+    /** Counts executions begun and ended; returns how many are out. */
+    int outstanding(int change) {
+        outstanding += change;
+        return outstanding;
+    }
+
+    boolean isFinished() {
+        return finished;
+    }
+
+    void backstop(Future<?> timer) {
+        backstop = timer;
+    }
+
+    /** From here on no answer is owed: its timer is given back. */
+    void finish() {
+        finished = true;
+        backstop.cancel(false);
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/exchange/ModuleHost.java
@@ -0,0 +1,283 @@
+package stagepier.exchange;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ObjLongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stagepier.Api;
+import stagepier.memcache.Command;
+import stagepier.settings.SettingsParser;
+
+/**
+ * Hosts the decision module: gives ids, time and timers, keeps the exchanges, and turns what happens on sockets
+ * into the module's events. Decides nothing. Runs on the one event loop.
+ */
+public final class ModuleHost implements Api.Host {
+    private static final Logger LOG = LoggerFactory.getLogger(ModuleHost.class);
+    private static final float[] NO_REPORT = {};
+    /**
+     * The client counts its time from before the request came here, and the answer has to travel back: without
+     * this margin an answer at the very end would come after the client left.
+     */
+    private static final double MARGIN = 0.015;
+    private static final double MARGIN_PART = 0.1;
+    /** After this the module has broken its promise of an answer, and the host answers in its place. */
+    private static final double OVERDUE = 0.01;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final SettingsParser.Names names;
+    private final Api.Settings settings;
+    private final Map<Long, Exchange> open = new HashMap<>();
+    private final ArrayDeque<Runnable> events = new ArrayDeque<>();
+    private final long[] outcomes = new long[Api.Outcome.values().length];
+    private final long[] replies = new long[Reply.Kind.values().length];
+    private Api.Events module;
+    private Carrier carrier;
+    private boolean inEvent;
+    private long lastId;
+    private long unanswered;
+    private long gone;
+    private long overdue;
+
+    public ModuleHost(EventLoop loop, Clock clock, SettingsParser.Parsed parsed) {
+        this.loop = loop;
+        this.clock = clock;
+        names = parsed.names();
+        settings = parsed.settings();
+    }
+
+    /** Before anything else. */
+    public void connect(Api.Events decisions, Carrier servers) {
+        module = decisions;
+        carrier = servers;
+    }
+
+    /**
+     * Guards against calling the module from inside its own event: what an action brings about at once is
+     * queued and told after it, in the order in which it arose.
+     */
+    private void post(Runnable event) {
+        events.add(event);
+        if (inEvent) {
+            return;
+        }
+        inEvent = true;
+        try {
+            for (Runnable next = events.poll(); next != null; next = events.poll()) {
+                run(next);
+            }
+        } finally {
+            inEvent = false;
+        }
+    }
+
+    private static void run(Runnable event) {
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            // The router must outlive a fault: a request left without an answer has its backstop.
+            LOG.error("an event failed", e);
+        }
+    }
+
+    // ---- from the client side -----------------------------------------------------------------------------
+    /** Why a command cannot become an exchange, or null where it can. */
+    public String objection(Command command) {
+        if (!names.classes().contains(String.valueOf(command.attribute("c")))) {
+            return "unknown class";
+        }
+        String time = command.attribute("d");
+        return time == null || time.matches("[0-9]{1,9}(\\.[0-9]{1,9})?") ? null : "bad time";
+    }
+
+    /** Takes a request. From here on one final answer is owed. */
+    public Exchange take(Asker asker, Command command) {
+        int classIndex = names.classes().indexOf(command.attribute("c"));
+        String time = command.attribute("d");
+        double wait = time == null ? settings.classes().get(classIndex).deadline() : Double.parseDouble(time) / 1e3;
+        double budget = wait - Math.min(MARGIN, MARGIN_PART * wait);
+        Exchange x = new Exchange(++lastId, command, asker, clock.now() + budget);
+        open.put(x.id(), x);
+        unanswered++;
+        x.backstop(loop.schedule(() -> overdue(x), micros(budget + OVERDUE), TimeUnit.MICROSECONDS));
+        Api.Request request = new Api.Request(x.id(), classIndex, names.tenants().indexOf(command.attribute("t")),
+                Ids.of(command.key()), budget, 0, "1".equals(command.attribute("r")), command.isWrite());
+        post(() -> module.onRequest(clock.now(), request));
+        return x;
+    }
+
+    /** The client has closed its connection. */
+    public void clientGone(Exchange x) {
+        post(() -> {
+            if (!x.isFinished()) {
+                gone++;
+                finish(x);
+                module.onClientGone(clock.now(), x.id());
+            }
+        });
+    }
+
+    private void overdue(Exchange x) {
+        post(() -> {
+            if (!x.isFinished()) {
+                overdue++;
+                LOG.warn("request {} had no answer in time", x.command().id());
+                answer(x, Reply.FAILED);
+                module.onClientGone(clock.now(), x.id());
+            }
+        });
+    }
+
+    private void answer(Exchange x, Reply reply) {
+        replies[reply.kind().ordinal()]++;
+        finish(x);
+        x.asker().answered(x, reply);
+    }
+
+    private void finish(Exchange x) {
+        x.finish();
+        unanswered--;
+        forgetIfOver(x);
+    }
+
+    private void forgetIfOver(Exchange x) {
+        if (x.isFinished() && x.outstanding(0) == 0) {
+            open.remove(x.id());
+        }
+    }
+
+    /** Requests that still need their final answer. */
+    public long unanswered() {
+        return unanswered;
+    }
+
+    // ---- from the server side -----------------------------------------------------------------------------
+    /** The one outcome of an execution. {@code body} is that of a served answer. */
+    public void ended(Exchange x, int attempt, long server, Api.Outcome outcome, double sentAt, Api.Lookup lookup,
+            byte[] body) {
+        post(() -> {
+            double now = clock.now();
+            outcomes[outcome.ordinal()]++;
+            x.outstanding(-1);
+            if (outcome == Api.Outcome.OK && !x.isFinished()) {
+                answer(x, Reply.served(body));
+            }
+            forgetIfOver(x);
+            module.onOutcome(now, x.id(), attempt, server, outcome, now - sentAt, x.isFinished(), lookup, NO_REPORT);
+        });
+    }
+
+    public void probed(long server, Api.Outcome outcome, double sentAt) {
+        post(() -> {
+            double now = clock.now();
+            module.onProbe(now, server, outcome, now - sentAt, NO_REPORT);
+        });
+    }
+
+    // ---- from discovery -----------------------------------------------------------------------------------
+    public void members(boolean complete, List<Api.Member> members) {
+        post(() -> module.onMembers(clock.now(), complete, members));
+    }
+
+    public void membersFailed() {
+        post(() -> module.onMembersFailed(clock.now()));
+    }
+
+    // ---- the module's actions -----------------------------------------------------------------------------
+    @Override
+    public void send(long request, long server, double timeout) {
+        Exchange x = open.get(request);
+        if (x == null) {
+            LOG.error("a send for a request that is over: {}", request);
+            return;
+        }
+        int attempt = x.sendings().size();
+        double now = clock.now();
+        double left = x.deadlineAt() - now;
+        x.outstanding(1);
+        if (x.isFinished() || left <= 0 || attempt >= settings.limits().maxAttempts()) {
+            x.sendings().add(() -> { });
+            ended(x, attempt, server, Api.Outcome.NOT_SENT, now, Api.Lookup.UNKNOWN, null);
+        } else if (timeout < 0) {
+            x.sendings().add(() -> { });
+            ended(x, attempt, server, Api.Outcome.TIMEOUT, now, Api.Lookup.UNKNOWN, null);
+        } else {
+            x.sendings().add(carrier.send(x, attempt, server, timeout == 0 ? left : Math.min(timeout, left)));
+        }
+    }
+
+    @Override
+    public void cancel(long request, int attempt) {
+        Exchange x = open.get(request);
+        if (x != null && attempt < x.sendings().size()) {
+            x.sendings().get(attempt).cancel();
+        }
+    }
+
+    @Override
+    public void refuse(long request, double retryAfter) {
+        finalAnswer(request, Reply.throttle(retryAfter));
+    }
+
+    @Override
+    public void fail(long request) {
+        finalAnswer(request, Reply.FAILED);
+    }
+
+    private void finalAnswer(long request, Reply reply) {
+        Exchange x = open.get(request);
+        if (x != null && !x.isFinished()) {
+            answer(x, reply);
+        }
+    }
+
+    @Override
+    public void setTimer(double delay, long token) {
+        loop.schedule(() -> post(() -> module.onTimer(clock.now(), token)), micros(delay), TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void probe(long server) {
+        carrier.probe(server);
+    }
+
+    @Override
+    public void closeIdle(long server) {
+        carrier.closeIdle(server);
+    }
+
+    /** The watch of discovery runs from the start and renews itself. */
+    @Override
+    public void watchMembers() {
+    }
+
+    @Override
+    public void note(String text) {
+        LOG.info("{}", text);
+    }
+
+    private static long micros(double seconds) {
+        return Math.max(0, (long) (seconds * 1e6));
+    }
+
+    /** What was taken, answered and how executions ended. */
+    public void count(ObjLongConsumer<String> to) {
+        to.accept("requests", lastId);
+        to.accept("requests_unanswered", unanswered);
+        to.accept("requests_client_gone", gone);
+        to.accept("requests_overdue", overdue);
+        for (Reply.Kind kind : Reply.Kind.values()) {
+            to.accept("answers_" + kind.name().toLowerCase(java.util.Locale.ROOT), replies[kind.ordinal()]);
+        }
+        for (Api.Outcome outcome : Api.Outcome.values()) {
+            to.accept("executions_" + outcome.name().toLowerCase(java.util.Locale.ROOT),
+                    outcomes[outcome.ordinal()]);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/memcache/CommandParser.java
@@ -0,0 +1,77 @@
+package stagepier.memcache;
+
+import java.util.Arrays;
+import java.util.List;
+
+/** Takes whole commands off a client's bytes. */
+public final class CommandParser {
+    private CommandParser() {
+    }
+
+    /**
+     * The next command, or null until it has come whole.
+     *
+     * @throws MalformedException where nothing tells where the next command would begin
+     */
+    public static Command next(RingBuffer in) throws MalformedException {
+        int line = Protocol.lineLength(in);
+        if (line < 0) {
+            return null;
+        }
+        String[] words = Protocol.words(in, line);
+        switch (words[0]) {
+            case "mg":
+                in.skip(line);
+                return request(Command.Kind.GET, Arrays.asList(words).subList(1, words.length), Command.NO_VALUE);
+            case "ms":
+                return write(in, line, words);
+            case "mn":
+                in.skip(line);
+                return new Command(Command.Kind.ALIVE, List.of(), Command.NO_VALUE);
+            case "stats":
+                in.skip(line);
+                return new Command(words.length == 1 ? Command.Kind.STATS : Command.Kind.UNKNOWN, List.of(),
+                        Command.NO_VALUE);
+            case "quit":
+                in.skip(line);
+                return new Command(Command.Kind.QUIT, List.of(), Command.NO_VALUE);
+            default:
+                in.skip(line);
+                return new Command(Command.Kind.UNKNOWN, List.of(), Command.NO_VALUE);
+        }
+    }
+
+    private static Command write(RingBuffer in, int line, String[] words) throws MalformedException {
+        int length = words.length < 3 ? -1 : Protocol.valueLength(words[2]);
+        if (length < 0) {
+            throw new MalformedException("bad data length");
+        }
+        if (length > Protocol.LARGEST_VALUE) {
+            throw new MalformedException("object too large");
+        }
+        if (in.size() < line + length + 2) {
+            return null;
+        }
+        byte[] value = Protocol.value(in, line, length);
+        in.skip(line + length + 2);
+        List<String> kept = new java.util.ArrayList<>(Arrays.asList(words).subList(1, words.length));
+        kept.remove(1);
+        return request(Command.Kind.SET, kept, value);
+    }
+
+    private static Command request(Command.Kind kind, List<String> words, byte[] value) {
+        if (words.isEmpty() || words.get(0).isEmpty() || words.get(0).length() > Protocol.LARGEST_KEY) {
+            return bad("bad key");
+        }
+        Command command = new Command(kind, List.copyOf(words), value);
+        if (command.id().isEmpty()) {
+            return bad("no request id");
+        }
+        // Without it a cache server would answer a read with no value.
+        return kind == Command.Kind.GET && !words.contains("v") ? bad("a read without the flag v") : command;
+    }
+
+    private static Command bad(String what) {
+        return new Command(Command.Kind.BAD, List.of(what), Command.NO_VALUE);
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/memcache/Protocol.java
@@ -0,0 +1,65 @@
+package stagepier.memcache;
+
+import java.nio.charset.StandardCharsets;
+
+/** Sizes and words that both directions share. */
+public final class Protocol {
+    public static final int LARGEST_VALUE = 64 * 1024;
+    static final int LARGEST_LINE = 2048;
+    static final int LARGEST_KEY = 250;
+    /** A line and a value with its line end. */
+    static final int LARGEST_MESSAGE = LARGEST_LINE + LARGEST_VALUE + 2;
+
+    private Protocol() {
+    }
+
+    /** A line with its end, as it goes onto a socket. */
+    public static byte[] line(String text) {
+        return (text + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** A line, then a value with its line end, in one message. */
+    public static byte[] withValue(String text, byte[] value) {
+        byte[] line = line(text);
+        byte[] whole = new byte[line.length + value.length + 2];
+        System.arraycopy(line, 0, whole, 0, line.length);
+        System.arraycopy(value, 0, whole, line.length, value.length);
+        whole[whole.length - 2] = '\r';
+        whole[whole.length - 1] = '\n';
+        return whole;
+    }
+
+    /** Length of the first line with its end, or -1 while that has not come. */
+    static int lineLength(RingBuffer in) throws MalformedException {
+        int end = in.indexOf((byte) '\n', 0);
+        if (end >= LARGEST_LINE || end < 0 && in.size() >= LARGEST_LINE) {
+            throw new MalformedException("line too long");
+        }
+        return end + 1 == 0 ? -1 : end + 1;
+    }
+
+    /** The words of a line of that length. */
+    static String[] words(RingBuffer in, int lineLength) {
+        int n = lineLength - 1;
+        if (n > 0 && in.at(n - 1) == '\r') {
+            n--;
+        }
+        return in.text(0, n).split(" +");
+    }
+
+    /** A length of a value, or -1 where the word is none. */
+    static int valueLength(String word) {
+        if (word.isEmpty() || word.length() > 6 || !word.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            return -1;
+        }
+        return Integer.parseInt(word);
+    }
+
+    /** The value behind a line; whole messages only, the caller has checked the size. */
+    static byte[] value(RingBuffer in, int from, int length) throws MalformedException {
+        if (in.at(from + length) != '\r' || in.at(from + length + 1) != '\n') {
+            throw new MalformedException("bad data chunk");
+        }
+        return in.copy(from, length);
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/server/Execution.java
@@ -0,0 +1,135 @@
+package stagepier.server;
+
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import stagepier.Api;
+import stagepier.exchange.Carrier;
+import stagepier.exchange.Exchange;
+import stagepier.memcache.Answer;
+
+/**
+ * One attempt of an exchange at one cache server, or a probe. Owns its timer; ends exactly once, here. What a
+ * link still expects for it after that is discarded there.
+ */
+final class Execution implements Carrier.Sending {
+    private final ServerPools pools;
+    private final Exchange exchange;
+    private final int attempt;
+    private final long server;
+    private final double startedAt;
+    private final double timeout;
+    private ServerLink link;
+    private Future<?> timer;
+    private boolean over;
+    private boolean timedOut;
+    /** The link's count of written bytes at which the last one of this execution is written; 0 before that. */
+    private long endsAt;
+
+    /** @param exchange null for a probe */
+    Execution(ServerPools pools, Exchange exchange, int attempt, long server, double timeout) {
+        this.pools = pools;
+        this.exchange = exchange;
+        this.attempt = attempt;
+        this.server = server;
+        this.timeout = timeout;
+        startedAt = pools.now();
+    }
+
+    void startTimer() {
+        timer = pools.loop().schedule(() -> {
+            timedOut = true;
+            giveUp(Api.Outcome.TIMEOUT);
+        }, (long) (timeout * 1e6), TimeUnit.MICROSECONDS);
+    }
+
+    void link(ServerLink on) {
+        link = on;
+    }
+
+    void endsAt(long bytes) {
+        endsAt = bytes;
+    }
+
+    long endsAt() {
+        return endsAt;
+    }
+
+    boolean isOver() {
+        return over;
+    }
+
+    boolean timedOut() {
+        return timedOut;
+    }
+
+    boolean isProbe() {
+        return exchange == null;
+    }
+
+    /** The bytes for the server, with the time that is left. */
+    byte[] message() {
+        long left = Math.max(1, Math.round((startedAt + timeout - pools.now()) * 1e3));
+        return isProbe() ? ServerPools.PROBE : exchange.command().forward(left);
+    }
+
+    /** Whether this answer can be one to this execution. */
+    boolean accepts(Answer answer) {
+        return switch (answer.kind()) {
+            case BUSY, FAILED -> true;
+            case ALIVE -> isProbe();
+            case VALUE -> !isProbe() && !exchange.command().isWrite() && answer.id().equals(exchange.command().id());
+            case RECEIPT -> !isProbe() && exchange.command().isWrite()
+                    && answer.id().equals(exchange.command().id());
+        };
+    }
+
+    void answered(Answer answer) {
+        switch (answer.kind()) {
+            case BUSY -> end(Api.Outcome.FULL);
+            case FAILED -> end(Api.Outcome.ERROR);
+            default -> end(Api.Outcome.OK, lookup(answer.hit()), answer.body());
+        }
+    }
+
+    private static Api.Lookup lookup(Answer.Hit hit) {
+        return switch (hit) {
+            case UNTOLD -> Api.Lookup.UNKNOWN;
+            case HIT -> Api.Lookup.HIT;
+            case MISS -> Api.Lookup.MISS;
+            case MISS_FETCHING -> Api.Lookup.MISS_FETCHING;
+        };
+    }
+
+    @Override
+    public void cancel() {
+        giveUp(Api.Outcome.CANCELLED);
+    }
+
+    private void giveUp(Api.Outcome outcome) {
+        if (!over) {
+            if (link != null) {
+                link.withdraw(this);
+            }
+            end(outcome);
+        }
+    }
+
+    void end(Api.Outcome outcome) {
+        end(outcome, Api.Lookup.UNKNOWN, null);
+    }
+
+    private void end(Api.Outcome outcome, Api.Lookup lookup, byte[] body) {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        if (isProbe()) {
+            pools.host().probed(server, outcome, startedAt);
+        } else {
+            pools.host().ended(exchange, attempt, server, outcome, startedAt, lookup, body);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/server/ServerPools.java
@@ -0,0 +1,150 @@
+package stagepier.server;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ObjLongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stagepier.Api;
+import stagepier.exchange.Carrier;
+import stagepier.exchange.Clock;
+import stagepier.exchange.Exchange;
+import stagepier.exchange.ModuleHost;
+import stagepier.memcache.MalformedException;
+import stagepier.memcache.Protocol;
+
+/** The server side: a pool of links for each cache server of the list. */
+public final class ServerPools implements Carrier {
+    private static final Logger LOG = LoggerFactory.getLogger(ServerPools.class);
+    /** Links to one server while answers come; a further one is opened only when all are busy. */
+    static final int LINKS_USUAL = 3;
+    /** The same with silent ones, which only wait for late answers. */
+    static final int LINKS_MOST = 6;
+    /** A link from which nothing came for so long, in seconds, while an answer is due takes no new work. */
+    static final double SILENT_AFTER = 1.0;
+    /** A silent link on which nobody waits any more is closed after so long. */
+    static final double DEAD_AFTER = 5;
+    /** Part of the time after which servers close idle links: closed here first, no request meets a close. */
+    private static final double IDLE_PART = 0.8;
+    private static final double PROBE_TIMEOUT = 0.3;
+    static final byte[] PROBE = Protocol.line("mn");
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final ModuleHost host;
+    private final int connectTimeoutMs;
+    private final double idleMost;
+    private final Map<Long, ServerPool> pools = new HashMap<>();
+    private long opened;
+    private long failedOpens;
+    private long malformed;
+
+    public ServerPools(EventLoop loop, Clock clock, ModuleHost host, double connectTimeout, double idleClose) {
+        this.loop = loop;
+        this.clock = clock;
+        this.host = host;
+        connectTimeoutMs = connectTimeout > 0 ? (int) Math.ceil(connectTimeout * 1e3) : 1000;
+        idleMost = idleClose > 0 ? idleClose * IDLE_PART : Double.POSITIVE_INFINITY;
+        loop.scheduleWithFixedDelay(this::sweep, 1, 1, TimeUnit.SECONDS);
+    }
+
+    double now() {
+        return clock.now();
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    ModuleHost host() {
+        return host;
+    }
+
+    /** A server that may be sent to. */
+    public void ready(long server, InetSocketAddress address, double startedAt) {
+        pools.computeIfAbsent(server, id -> new ServerPool(this)).update(address, startedAt);
+    }
+
+    /** A server that drains or is gone. */
+    public void retire(long server) {
+        ServerPool pool = pools.get(server);
+        if (pool != null) {
+            pool.retire();
+        }
+    }
+
+    @Override
+    public Sending send(Exchange exchange, int attempt, long server, double timeout) {
+        Execution execution = new Execution(this, exchange, attempt, server, timeout);
+        start(execution, server);
+        return execution;
+    }
+
+    @Override
+    public void probe(long server) {
+        start(new Execution(this, null, 0, server, PROBE_TIMEOUT), server);
+    }
+
+    private void start(Execution execution, long server) {
+        ServerPool pool = pools.get(server);
+        if (pool == null) {
+            execution.end(Api.Outcome.CONNECT_FAILED);
+            return;
+        }
+        execution.startTimer();
+        pool.take(execution);
+    }
+
+    @Override
+    public void closeIdle(long server) {
+        ServerPool pool = pools.get(server);
+        if (pool != null) {
+            pool.closeIdle();
+        }
+    }
+
+    /** Connects a new link; what it was given waits until it is up, and ends where it never comes up. */
+    void open(ServerLink link, InetSocketAddress address) {
+        opened++;
+        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        link.attach(channel);
+                    }
+                }).connect(address).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        failedOpens++;
+                        link.drop();
+                    }
+                });
+    }
+
+    private void sweep() {
+        double now = now();
+        pools.values().forEach(pool -> pool.sweep(now, idleMost));
+        pools.values().removeIf(pool -> pool.isRetired() && pool.size() == 0);
+    }
+
+    void malformed(MalformedException e) {
+        malformed++;
+        LOG.warn("a cache server's input was malformed: {}", e.getMessage());
+    }
+
+    public void count(ObjLongConsumer<String> to) {
+        to.accept("server_links", pools.values().stream().mapToInt(ServerPool::size).sum());
+        to.accept("server_links_opened", opened);
+        to.accept("server_links_failed", failedOpens);
+        to.accept("server_input_malformed", malformed);
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/settings/SettingsException.java
@@ -0,0 +1,10 @@
+package stagepier.settings;
+
+/** Settings that make no sense: the message names the key. */
+public final class SettingsException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    public SettingsException(String message) {
+        super(message);
+    }
+}
--- a/src/main/java/stagepier/adapter/SettingsParser.java
+++ b/src/main/java/stagepier/settings/SettingsParser.java
@@ -1,4 +1,4 @@
-package stagepier.adapter;
+package stagepier.settings;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -13,25 +13,35 @@
  * Turns the settings text into {@link Api.Settings}: by key, unknown keys skipped, absent ones with the
  * meaning that the wire gives them. What cannot make sense is refused with a message that names the key.
  */
-final class SettingsParser {
-    /** What the adapter itself needs besides the module's settings: values in a load report. */
-    record Parsed(Api.Settings settings, int reportFields) {
+public final class SettingsParser {
+    /**
+     * What a host needs besides the module's settings.
+     *
+     * @param reportFields values in a load report
+     * @param names        the words by which sockets name what the module knows by index
+     * @param idleClose    a server closes a connection that was idle for so many seconds; 0 for never
+     */
+    public record Parsed(Api.Settings settings, int reportFields, Names names, double idleClose) {
+    }
+
+    /** The names in the settings, each at its index. */
+    public record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds) {
     }
 
     private SettingsParser() {
     }
 
-    static Parsed parse(String text) {
+    public static Parsed parse(String text) {
         try {
             JsonElement root = JsonParser.parseString(text);
             if (!root.isJsonObject()) {
-                throw new WireException("settings: not a JSON object");
+                throw new SettingsException("settings: not a JSON object");
             }
             return read(root.getAsJsonObject());
         } catch (JsonParseException | IllegalStateException | UnsupportedOperationException
                 | NumberFormatException e) {
             String detail = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
-            throw new WireException("settings: not valid JSON of the expected shape: " + detail);
+            throw new SettingsException("settings: not valid JSON of the expected shape: " + detail);
         }
     }
 
@@ -48,7 +58,9 @@
                 limits(object(o, "Limits")), protection(object(o, "Obligations")), prices(object(o, "Prices")),
                 reported ? layout(fields) : Api.ReportLayout.NONE,
                 text(o, "Discovery", "push").equals("ask"));
-        return new Parsed(settings, fields.size());
+        Names names = new Names(named(array(o, "Classes")), named(array(o, "Realms")), strings(o, "Areas"),
+                strings(o, "Flavors"));
+        return new Parsed(settings, fields.size(), names, number(object(o, "Limits"), "IdleClose", 0));
     }
 
     private static List<Api.RequestClass> classes(JsonObject o) {
@@ -57,18 +69,24 @@
             JsonObject c = e.getAsJsonObject();
             double deadline = required(c, "Deadline", "Classes[].Deadline");
             if (!(deadline > 0)) {
-                throw new WireException("settings: Classes[].Deadline must be above 0");
+                throw new SettingsException("settings: Classes[].Deadline must be above 0");
             }
             classes.add(new Api.RequestClass(repeat(text(c, "Repeat", "")), scope(text(c, "Group", "cell")),
                     number(c, "DedupWindow", 0), Math.min(deadline, number(c, "GoalTime", deadline)), deadline,
                     number(c, "Worth", 1), number(c, "LateWorth", 0), bool(c, "Stream", false)));
         }
         if (classes.isEmpty()) {
-            throw new WireException("settings: Classes is missing or empty");
+            throw new SettingsException("settings: Classes is missing or empty");
         }
         return List.copyOf(classes);
     }
 
+    private static List<String> named(JsonArray entries) {
+        List<String> names = new ArrayList<>();
+        entries.forEach(e -> names.add(text(e.getAsJsonObject(), "Name", "")));
+        return List.copyOf(names);
+    }
+
     private static List<Api.Tenant> tenants(JsonObject o) {
         List<Api.Tenant> tenants = new ArrayList<>();
         for (JsonElement e : array(o, "Realms")) {
@@ -102,7 +120,7 @@
             case "idempotent" -> Api.Repeat.SAFE;
             case "deduplicated" -> Api.Repeat.KEYED;
             case "at_most_once" -> Api.Repeat.UNSAFE;
-            default -> throw new WireException("settings: Classes[].Repeat '" + word + "' is unknown");
+            default -> throw new SettingsException("settings: Classes[].Repeat '" + word + "' is unknown");
         };
     }
 
@@ -145,7 +163,7 @@
 
     private static double required(JsonObject o, String key, String name) {
         if (!o.has(key)) {
-            throw new WireException("settings: " + name + " is missing");
+            throw new SettingsException("settings: " + name + " is missing");
         }
         return number(o, key, 0);
     }
@@ -157,7 +175,7 @@
         }
         double value = e.getAsDouble();
         if (Double.isNaN(value) || Double.isInfinite(value)) {
-            throw new WireException("settings: " + key + " is not a finite number");
+            throw new SettingsException("settings: " + key + " is not a finite number");
         }
         return value;
     }
--- a/src/test/java/stagepier/adapter/AdapterTest.java
+++ b/src/test/java/stagepier/adapter/AdapterTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import stagepier.settings.SettingsParser;
 
 /** The wire in bytes, both ways. */
 class AdapterTest {
