Test the router over sockets and the parsers from fixed seeds; take requests without tenant

Seen: the first integration tests lost their connection on a request with no t=. Cause: ModuleHost.take asked an immutable list for the index of null, which throws, and the link closed with a request taken and unanswered. Checked: all six integration tests failed or passed with that line alone.

The tests start the program and take the places of client, cache server and discovery; every wait has a limit, after a first run that hung on a read.

--- a/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/src/main/java/stagepier/exchange/ModuleHost.java
@@ -106,12 +106,18 @@
         open.put(x.id(), x);
         unanswered++;
         x.backstop(loop.schedule(() -> overdue(x), micros(budget + OVERDUE), TimeUnit.MICROSECONDS));
-        Api.Request request = new Api.Request(x.id(), classIndex, names.tenants().indexOf(command.attribute("t")),
+        Api.Request request = new Api.Request(x.id(), classIndex, tenant(command),
                 Ids.ofKey(command.key()), budget, 0, "1".equals(command.attribute("r")), command.isWrite());
         post(() -> module.onRequest(clock.now(), request));
         return x;
     }
 
+    /** Guards against a request without a tenant: an immutable list throws where it is asked for null. */
+    private int tenant(Command command) {
+        String tenant = command.attribute("t");
+        return tenant == null ? -1 : names.tenants().indexOf(tenant);
+    }
+
     /** The client has closed its connection. */
     public void clientGone(Exchange x) {
         post(() -> {
--- /dev/null
+++ b/src/test/java/stagepier/app/RouterTest.java
@@ -0,0 +1,203 @@
+package stagepier.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts the program and speaks to it over sockets, in the places of clients, a cache server and discovery. */
+@Timeout(60)
+class RouterTest {
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final int WAIT_MS = 5000;
+    private static final String SETTINGS = """
+            {"Classes":[{"Name":"read","Deadline":2,"GoalTime":1,"Repeat":"idempotent","Worth":1},
+            {"Name":"put","Deadline":2,"GoalTime":1,"Repeat":"deduplicated","Group":"all","DedupWindow":9,"Worth":1}],
+            "Areas":["a"],"Flavors":["m"],"Limits":{"MaxAttempts":3,"MaxRetryAfter":1.2,"DialTimeout":0.25,
+            "IdleClose":60},"Obligations":{"DrainGrace":1}}""";
+
+    @TempDir
+    private Path folder;
+    private final ServerSocket cache = listen();
+    private final ServerSocket discovery = listen();
+    private Process router;
+    private Socket client;
+    private BufferedReader answers;
+
+    private static ServerSocket listen() {
+        try {
+            ServerSocket socket = new ServerSocket(0, 50, LOOPBACK);
+            socket.setSoTimeout(WAIT_MS);
+            return socket;
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = listen()) {
+            return s.getLocalPort();
+        }
+    }
+
+    private Process launch(String config) throws IOException {
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "stagepier.app.Main", "serve");
+        builder.environment().put("GW_CONFIG", file.toString());
+        builder.redirectError(folder.resolve("log").toFile());
+        return builder.start();
+    }
+
+    /** A router that knows one cache server, at that port. */
+    private void start(int cachePort) throws Exception {
+        int port = freePort();
+        router = launch("""
+                {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964","settings":%s,
+                "known":{"generation":1,"reset":true,"instances":[{"instanceId":"s-00000001",
+                "hostPort":"127.0.0.1:%d","zone":"a","machineType":"m","cell":0,"lifecycle":"up","weight":1.0,
+                "startedAtMs":0}]}}""".formatted(port, discovery.getLocalPort(), SETTINGS, cachePort));
+        while (client == null) {
+            try {
+                client = new Socket(LOOPBACK, port);
+            } catch (IOException e) {
+                assertTrue(router.isAlive(), Files.readString(folder.resolve("log")));
+                Thread.sleep(20);
+            }
+        }
+        answers = reader(client);
+        assertEquals("MN", ask("mn"));
+    }
+
+    private static BufferedReader reader(Socket socket) throws IOException {
+        // A test that waits in vain fails; it does not hang.
+        socket.setSoTimeout(WAIT_MS);
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    }
+
+    private static void write(Socket to, String text) throws IOException {
+        to.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private String ask(String line) throws IOException {
+        write(client, line + "\r\n");
+        return answers.readLine();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        if (router != null) {
+            router.destroyForcibly();
+        }
+        cache.close();
+        discovery.close();
+    }
+
+    @Test
+    void servesReadsAndWritesInTheOrderOfTheCommands() throws Exception {
+        start(cache.getLocalPort());
+        write(client, "mg k1 v Oa Pc=read,t=x,d=1900\r\nms k2 5 Ob Pc=put,d=1900,k=77\r\nhello\r\nmn\r\n");
+        Socket link = cache.accept();
+        BufferedReader asked = reader(link);
+        assertTrue(asked.readLine().matches("mg k1 v Oa Pc=read,t=x,d=1[89][0-9][0-9]"));
+        assertTrue(asked.readLine().matches("ms k2 5 Ob Pc=put,d=1[89][0-9][0-9],k=77"));
+        assertEquals("hello", asked.readLine());
+        write(link, "VA 2 Oa h1\r\nhi\r\nHD Ob cc0ffee\r\n");
+        assertEquals("VA 2 Oa", answers.readLine());
+        assertEquals("hi", answers.readLine());
+        assertEquals("HD Ob cc0ffee", answers.readLine());
+        assertEquals("MN", answers.readLine());
+        write(client, "stats\r\n");
+        List<String> stats = answers.lines().takeWhile(l -> !l.equals("END")).toList();
+        assertTrue(stats.contains("STAT answers_served 2"), stats.toString());
+    }
+
+    @Test
+    void aThrottleComesAtOnceAndTellsWhenToComeBack() throws Exception {
+        start(freePort());
+        long from = System.nanoTime();
+        assertTrue(ask("mg k1 v Oa Pc=read,d=1900").matches("SERVER_ERROR busy [1-9][0-9]*"));
+        assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(900), "held back");
+    }
+
+    /** Guards against a late answer that is taken for the next one on its link. */
+    @Test
+    void aSilentServerCostsNoAnswerAndItsLateAnswerIsDiscarded() throws Exception {
+        start(cache.getLocalPort());
+        long from = System.nanoTime();
+        assertTrue(ask("mg k1 v Oa Pc=read,d=300").startsWith("SERVER_ERROR"));
+        assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(370), "later than the client waits");
+        Socket link = cache.accept();
+        write(link, "VA 4 Oa h1\r\nlate\r\n");
+        Thread.sleep(200);
+        assertEquals("MN", ask("mn"));
+        write(client, "mg k2 v Ob Pc=read,d=1900\r\n");
+        BufferedReader asked = reader(link);
+        assertTrue(asked.readLine().startsWith("mg k1 "));
+        assertTrue(asked.readLine().startsWith("mg k2 v Ob "), "the late answer has freed the link");
+        write(link, "VA 3 Ob h1\r\nnew\r\n");
+        assertEquals("VA 3 Ob", answers.readLine());
+        assertEquals("new", answers.readLine());
+    }
+
+    @Test
+    void brokenInputOnEitherSideEndsOnlyItsConnection() throws Exception {
+        start(cache.getLocalPort());
+        assertEquals("CLIENT_ERROR unknown class", ask("mg k1 v Oa Pc=nosuch,d=100"));
+        assertEquals("ERROR", ask("version"));
+        write(client, "mg k1 v Oa Pc=read,d=1900\r\n");
+        Socket link = cache.accept();
+        assertTrue(reader(link).readLine().startsWith("mg k1 "));
+        write(link, "VA nonsense\r\n");
+        assertTrue(answers.readLine().startsWith("SERVER_ERROR"));
+        assertEquals("CLIENT_ERROR bad data length", ask("ms k1 x Oa"));
+        assertEquals(null, answers.readLine(), "closed: nothing tells where the next command begins");
+        assertTrue(router.isAlive());
+    }
+
+    @Test
+    void onSigtermItFinishesWhatItTookAndEndsWithZero() throws Exception {
+        start(cache.getLocalPort());
+        write(client, "mg k1 v Oa Pc=read,d=1900\r\n");
+        Socket link = cache.accept();
+        BufferedReader asked = reader(link);
+        assertTrue(asked.readLine().startsWith("mg k1 "));
+        router.destroy();
+        Thread.sleep(200);
+        write(client, "mg k2 v Ob Pc=read,d=1900\r\n");
+        try (Socket late = new Socket(LOOPBACK, client.getPort())) {
+            write(late, "mn\r\n");
+            assertEquals("MN", reader(late).readLine(), "still serving");
+            Thread.sleep(900);
+            write(link, "VA 1 Oa h1\r\n1\r\nVA 1 Ob h1\r\n2\r\n");
+            assertEquals(List.of("VA 1 Oa", "1", "VA 1 Ob", "2"), answers.lines().toList());
+        }
+        assertTrue(router.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(0, router.exitValue());
+        assertTrue(Files.readString(folder.resolve("log")).contains("answers_served=2"));
+    }
+
+    @Test
+    void aBadConfigurationEndsInOneLine() throws Exception {
+        router = launch("{\"listen\":\"nowhere\"}");
+        assertTrue(router.waitFor(20, TimeUnit.SECONDS));
+        assertFalse(router.exitValue() == 0);
+        assertEquals(List.of("stagepier: configuration: 'nowhere' is not an address and a port"),
+                Files.readAllLines(folder.resolve("log")));
+    }
+}
--- /dev/null
+++ b/src/test/java/stagepier/memcache/ParserTest.java
@@ -0,0 +1,92 @@
+package stagepier.memcache;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Random cuts of valid messages and random garbage, from fixed seeds. */
+class ParserTest {
+    private static final String READ = "mg 7f3a9c21e0b4d655 v O9b1f03aa5c7e2d41 Pc=read,t=acme,d=480";
+    private static final String WRITE = "ms 7f3a9c21e0b4d655 %d O9b1f03aa5c7e2d41 Pc=put,t=acme,d=480,k=5c0f6e1a2b3d4c59";
+
+    private static byte[] value(int length) {
+        byte[] value = new byte[length];
+        for (int i = 0; i < length; i++) {
+            value[i] = (byte) (i % 5 == 0 ? '\r' : i % 5 == 1 ? '\n' : i);
+        }
+        return value;
+    }
+
+    private static byte[] join(byte[]... parts) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (byte[] part : parts) {
+            all.writeBytes(part);
+        }
+        return all.toByteArray();
+    }
+
+    @Property(seed = "11", tries = 200)
+    void commandsSurviveAnyCuts(@ForAll long seed, @ForAll @IntRange(max = Protocol.LARGEST_VALUE) int length)
+            throws MalformedException {
+        byte[] write = Protocol.withValue(WRITE.formatted(length), value(length));
+        byte[] all = join(Protocol.line(READ), write, Protocol.line("mn"), Protocol.line("mg k v"), Protocol.line("x"));
+        List<Command> commands = Wire.parse(CommandParser::next, all, seed);
+        assertEquals(List.of(Command.Kind.GET, Command.Kind.SET, Command.Kind.ALIVE, Command.Kind.BAD,
+                Command.Kind.UNKNOWN), commands.stream().map(Command::kind).toList());
+        // Passed on without change but for the time.
+        assertArrayEquals(Protocol.line(READ.replace("480", "77")), commands.get(0).forward(77));
+        assertArrayEquals(write, commands.get(1).forward(480));
+        assertEquals("put", commands.get(1).attribute("c"));
+    }
+
+    @Property(seed = "12", tries = 200)
+    void answersSurviveAnyCuts(@ForAll long seed, @ForAll @IntRange(max = Protocol.LARGEST_VALUE) int length)
+            throws MalformedException {
+        byte[] all = join(Protocol.withValue("VA " + length + " Oab h0 Z", value(length)), Protocol.line("HD Oab cff"),
+                Protocol.line("SERVER_ERROR busy 12"), Protocol.line("SERVER_ERROR failed"), Protocol.line("MN"));
+        List<Answer> answers = Wire.parse(AnswerParser::next, all, seed);
+        assertEquals(List.of(Answer.Kind.VALUE, Answer.Kind.RECEIPT, Answer.Kind.BUSY, Answer.Kind.FAILED,
+                Answer.Kind.ALIVE), answers.stream().map(Answer::kind).toList());
+        assertArrayEquals(value(length), answers.get(0).body());
+        assertEquals(Answer.Hit.MISS_FETCHING, answers.get(0).hit());
+        assertEquals("ff", new String(answers.get(1).body(), StandardCharsets.ISO_8859_1));
+    }
+
+    /** A malformed message ends a connection; anything else that is thrown would end the program. */
+    @Property(seed = "13", tries = 2000)
+    void garbageIsRefusedAndNeverACrash(@ForAll long seed, @ForAll @Size(max = 300) byte[] garbage,
+            @ForAll @IntRange(max = 6) int start) {
+        String[] starts = {"", "mg ", "ms k 5 ", "ms k ", "VA 3 ", "HD ", "SERVER_ERROR "};
+        byte[] bytes = join(starts[start].getBytes(StandardCharsets.ISO_8859_1), garbage, Protocol.line(""));
+        try {
+            for (Command command : Wire.parse(CommandParser::next, bytes, seed)) {
+                command.attribute("c");
+                if (command.kind() == Command.Kind.GET || command.isWrite()) {
+                    command.forward(1);
+                }
+            }
+        } catch (MalformedException e) {
+            assertEquals(1, e.getMessage().lines().count());
+        }
+        assertThrows(MalformedException.class,
+                () -> Wire.parse(AnswerParser::next, join(Protocol.line("?"), bytes), seed));
+    }
+
+    @Property(seed = "14", tries = 1)
+    void whatIsTooLargeIsRefused() {
+        assertThrows(MalformedException.class,
+                () -> Wire.parse(CommandParser::next, new byte[Protocol.LARGEST_LINE], 1));
+        assertThrows(MalformedException.class, () -> Wire.parse(CommandParser::next,
+                Protocol.line("ms k " + (Protocol.LARGEST_VALUE + 1) + " Oa"), 1));
+        assertThrows(MalformedException.class,
+                () -> Wire.parse(AnswerParser::next, Protocol.line("VA 999999 Oa"), 1));
+    }
+}
