Run decisions and parsers once before the router listens

Seen: the first attempts after a start go through cold code; the 99th percentile from request to first attempt is 5.8 ms, the median 0.4 ms.

--- a/src/main/java/stagepier/app/Router.java
+++ b/src/main/java/stagepier/app/Router.java
@@ -54,6 +54,9 @@
     /** Completes once clients can be served. */
     CompletableFuture<Void> start() {
         loop.execute(() -> {
+            long from = System.nanoTime();
+            WarmUp.run(config.settings().settings());
+            LOG.debug("warmed up in {} ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from));
             try {
                 if (config.known() != null) {
                     changed(hosts.apply(config.known()));
