--- /dev/null
+++ b/src/test/java/stagepier/discovery/HostGroupTest.java
@@ -0,0 +1,53 @@
+package stagepier.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.gson.JsonParser;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import stagepier.Api;
+import stagepier.settings.SettingsParser;
+
+/** Guards against a message of discovery that takes servers away since it was misread. */
+class HostGroupTest {
+    private final HostGroup group = new HostGroup(
+            new SettingsParser.Names(List.of("c"), List.of(), List.of("a"), List.of("m")));
+
+    private HostGroup.Change tell(long generation, boolean reset, String... entries) {
+        return group.apply(JsonParser.parseString("{\"generation\":" + generation + ",\"reset\":" + reset
+                + ",\"instances\":[" + String.join(",", entries) + "]}"));
+    }
+
+    private static String entry(int id, String lifecycle) {
+        return "{\"instanceId\":\"s-0000000" + id + "\",\"hostPort\":\"127.0.0.1:" + (9000 + id) + "\",\"zone\":\"a\","
+                + "\"machineType\":\"m\",\"cell\":0,\"lifecycle\":\"" + lifecycle + "\",\"weight\":1.0,"
+                + "\"startedAtMs\":2500}";
+    }
+
+    @Test
+    void aWholeListTellsWhoLeftAndChangesOnlyWhatTheyName() {
+        assertEquals(2.5, tell(1, true, entry(1, "up"), entry(2, "up")).hosts().get(0).member().startedAt());
+        HostGroup.Change change = tell(2, false, entry(1, "draining"));
+        assertEquals(Api.MemberState.DRAINING, change.hosts().get(0).member().state());
+        assertEquals(List.of(), change.left());
+        assertEquals(List.of(1L, 2L), tell(3, true, entry(3, "up")).left().stream().map(h -> h.member().id()).toList());
+        tell(4, false, entry(3, "removed"));
+        assertFalse(tell(5, true).left().iterator().hasNext());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"[]", "null", "{}", "{\"generation\":9,\"reset\":true}",
+        "{\"generation\":9,\"reset\":true,\"instances\":[{}]}", "{\"generation\":\"x\",\"reset\":true,\"instances\":[]}",
+        "{\"generation\":9,\"reset\":true,\"instances\":[{\"instanceId\":\"s-1\",\"lifecycle\":\"odd\"}]}",
+        "{\"generation\":9,\"reset\":true,\"instances\":[{\"instanceId\":\"s\",\"lifecycle\":\"up\",\"hostPort\":\"a:1\"}]}"})
+    void aMessageThatMakesNoSenseLeavesTheListAsItWas(String message) {
+        tell(1, true, entry(1, "up"));
+        assertThrows(IllegalArgumentException.class, () -> group.apply(JsonParser.parseString(message)));
+        assertEquals(1, group.generation());
+        assertEquals(1, tell(2, true).left().size(), "still known");
+    }
+}
