--- a/src/test/java/stagepier/app/RouterTest.java
+++ b/src/test/java/stagepier/app/RouterTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -170,6 +171,23 @@
         assertTrue(router.isAlive());
     }
 
+    /** Guards against new work for a server that drains, and against a watch that starts from another list than known. */
+    @Test
+    void aServerThatDrainsGetsNothingNewAndTheWatchIsRenewed() throws Exception {
+        start(cache.getLocalPort());
+        Socket watch = discovery.accept();
+        BufferedReader calls = reader(watch);
+        assertTrue(calls.readLine().startsWith("GET /discovery/hosts?from=1&hold_ms="));
+        String list = "{\"generation\":2,\"reset\":false,\"instances\":[{\"instanceId\":\"s-00000001\",\"hostPort\":"
+                + "\"127.0.0.1:" + cache.getLocalPort() + "\",\"lifecycle\":\"draining\"}]}";
+        write(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+        assertEquals("GET /discovery/hosts?from=2", calls.lines().filter(l -> l.startsWith("GET")).findFirst()
+                .orElseThrow().split("&")[0]);
+        assertTrue(ask("mg k1 v Oa Pc=read,d=1900").startsWith("SERVER_ERROR busy"));
+        cache.setSoTimeout(300);
+        assertThrows(java.net.SocketTimeoutException.class, cache::accept);
+    }
+
     @Test
     void onSigtermItFinishesWhatItTookAndEndsWithZero() throws Exception {
         start(cache.getLocalPort());
