Move the watch to the new discovery on SIGHUP instead of ending

The signal ran the shutdown hook of SIGTERM.

Lines at fault: app/Main.serve handled no SIGHUP, and DiscoveryWatch had one address for good.

A second watch that reads beside the old one was ruled out: a late answer of the old one could take the list back.

Now: a connection to the new address is brought up while the old watch goes on; once it is up the old one ends and the call goes out from the generation that the list has. The signal that comes before the router is built waits for it.

--- a/src/main/java/stagepier/app/Main.java
+++ b/src/main/java/stagepier/app/Main.java
@@ -5,10 +5,12 @@
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.jline.utils.Signals;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.adapter.Adapter;
@@ -48,10 +50,16 @@
     }
 
     private static void serve() {
+        String path = System.getenv("GW_CONFIG");
+        CompletableFuture<Router> built = new CompletableFuture<>();
+        // First of all, for this signal ends a JVM that does not handle it; one that comes early waits for the router.
+        Signals.register("HUP", () -> built.thenAccept(router -> reload(router, path)));
         try {
-            Router router = new Router(Config.read(System.getenv("GW_CONFIG")));
+            Router router = new Router(Config.read(path));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router), "stop"));
-            router.start().join();
+            CompletableFuture<Void> ready = router.start();
+            built.complete(router);
+            ready.join();
         } catch (Config.BadConfigException | IllegalArgumentException e) {
             exit(BAD_CONFIG, "stagepier: " + e.getMessage());
         } catch (CompletionException e) {
@@ -59,6 +67,18 @@
         }
     }
 
+    /**
+     * Runs on SIGHUP, each time on a thread of its own. One at a time, so that what was read last is taken over last;
+     * a file that makes no sense changes nothing.
+     */
+    private static synchronized void reload(Router router, String path) {
+        try {
+            router.reload(Config.read(path));
+        } catch (Config.BadConfigException e) {
+            LoggerFactory.getLogger(Main.class).error("the configuration in force stays: {}", e.getMessage());
+        }
+    }
+
     /** Runs on SIGTERM. Ends the process itself, for the exit code of a signal would look like a crash. */
     private static void stop(Router router) {
         Logger log = LoggerFactory.getLogger(Main.class);
--- a/src/main/java/stagepier/app/Router.java
+++ b/src/main/java/stagepier/app/Router.java
@@ -101,6 +101,20 @@
         });
     }
 
+    /**
+     * Takes over a configuration that was read again: the watch moves to its discovery. All else that it says holds
+     * from the next start on. Harmless while the router starts or drains.
+     */
+    void reload(Config fresh) {
+        loop.execute(() -> {
+            LOG.info("configuration read again: discovery at {}", fresh.discovery());
+            if (!fresh.listen().equals(config.listen()) || !fresh.settings().equals(config.settings())) {
+                LOG.warn("the new configuration differs in more than discovery: that needs a restart");
+            }
+            watch.moveTo(fresh.discovery());
+        });
+    }
+
     /** Goes on serving for a while, then finishes all that was taken. Completes when that is done. */
     CompletableFuture<Void> stop() {
         loop.execute(() -> {
--- a/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonParser;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -30,7 +31,8 @@
 
 /**
  * Keeps a watch on discovery: the next call follows the last answer at once, and a call that failed or had no
- * answer is made again on a new connection, each time after a longer wait. Owns its connection and its timer.
+ * answer is made again on a new connection, each time after a longer wait. Owns its connections and timers: at most
+ * one connection that watches, and one that is to take over from it.
  */
 public final class DiscoveryWatch {
     private static final Logger LOG = LoggerFactory.getLogger(DiscoveryWatch.class);
@@ -43,12 +45,16 @@
     private static final int LARGEST_LIST = 1 << 20;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final HostGroup group;
     private final Consumer<HostGroup.Change> changed;
     private final Runnable failed;
+    private InetSocketAddress address;
+    /** The one that watches; null while there is none. */
     private Channel channel;
-    private Future<?> timer;
+    private Future<?> callTimer;
+    /** The one that is coming up and then takes over; null while none is. */
+    private Channel connecting;
+    private Future<?> retryTimer;
     private int retryMs = RETRY_FIRST_MS;
     private boolean stopped;
     private long calls;
@@ -74,22 +80,45 @@
                                 new Answers());
                     }
                 });
-        channel = bootstrap.connect(address).addListener(done -> {
-            if (!done.isSuccess()) {
+        ChannelFuture connect = bootstrap.connect(address);
+        connecting = connect.channel();
+        connect.addListener(done -> {
+            if (!done.isSuccess() && connect.channel() == connecting) {
+                connecting = null;
                 again("no connection: " + done.cause().getMessage());
             }
-        }).channel();
+        });
+    }
+
+    /**
+     * Goes on at another address. Guards against a gap: the old watch goes on until a connection to the new address
+     * is up, and the call on that one begins where the old one ended.
+     */
+    public void moveTo(InetSocketAddress to) {
+        if (stopped || to.equals(address)) {
+            return;
+        }
+        address = to;
+        retryMs = RETRY_FIRST_MS;
+        dropConnecting();
+        start();
     }
 
     public void stop() {
         stopped = true;
-        giveBack();
+        dropConnecting();
+        dropWatch();
     }
 
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            call(ctx.channel());
+            if (ctx.channel() == connecting) {
+                connecting = null;
+                dropWatch();
+                channel = ctx.channel();
+                call();
+            }
         }
 
         @Override
@@ -102,29 +131,29 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
-                again("the connection ended");
+                failed("the connection ended");
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (ctx.channel() == channel) {
-                again(cause.toString());
+                failed(cause.toString());
             }
         }
     }
 
-    private void call(Channel on) {
+    private void call() {
         calls++;
         String from = group.generation() < 0 ? "" : "?from=" + group.generation() + "&hold_ms=" + HOLD_MS;
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH + from);
         request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(address));
-        on.writeAndFlush(request);
-        timer = loop.schedule(() -> again("no answer in time"), HOLD_MS + SLACK_MS, TimeUnit.MILLISECONDS);
+        channel.writeAndFlush(request);
+        callTimer = loop.schedule(() -> failed("no answer in time"), HOLD_MS + SLACK_MS, TimeUnit.MILLISECONDS);
     }
 
     private void answered(FullHttpResponse response) {
-        timer.cancel(false);
+        callTimer.cancel(false);
         HostGroup.Change change;
         try {
             if (response.status().code() != 200 || response.decoderResult().isFailure()) {
@@ -133,38 +162,53 @@
             change = group.apply(JsonParser.parseString(response.content().toString(StandardCharsets.UTF_8)));
         } catch (IllegalArgumentException | JsonParseException e) {
             // The last list stays in force: a bad message must not take servers away.
-            again(e.getMessage());
+            failed(e.getMessage());
             return;
         }
         retryMs = RETRY_FIRST_MS;
         if (HttpUtil.isKeepAlive(response)) {
-            call(channel);
+            call();
         } else {
-            giveBack();
-            start();
+            dropWatch();
+            goOn(this::start);
         }
         if (change.complete() || !change.hosts().isEmpty()) {
             changed.accept(change);
         }
     }
 
-    /** A call failed: the next one comes after a wait that grows, so that a dead agent costs nothing. */
+    /** The watch broke. */
+    private void failed(String why) {
+        dropWatch();
+        goOn(() -> again(why));
+    }
+
+    /** Does what brings up a new connection, unless one is on its way already. */
+    private void goOn(Runnable how) {
+        if (connecting == null && retryTimer == null) {
+            how.run();
+        }
+    }
+
+    /** The next connection comes after a wait that grows, so that a dead agent costs nothing. */
     private void again(String why) {
         if (stopped) {
             return;
         }
         failures++;
         LOG.debug("discovery: {}", why);
-        giveBack();
-        timer = loop.schedule(this::start, retryMs, TimeUnit.MILLISECONDS);
+        retryTimer = loop.schedule(() -> {
+            retryTimer = null;
+            start();
+        }, retryMs, TimeUnit.MILLISECONDS);
         retryMs = Math.min(RETRY_MOST_MS, retryMs * 2);
         failed.run();
     }
 
-    /** The one place where connection and timer are given back. */
-    private void giveBack() {
-        if (timer != null) {
-            timer.cancel(false);
+    /** The one place where the connection that watches and its timer are given back. */
+    private void dropWatch() {
+        if (callTimer != null) {
+            callTimer.cancel(false);
         }
         Channel old = channel;
         channel = null;
@@ -173,6 +217,19 @@
         }
     }
 
+    /** The one place where a connection that is not up yet, and the wait for the next one, are given back. */
+    private void dropConnecting() {
+        if (retryTimer != null) {
+            retryTimer.cancel(false);
+            retryTimer = null;
+        }
+        Channel old = connecting;
+        connecting = null;
+        if (old != null) {
+            old.close();
+        }
+    }
+
     public void count(ObjLongConsumer<String> to) {
         to.accept("discovery_calls", calls);
         to.accept("discovery_failures", failures);
--- a/src/test/java/stagepier/app/RouterTest.java
+++ b/src/test/java/stagepier/app/RouterTest.java
@@ -210,6 +210,39 @@
         assertTrue(Files.readString(folder.resolve("log")).contains("answers_served=2"));
     }
 
+    private void hangUpUntilLogged(String text) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(router.pid())).start().waitFor());
+        for (int i = 0; !Files.readString(folder.resolve("log")).contains(text); i++) {
+            assertTrue(i < WAIT_MS / 20, "never logged: " + text);
+            Thread.sleep(20);
+        }
+    }
+
+    /** Guards against a signal that ends the JVM, and against a watch that stays where nobody will answer. */
+    @Test
+    void onSighupTheWatchMovesToTheNewDiscoveryAndABadFileChangesNothing() throws Exception {
+        start(cache.getLocalPort());
+        BufferedReader old = reader(discovery.accept());
+        assertTrue(old.readLine().startsWith("GET /discovery/hosts?from=1&"));
+        Path file = folder.resolve("config.json");
+        String config = Files.readString(file);
+        Files.writeString(file, "{\"listen\":");
+        hangUpUntilLogged("the configuration in force stays");
+        // Nobody answers there: the old watch must not end before the new one is up.
+        int refused = freePort();
+        Files.writeString(file, config.replace(":" + discovery.getLocalPort(), ":" + refused));
+        hangUpUntilLogged("discovery at /127.0.0.1:" + refused);
+        assertTrue(old.readLine().startsWith("host:"));
+        assertEquals("", old.readLine());
+        try (ServerSocket moved = listen()) {
+            Files.writeString(file, config.replace(":" + discovery.getLocalPort(), ":" + moved.getLocalPort()));
+            hangUpUntilLogged("discovery at /127.0.0.1:" + moved.getLocalPort());
+            assertTrue(reader(moved.accept()).readLine().startsWith("GET /discovery/hosts?from=1&"));
+            assertEquals(null, old.readLine(), "the old watch ends with the move");
+        }
+        assertEquals("MN", ask("mn"));
+    }
+
     @Test
     void aBadConfigurationEndsInOneLine() throws Exception {
         router = launch("{\"listen\":\"nowhere\"}");
