Keep client links to places and refuse what cache servers cannot use

Lines at fault: ClientLink had no timer at all and ClientListener no bound; Config did not read limits; CommandParser.request let any flag and byte pass; ModuleHost.objection did not know the ids that are open.

Checked and ruled out: one pause after a close instead of a bound (a link with an open request must not be closed, so the bound has to hold the accept back); lingering after an error (the client reads what came before the reset).

Now: places from limits.sockets; half-sent commands, silent and idle links end, sooner while places are short; with none left the accept waits. Flags but O, P and v, unreadable bytes, double flags and ids in use are refused; an id stays taken until 2 s after the longest deadline. Buffers start with nothing and give back what a large message took, so that hundreds of links cost little. Patterns are compiled once.

--- a/src/main/java/stagepier/app/Config.java
+++ b/src/main/java/stagepier/app/Config.java
@@ -15,10 +15,13 @@
 /**
  * What a router is told at its start.
  *
- * @param known the list of cache servers as this router last had it, or null
+ * @param known   the list of cache servers as this router last had it, or null
+ * @param sockets file descriptors that the process may hold
  */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, JsonElement known,
+record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, JsonElement known, int sockets,
         SettingsParser.Parsed settings) {
+    private static final int SOCKETS_USUAL = 1024;
+    private static final int SOCKETS_LEAST = 128;
 
     /** A configuration with which the program cannot start; the message is one line. */
     static final class BadConfigException extends Exception {
@@ -45,7 +48,7 @@
             JsonObject o = JsonParser.parseString(text).getAsJsonObject();
             JsonElement known = o.get("known");
             return new Config(address(o, "listen"), address(o, "discovery"), seed(o),
-                    known == null || known.isJsonNull() ? null : known,
+                    known == null || known.isJsonNull() ? null : known, sockets(o),
                     SettingsParser.parse(String.valueOf(o.get("settings"))));
         } catch (JsonParseException | IllegalStateException | UnsupportedOperationException
                 | IllegalArgumentException | SettingsException e) {
@@ -61,6 +64,18 @@
         }
     }
 
+    private static int sockets(JsonObject o) {
+        JsonElement limits = o.get("limits");
+        if (limits == null || !limits.getAsJsonObject().has("sockets")) {
+            return SOCKETS_USUAL;
+        }
+        int sockets = limits.getAsJsonObject().get("sockets").getAsInt();
+        if (sockets < SOCKETS_LEAST) {
+            throw new IllegalArgumentException("limits.sockets is below " + SOCKETS_LEAST);
+        }
+        return sockets;
+    }
+
     private static InetSocketAddress address(JsonObject o, String key) {
         if (!o.has(key)) {
             throw new IllegalArgumentException(key + " is missing");
--- a/src/main/java/stagepier/app/Router.java
+++ b/src/main/java/stagepier/app/Router.java
@@ -24,6 +24,11 @@
     /** After the word to stop, clients still come and ask for so long. */
     private static final int STILL_SERVING_MS = 700;
     private static final int POLL_MS = 10;
+    /** Files, selectors, the listening socket, discovery, and sockets that are accepted just before the listener is full. */
+    private static final int OWN_DESCRIPTORS = 48;
+    private static final double SERVER_PART = 0.2;
+    /** Client links for which the heap has room, each with a half-sent message of the largest size. */
+    private static final int PLACES_MOST = 512;
 
     private final Config config;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -44,13 +49,18 @@
         Api.Settings settings = config.settings().settings();
         hosts = new HostGroup(config.settings().names());
         host = new ModuleHost(loop, clock, config.settings());
-        servers = new ServerPools(loop, clock, host, settings.limits().connectTimeout(),
+        servers = new ServerPools(loop, clock, host, (int) (SERVER_PART * config.sockets()), settings.limits().connectTimeout(),
                 config.settings().idleClose());
         host.connect(new Brain(settings, config.seed(), host), servers);
-        clients = new ClientListener(host, this::stats);
+        clients = new ClientListener(loop, clock, places(config.sockets()), host, this::stats);
         watch = new DiscoveryWatch(loop, config.discovery(), hosts, this::changed, host::membersFailed);
     }
 
+    /** Descriptors for clients: what is left when the program's own and those for cache servers are set aside. */
+    private static int places(int sockets) {
+        return Math.min(PLACES_MOST, sockets - OWN_DESCRIPTORS - (int) (SERVER_PART * sockets));
+    }
+
     /** Completes once clients can be served. */
     CompletableFuture<Void> start() {
         loop.execute(() -> {
--- a/src/main/java/stagepier/client/ClientLink.java
+++ b/src/main/java/stagepier/client/ClientLink.java
@@ -16,6 +16,10 @@
 final class ClientLink extends Link {
     /** Commands without a written answer from which no more are read. */
     private static final int PIPELINED_MOST = 128;
+    /** Bytes of answers that wait for the client to read from which no more commands are read. */
+    private static final int ANSWERS_MOST = 2 * Protocol.LARGEST_VALUE;
+    /** Seconds for which a client may leave answers unread. */
+    private static final double UNREAD_MOST = 4;
 
     /** The place of one answer in the order. */
     private static final class Slot {
@@ -25,10 +29,19 @@
 
     private final ClientListener owner;
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
+    private final double openedAt;
+    /** When the last thing happened that shows a client at work: a command taken or bytes of an answer read. */
+    private double activeAt;
+    /** When the command that has come in part began; NaN where there is none. */
+    private double partSince = Double.NaN;
+    private boolean asked;
     private boolean leaving;
+    private int answerBytes;
 
     ClientLink(ClientListener owner, Channel channel) {
         this.owner = owner;
+        openedAt = owner.now();
+        activeAt = openedAt;
         attach(channel);
     }
 
@@ -39,7 +52,7 @@
 
     @Override
     protected boolean wantsInput() {
-        return slots.size() < PIPELINED_MOST && !leaving;
+        return slots.size() < PIPELINED_MOST && answerBytes < ANSWERS_MOST && !leaving;
     }
 
     @Override
@@ -47,10 +60,45 @@
         while (wantsInput() && !isClosed()) {
             Command command = CommandParser.next(bytes);
             if (command == null) {
-                return;
+                break;
             }
+            asked = true;
+            activeAt = owner.now();
+            partSince = Double.NaN;
             take(command);
         }
+        if (unread() == 0) {
+            partSince = Double.NaN;
+        } else if (Double.isNaN(partSince)) {
+            partSince = owner.now();
+        }
+    }
+
+    /**
+     * Closes what holds a place and does nothing with it. Guards against clients that connect and say nothing, stop in
+     * the middle of a command, leave their answers unread, or keep a link for good: descriptors are few.
+     *
+     * @param patience seconds within which a first command must come, and any command whole once it has begun
+     * @param idleMost seconds for which a link may be idle that has asked before
+     */
+    void check(double now, double patience, double idleMost) {
+        if (isClosed()) {
+            return;
+        }
+        if (!slots.isEmpty() || !nothingQueued()) {
+            // Only what the client leaves unread: as long as an answer is owed the link stays.
+            if (now - activeAt > UNREAD_MOST && slots.stream().allMatch(s -> s.answer != null)) {
+                close();
+            }
+        } else if (!asked && Double.isNaN(partSince) && now - openedAt > patience) {
+            close();
+        } else if (now - partSince > patience) {
+            owner.malformed();
+            leaving = true;
+            say("CLIENT_ERROR command not finished in time");
+        } else if (asked && Double.isNaN(partSince) && now - activeAt > idleMost) {
+            close();
+        }
     }
 
     private void take(Command command) {
@@ -83,8 +131,7 @@
 
     private void settle(Slot slot, Exchange exchange, Reply reply) {
         slot.exchange = null;
-        slot.answer = words(exchange.command(), reply);
-        pump();
+        answer(slot, words(exchange.command(), reply));
     }
 
     private static byte[] words(Command command, Reply reply) {
@@ -100,8 +147,13 @@
 
     private void say(String line) {
         Slot slot = new Slot();
-        slot.answer = Protocol.line(line);
         slots.add(slot);
+        answer(slot, Protocol.line(line));
+    }
+
+    private void answer(Slot slot, byte[] bytes) {
+        slot.answer = bytes;
+        answerBytes += bytes.length;
         pump();
     }
 
@@ -110,12 +162,14 @@
         for (Slot first = slots.peek(); first != null && first.answer != null && fits(first.answer.length);
                 first = slots.peek()) {
             queue(first.answer);
+            answerBytes -= first.answer.length;
             slots.remove();
         }
     }
 
     @Override
     protected void onWritten() {
+        activeAt = owner.now();
         if (leaving) {
             leave();
         } else {
--- a/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/src/main/java/stagepier/exchange/ModuleHost.java
@@ -3,10 +3,13 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ObjLongConsumer;
+import java.util.regex.Pattern;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.Api;
@@ -29,6 +32,10 @@
     /** After this the module has broken its promise of an answer, and the host answers in its place. */
     private static final double OVERDUE = 0.01;
 
+    /** Seconds for which an id stays taken after its request must be over. */
+    private static final double ID_KEPT = 2;
+    private static final Pattern TIME = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
+
     private final EventLoop loop;
     private final Clock clock;
     private final SettingsParser.Names names;
@@ -37,6 +44,9 @@
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final long[] outcomes = new long[Api.Outcome.values().length];
     private final long[] replies = new long[Reply.Kind.values().length];
+    /** Ids of requests and when they were taken, the oldest first. */
+    private final Map<String, Double> idsTaken = new LinkedHashMap<>();
+    private final double longestDeadline;
     private Api.Events module;
     private Carrier carrier;
     private boolean inEvent;
@@ -50,6 +60,7 @@
         this.clock = clock;
         names = parsed.names();
         settings = parsed.settings();
+        longestDeadline = settings.classes().stream().mapToDouble(Api.RequestClass::deadline).max().orElseThrow();
     }
 
     /** Before anything else. */
@@ -93,17 +104,34 @@
             return "unknown class";
         }
         String time = command.attribute("d");
-        return time == null || time.matches("[0-9]{1,9}(\\.[0-9]{1,9})?") ? null : "bad time";
+        if (time != null && !TIME.matcher(time).matches()) {
+            return "bad time";
+        }
+        forgetIds(clock.now());
+        return idsTaken.containsKey(command.id()) ? "request id in use" : null;
+    }
+
+    /**
+     * Guards against a client that sends the id of another's request: what a cache server made for the one would be
+     * served to the other. An id stays taken for a while after its request, too, for the two may cross.
+     */
+    private void forgetIds(double now) {
+        Iterator<Double> oldest = idsTaken.values().iterator();
+        while (oldest.hasNext() && now - oldest.next() > longestDeadline + ID_KEPT) {
+            oldest.remove();
+        }
     }
 
     /** Takes a request. From here on one final answer is owed. */
     public Exchange take(Asker asker, Command command) {
         int classIndex = names.classes().indexOf(command.attribute("c"));
         String time = command.attribute("d");
-        double wait = time == null ? settings.classes().get(classIndex).deadline() : Double.parseDouble(time) / 1e3;
+        double most = settings.classes().get(classIndex).deadline();
+        double wait = time == null ? most : Math.min(most, Double.parseDouble(time) / 1e3);
         double budget = wait - Math.min(MARGIN, MARGIN_PART * wait);
         Exchange x = new Exchange(++lastId, command, asker, clock.now() + budget);
         open.put(x.id(), x);
+        idsTaken.put(command.id(), clock.now());
         unanswered++;
         x.backstop(loop.schedule(() -> overdue(x), micros(budget + OVERDUE), TimeUnit.MICROSECONDS));
         Api.Request request = new Api.Request(x.id(), classIndex, tenant(command),
--- a/src/main/java/stagepier/link/Link.java
+++ b/src/main/java/stagepier/link/Link.java
@@ -144,6 +144,16 @@
         return writtenBytes;
     }
 
+    /** Bytes that have come and were not taken yet. */
+    protected final int unread() {
+        return in.size();
+    }
+
+    /** Memory that its buffers take. */
+    public final int heldBytes() {
+        return in.capacity() + out.capacity();
+    }
+
     protected final boolean nothingQueued() {
         return out.size() == 0;
     }
--- a/src/main/java/stagepier/memcache/CommandParser.java
+++ b/src/main/java/stagepier/memcache/CommandParser.java
@@ -63,12 +63,55 @@
         if (words.isEmpty() || words.get(0).isEmpty() || words.get(0).length() > Protocol.LARGEST_KEY) {
             return bad("bad key");
         }
-        Command command = new Command(kind, List.copyOf(words), value);
-        if (command.id().isEmpty()) {
-            return bad("no request id");
+        String objection = objection(kind, words);
+        return objection == null ? new Command(kind, List.copyOf(words), value) : bad(objection);
+    }
+
+    /**
+     * Guards against passing on what a cache server cannot read, for which it closes the connection with all that waits
+     * there, and against flags that change which answers come: a quiet command would have none.
+     */
+    private static String objection(Command.Kind kind, List<String> words) {
+        boolean id = false;
+        boolean attributes = false;
+        boolean value = false;
+        for (int i = 0; i < words.size(); i++) {
+            String word = words.get(i);
+            if (word.chars().anyMatch(c -> c <= ' ' || c > '~')) {
+                return i == 0 ? "bad key" : "bad flag";
+            }
+            if (i == 0) {
+                continue;
+            }
+            switch (word.charAt(0)) {
+                case 'O' -> {
+                    if (id || word.length() < 2 || word.length() > 1 + Protocol.LARGEST_ID) {
+                        return "bad request id";
+                    }
+                    id = true;
+                }
+                case 'P' -> {
+                    if (attributes) {
+                        return "bad flag";
+                    }
+                    attributes = true;
+                }
+                case 'v' -> {
+                    if (value || word.length() > 1 || kind != Command.Kind.GET) {
+                        return "bad flag";
+                    }
+                    value = true;
+                }
+                default -> {
+                    return "bad flag";
+                }
+            }
+        }
+        if (!id) {
+            return "no request id";
         }
         // Without it a cache server would answer a read with no value.
-        return kind == Command.Kind.GET && !words.contains("v") ? bad("a read without the flag v") : command;
+        return kind == Command.Kind.GET && !value ? "a read without the flag v" : null;
     }
 
     private static Command bad(String what) {
--- a/src/main/java/stagepier/memcache/Protocol.java
+++ b/src/main/java/stagepier/memcache/Protocol.java
@@ -1,15 +1,19 @@
 package stagepier.memcache;
 
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
 
 /** Sizes and words that both directions share. */
 public final class Protocol {
     public static final int LARGEST_VALUE = 64 * 1024;
     static final int LARGEST_LINE = 2048;
     static final int LARGEST_KEY = 250;
+    static final int LARGEST_ID = 32;
     /** A line and a value with its line end. */
     static final int LARGEST_MESSAGE = LARGEST_LINE + LARGEST_VALUE + 2;
 
+    private static final Pattern SPACES = Pattern.compile(" +");
+
     private Protocol() {
     }
 
@@ -44,7 +48,7 @@
         if (n > 0 && in.at(n - 1) == '\r') {
             n--;
         }
-        return in.text(0, n).split(" +");
+        return SPACES.split(in.text(0, n));
     }
 
     /** A length of a value, or -1 where the word is none. */
--- a/src/main/java/stagepier/memcache/RingBuffer.java
+++ b/src/main/java/stagepier/memcache/RingBuffer.java
@@ -4,13 +4,17 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * The bytes of one direction of one connection. Starts small and doubles up to one largest message; it never
- * drops: who finds it full must stop putting, which for a socket means to stop reading.
+ * The bytes of one direction of one connection. Starts with nothing, doubles up to one largest message and gives back
+ * what a large message took once it is empty; it never drops: who finds it full must stop putting, which for a socket
+ * means to stop reading.
  */
 public final class RingBuffer {
-    private static final int AT_FIRST = 1024;
+    private static final int AT_FIRST = 512;
+    /** An empty buffer larger than this is given back. Guards against one large message on each of many connections. */
+    private static final int KEPT = 4096;
+    private static final byte[] NONE = {};
 
-    private byte[] bytes = new byte[AT_FIRST];
+    private byte[] bytes = NONE;
     private int head;
     private int size;
 
@@ -18,6 +22,11 @@
         return size;
     }
 
+    /** Bytes of memory that it takes now. */
+    public int capacity() {
+        return bytes.length;
+    }
+
     /** Bytes that can still be put, growth included. */
     public int free() {
         return Protocol.LARGEST_MESSAGE - size;
@@ -65,6 +74,10 @@
     public void skip(int n) {
         head = place(n);
         size -= n;
+        if (size == 0 && bytes.length > KEPT) {
+            bytes = NONE;
+            head = 0;
+        }
     }
 
     public byte[] copy(int from, int n) {
@@ -86,7 +99,7 @@
     }
 
     private void grow(int need) {
-        int to = bytes.length;
+        int to = Math.max(AT_FIRST, bytes.length);
         while (to < need) {
             to = Math.min(to * 2, Protocol.LARGEST_MESSAGE);
         }
--- a/src/main/java/stagepier/server/ServerPool.java
+++ b/src/main/java/stagepier/server/ServerPool.java
@@ -70,7 +70,7 @@
         if (best == null && links.size() >= ServerPools.LINKS_MOST && deaf != null) {
             deaf.drop();
         }
-        boolean mayOpen = links.size() < (best == null ? ServerPools.LINKS_MOST : ServerPools.LINKS_USUAL);
+        boolean mayOpen = (links.isEmpty() || pools.hasSpare()) && links.size() < (best == null ? ServerPools.LINKS_MOST : ServerPools.LINKS_USUAL);
         if (mayOpen && (best == null || best.load() > 0)) {
             ServerLink fresh = new ServerLink(this);
             links.add(fresh);
--- a/src/main/java/stagepier/server/ServerPools.java
+++ b/src/main/java/stagepier/server/ServerPools.java
@@ -46,11 +46,15 @@
     private final int connectTimeoutMs;
     private final double idleMost;
     private final Map<Long, ServerPool> pools = new HashMap<>();
+    private final int linksMost;
     private long opened;
     private long failedOpens;
     private long malformed;
 
-    public ServerPools(EventLoop loop, Clock clock, ModuleHost host, double connectTimeout, double idleClose) {
+    /** @param linksMost links to all servers together from which on each server gets one at the most */
+    public ServerPools(EventLoop loop, Clock clock, ModuleHost host, int linksMost, double connectTimeout,
+            double idleClose) {
+        this.linksMost = linksMost;
         this.loop = loop;
         this.clock = clock;
         this.host = host;
@@ -139,13 +143,22 @@
         pools.values().removeIf(pool -> pool.isRetired() && pool.size() == 0);
     }
 
+    private int links() {
+        return pools.values().stream().mapToInt(ServerPool::size).sum();
+    }
+
+    /** Whether there are descriptors for more than one link a server. */
+    boolean hasSpare() {
+        return links() < linksMost;
+    }
+
     void malformed(MalformedException e) {
         malformed++;
         LOG.warn("a cache server's input was malformed: {}", e.getMessage());
     }
 
     public void count(ObjLongConsumer<String> to) {
-        to.accept("server_links", pools.values().stream().mapToInt(ServerPool::size).sum());
+        to.accept("server_links", links());
         to.accept("server_links_opened", opened);
         to.accept("server_links_failed", failedOpens);
         to.accept("server_input_malformed", malformed);
--- a/src/test/java/stagepier/app/RouterTest.java
+++ b/src/test/java/stagepier/app/RouterTest.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -70,6 +71,7 @@
         int port = freePort();
         router = launch("""
                 {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964","settings":%s,
+                "limits":{"sockets":128},
                 "known":{"generation":1,"reset":true,"instances":[{"instanceId":"s-00000001",
                 "hostPort":"127.0.0.1:%d","zone":"a","machineType":"m","cell":0,"lifecycle":"up","weight":1.0,
                 "startedAtMs":0}]}}""".formatted(port, discovery.getLocalPort(), SETTINGS, cachePort));
@@ -210,6 +212,60 @@
         assertTrue(Files.readString(folder.resolve("log")).contains("answers_served=2"));
     }
 
+    /** Guards against clients that hold descriptors by hundreds and say nothing, so that others find no place. */
+    @Test
+    void silentClientsMakeWayAndAreClosedWithinThreeSeconds() throws Exception {
+        start(cache.getLocalPort());
+        List<Socket> silent = new ArrayList<>();
+        long from = System.nanoTime();
+        for (int i = 0; i < 150; i++) {
+            silent.add(new Socket(LOOPBACK, client.getPort()));
+        }
+        write(client, "mg k1 v Oa Pc=read,d=1900\r\n");
+        Socket link = cache.accept();
+        assertTrue(reader(link).readLine().startsWith("mg k1 "));
+        try (Socket late = new Socket(LOOPBACK, client.getPort())) {
+            write(late, "mn\r\n");
+            assertEquals("MN", reader(late).readLine());
+        }
+        write(link, "VA 1 Oa h1\r\n1\r\n");
+        assertEquals("VA 1 Oa", answers.readLine(), "a link with an open request stays");
+        assertEquals("1", answers.readLine());
+        for (Socket s : silent) {
+            assertEquals(null, reader(s).readLine());
+            s.close();
+        }
+        assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(3000), "held too long");
+        assertEquals("MN", ask("mn"));
+    }
+
+    @Test
+    void aHalfSentCommandIsRefusedWithinThreeSeconds() throws Exception {
+        start(cache.getLocalPort());
+        long from = System.nanoTime();
+        assertEquals("CLIENT_ERROR command not finished in time", ask("ms k1 50 Oa Pc=put,d=900\r\nhalf"));
+        assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(3000), "held too long");
+        assertEquals(null, answers.readLine());
+    }
+
+    /** Guards against serving one client with what was made for another that sent the same id. */
+    @Test
+    void theIdOfAnotherRequestIsRefusedWhileThatIsOpenAndJustAfter() throws Exception {
+        start(cache.getLocalPort());
+        write(client, "mg k1 v Oa Pc=read,d=1900\r\n");
+        Socket link = cache.accept();
+        assertTrue(reader(link).readLine().startsWith("mg k1 "));
+        try (Socket other = new Socket(LOOPBACK, client.getPort())) {
+            BufferedReader said = reader(other);
+            write(other, "mg k1 v Oa Pc=read,d=1900\r\n");
+            assertEquals("CLIENT_ERROR request id in use", said.readLine());
+            write(link, "VA 1 Oa h1\r\n1\r\n");
+            assertEquals("VA 1 Oa", answers.readLine());
+            write(other, "mg k1 v Oa Pc=read,d=1900\r\n");
+            assertEquals("CLIENT_ERROR request id in use", said.readLine());
+        }
+    }
+
     private void hangUpUntilLogged(String text) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(router.pid())).start().waitFor());
         for (int i = 0; !Files.readString(folder.resolve("log")).contains(text); i++) {
--- a/src/test/java/stagepier/memcache/ParserTest.java
+++ b/src/test/java/stagepier/memcache/ParserTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -80,6 +81,31 @@
                 () -> Wire.parse(AnswerParser::next, join(Protocol.line("?"), bytes), seed));
     }
 
+    /** Guards against what a cache server closes on, and against flags that change which answers come. */
+    @Property(seed = "15", tries = 1)
+    void whatACacheServerCouldNotUseIsNotPassedOn() throws MalformedException {
+        for (String line : List.of("mg k\u0007 v Oa Pc=c", "mg k v Oa Pc=\u0000", "mg k v Oa Pc=c\u00e9", "mg k v q Oa",
+                "mg k v Oa Ob", "mg k v v Oa", "mg k v Oa Pc=c Pc=d", "mg k v O", "mg k v O" + "a".repeat(33),
+                "mg k 5 v Oa", "mg\tk v Oa", "mg " + "k".repeat(251) + " v Oa")) {
+            Command.Kind kind = Wire.parse(CommandParser::next, Protocol.line(line), 1).get(0).kind();
+            assertTrue(kind == Command.Kind.BAD || kind == Command.Kind.UNKNOWN, line);
+        }
+        for (String length : List.of("-1", "x", "70000", "3000000000", "")) {
+            byte[] write = Protocol.line("ms k " + length + " Oa Pc=c");
+            assertThrows(MalformedException.class, () -> Wire.parse(CommandParser::next, write, 1), length);
+        }
+    }
+
+    /** Guards against memory that a large message leaves behind on each of many links. */
+    @Property(seed = "16", tries = 1)
+    void anEmptyRingGivesBackWhatALargeMessageTook() {
+        RingBuffer ring = new RingBuffer();
+        assertEquals(0, ring.capacity());
+        ring.put(new byte[Protocol.LARGEST_VALUE]);
+        ring.skip(Protocol.LARGEST_VALUE);
+        assertTrue(ring.capacity() < 5000, ring.capacity() + " bytes");
+    }
+
     @Property(seed = "14", tries = 1)
     void whatIsTooLargeIsRefused() {
         assertThrows(MalformedException.class,
