--- a/src/main/java/stagepier/client/ClientListener.java
+++ b/src/main/java/stagepier/client/ClientListener.java
@@ -29,6 +29,8 @@
     private static final double PATIENCE = 2;
     private static final double PATIENCE_SCARCE = 1;
     private static final double PATIENCE_FULL = 0.3;
+    /** For so long after the places were full they count as scarce: who came then has waited in the backlog. */
+    private static final double FULL_REMEMBERED = 2;
     /** Seconds after which a link may be closed on which nothing is open. */
     private static final double IDLE_LEAST = 2;
     /** The same while places are plenty: clients keep their links, and a new one costs them time. */
@@ -46,6 +48,8 @@
     private final int places;
     private Channel listening;
     private boolean full;
+    /** When it was last full. */
+    private double fullAt = Double.NEGATIVE_INFINITY;
     private long opened;
     private long malformed;
     private long timesFull;
@@ -80,7 +84,7 @@
     private void check() {
         double now = clock.now();
         long held = links.stream().mapToLong(ClientLink::heldBytes).sum();
-        boolean scarce = links.size() > SCARCE_FROM * places;
+        boolean scarce = links.size() > SCARCE_FROM * places || now - fullAt < FULL_REMEMBERED;
         // Clients ask as soon as they connect: while places or memory are short, who has not has no claim to them.
         double patience = full || held > (long) BYTES_A_PLACE * places ? PATIENCE_FULL
                 : scarce ? PATIENCE_SCARCE : PATIENCE;
@@ -123,6 +127,7 @@
         links.remove(link);
         if (full && links.size() < places) {
             full = false;
+            fullAt = clock.now();
             listening.config().setAutoRead(true);
         }
     }
