Retire a link on a spoilt answer without holding it against its server

A probe in the module counted why: of twelve servers five to eight had an open circuit at any time, though none was in trouble.

Lines at fault: ServerLink.onMalformed closed the link and ended all that was sent there as 'reset', three at a time, and a reset is strong evidence: one spoilt answer opened a circuit. What waited unsent ended as 'could not connect', which is the strongest. An answer that stopped in the middle held up all behind it until its time was up: 31 to 47 time-outs in 5 s. Bytes behind a good answer, when they made no line, were left in the buffer for the next answer. ServerPool.update left a link with work on it in place when the server's address or process changed.

Ruled out: that answers of the wrong request were served (ids were compared before, too; the rule was kept).

Now: the spoilt execution ends as an error that may have run, those sent behind it as given up by this side, what was not sent moves to another link of the server. Nothing more of an answer for 0.15 of the shortest deadline spoils it. Bytes behind an answer retire the link before the module hears of the answer; of idle links the one heard longest ago is asked. The warning comes once in 10 s with a count, and without the peer's bytes.

--- a/src/main/java/stagepier/app/Router.java
+++ b/src/main/java/stagepier/app/Router.java
@@ -49,7 +49,7 @@
         Api.Settings settings = config.settings().settings();
         hosts = new HostGroup(config.settings().names());
         host = new ModuleHost(loop, clock, config.settings());
-        servers = new ServerPools(loop, clock, host, (int) (SERVER_PART * config.sockets()), settings.limits().connectTimeout(),
+        servers = new ServerPools(loop, clock, host, (int) (SERVER_PART * config.sockets()), settings,
                 config.settings().idleClose());
         host.connect(new Brain(settings, config.seed(), host), servers);
         clients = new ClientListener(loop, clock, places(config.sockets()), host, this::stats);
--- a/src/main/java/stagepier/memcache/AnswerParser.java
+++ b/src/main/java/stagepier/memcache/AnswerParser.java
@@ -33,7 +33,7 @@
                 in.skip(line);
                 return plain(words.length > 1 && words[1].equals("busy") ? Answer.Kind.BUSY : Answer.Kind.FAILED);
             default:
-                throw new MalformedException("no answer: " + words[0]);
+                throw new MalformedException("no answer");
         }
     }
 
--- a/src/main/java/stagepier/server/ServerLink.java
+++ b/src/main/java/stagepier/server/ServerLink.java
@@ -1,8 +1,10 @@
 package stagepier.server;
 
+import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import stagepier.Api;
 import stagepier.link.Link;
 import stagepier.memcache.Answer;
@@ -19,7 +21,11 @@
     private final ArrayDeque<Execution> sent = new ArrayDeque<>();
     private final double openedAt;
     private boolean up;
+    /** Takes nothing new, and ends once nobody waits for an answer on it. */
+    private boolean retired;
     private double heardAt;
+    private double bytesAt;
+    private Future<?> stallTimer;
 
     ServerLink(ServerPool pool) {
         this.pool = pool;
@@ -42,6 +48,17 @@
         return up;
     }
 
+    /**
+     * The less there is to wait for the better; of links that are alike, the one that was heard longest ago. Guards
+     * against asking on a link on whose last answer something follows that has not come yet.
+     */
+    boolean isBetterThan(ServerLink other) {
+        if (load() != other.load()) {
+            return load() < other.load();
+        }
+        return up != other.up ? up : heardAt < other.heardAt;
+    }
+
     boolean isIdle() {
         return up && load() == 0;
     }
@@ -60,7 +77,19 @@
      */
     boolean isSilent(double now) {
         Execution first = sent.peek();
-        return first != null && (first.timedOut() || now - heardAt > ServerPools.SILENT_AFTER);
+        return first != null && (first.timedOut() || now - heardAt > pool.pools().silentAfter());
+    }
+
+    /** The server's address or process has changed: what is out here may still be answered, the rest goes elsewhere. */
+    void retire() {
+        retired = true;
+        if (!hasLive()) {
+            close();
+        }
+    }
+
+    boolean isRetired() {
+        return retired;
     }
 
     boolean hasLive() {
@@ -110,23 +139,67 @@
 
     @Override
     protected void onInput(RingBuffer bytes) throws MalformedException {
+        bytesAt = pool.pools().now();
         for (Answer answer = AnswerParser.next(bytes); answer != null; answer = AnswerParser.next(bytes)) {
-            heardAt = pool.pools().now();
+            heardAt = bytesAt;
             Execution first = sent.peek();
             if (first == null || !first.accepts(answer)) {
                 throw new MalformedException("an answer to nothing that was asked");
             }
             sent.remove();
+            // Guards against taking for the next answer what came behind this one: nothing more is asked here.
+            boolean tail = sent.isEmpty() && unread() > 0;
+            retired |= tail;
             first.answered(answer);
             if (isClosed()) {
                 return;
             }
+            if (tail) {
+                throw new MalformedException("more than belongs to an answer");
+            }
+        }
+        if (sent.isEmpty() && unread() > 0) {
+            throw new MalformedException("bytes that nothing asked for");
+        }
+        if (retired && !hasLive()) {
+            close();
+        } else if (unread() > 0 && stallTimer == null) {
+            awaitRest();
         }
     }
 
+    /** Guards against an answer that never becomes whole: all behind it would wait until their time is up. */
+    private void awaitRest() {
+        stallTimer = pool.pools().loop().schedule(() -> {
+            stallTimer = null;
+            if (isClosed() || unread() == 0) {
+                return;
+            }
+            if (pool.pools().now() - bytesAt >= pool.pools().stallMost()) {
+                onMalformed(new MalformedException("an answer that stopped in the middle"));
+            } else {
+                awaitRest();
+            }
+        }, (long) (pool.pools().stallMost() * 1e6), TimeUnit.MICROSECONDS);
+    }
+
+    /**
+     * A spoilt answer: the execution that it was for has run, or may have. The others that were sent may have run, but
+     * it is this side that gives them up, for nothing that comes here can be told apart any more.
+     */
     @Override
     protected void onMalformed(MalformedException e) {
         pool.pools().malformed(e);
+        retired = true;
+        Execution first = sent.peek();
+        if (first != null && first.endsAt() <= writtenBytes()) {
+            sent.remove();
+            first.end(Api.Outcome.ERROR);
+        }
+        List<Execution> behind = new ArrayList<>(sent);
+        behind.removeIf(x -> x.endsAt() > writtenBytes());
+        sent.removeAll(behind);
+        behind.forEach(x -> x.end(Api.Outcome.CANCELLED));
         close();
     }
 
@@ -138,12 +211,22 @@
     @Override
     protected void onClosed() {
         pool.closed(this);
+        if (stallTimer != null) {
+            stallTimer.cancel(false);
+        }
         List<Execution> lost = new ArrayList<>(sent);
         sent.clear();
         for (Execution e : lost) {
             // Only a request whose last byte the socket took may have run.
             e.end(e.endsAt() <= writtenBytes() ? Api.Outcome.RESET : Api.Outcome.CONNECT_FAILED);
         }
-        dropWaiting();
+        if (up) {
+            // Not a byte of these was sent: they go to another link of the server.
+            List<Execution> moved = new ArrayList<>(waiting);
+            waiting.clear();
+            moved.forEach(pool::take);
+        } else {
+            dropWaiting();
+        }
     }
 }
--- a/src/main/java/stagepier/server/ServerPool.java
+++ b/src/main/java/stagepier/server/ServerPool.java
@@ -27,8 +27,8 @@
     /** What the list says now. Links to an address or a process that is no more take nothing new. */
     void update(InetSocketAddress to, double started) {
         for (ServerLink link : new ArrayList<>(links)) {
-            if (!link.hasLive() && (!to.equals(address) || link.openedAt() < started)) {
-                link.drop();
+            if (!to.equals(address) || link.openedAt() < started) {
+                link.retire();
             }
         }
         address = to;
@@ -58,12 +58,11 @@
         ServerLink best = null;
         ServerLink deaf = null;
         for (ServerLink link : links) {
-            if (link.isSilent(now)) {
+            if (link.isRetired() || link.isSilent(now)) {
                 if (deaf == null && !link.hasLive()) {
                     deaf = link;
                 }
-            } else if (best == null || link.load() < best.load()
-                    || link.load() == best.load() && link.isUp() && !best.isUp()) {
+            } else if (best == null || link.isBetterThan(best)) {
                 best = link;
             }
         }
@@ -98,7 +97,7 @@
             boolean idleLong = link.isIdle() && (retired || now - link.heardAt() > idleMost);
             boolean deadLong = !link.hasLive() && link.isSilent(now)
                     && now - link.heardAt() > ServerPools.DEAD_AFTER;
-            if (idleLong || deadLong) {
+            if (idleLong || deadLong || link.isRetired() && !link.hasLive()) {
                 link.drop();
             }
         }
--- a/src/main/java/stagepier/server/ServerPools.java
+++ b/src/main/java/stagepier/server/ServerPools.java
@@ -31,12 +31,18 @@
     static final int LINKS_USUAL = 1;
     /** The same with silent ones, which only wait for late answers. */
     static final int LINKS_MOST = 6;
-    /** A link from which nothing came for so long, in seconds, while an answer is due takes no new work. */
-    static final double SILENT_AFTER = 1.0;
+    /**
+     * A link from which nothing came for so long while an answer is due takes no new work; in parts of the shortest
+     * deadline.
+     */
+    private static final double SILENT_AFTER = 0.66;
+    /** An answer of which nothing more comes for so long is spoilt; in parts of the shortest deadline. */
+    private static final double STALL_MOST = 0.15;
     /** A silent link on which nobody waits any more is closed after so long. */
     static final double DEAD_AFTER = 5;
     /** Part of the time after which servers close idle links: closed here first, no request meets a close. */
     private static final double IDLE_PART = 0.8;
+    private static final double WARN_EVERY = 10;
     private static final double PROBE_TIMEOUT = 0.3;
     static final byte[] PROBE = Protocol.line("mn");
 
@@ -47,14 +53,18 @@
     private final double idleMost;
     private final Map<Long, ServerPool> pools = new HashMap<>();
     private final int linksMost;
+    private final double shortestDeadline;
     private long opened;
     private long failedOpens;
     private long malformed;
+    private double nextWarning;
 
     /** @param linksMost links to all servers together from which on each server gets one at the most */
-    public ServerPools(EventLoop loop, Clock clock, ModuleHost host, int linksMost, double connectTimeout,
+    public ServerPools(EventLoop loop, Clock clock, ModuleHost host, int linksMost, Api.Settings settings,
             double idleClose) {
         this.linksMost = linksMost;
+        shortestDeadline = settings.classes().stream().mapToDouble(Api.RequestClass::deadline).min().orElseThrow();
+        double connectTimeout = settings.limits().connectTimeout();
         this.loop = loop;
         this.clock = clock;
         this.host = host;
@@ -67,6 +77,14 @@
         return clock.now();
     }
 
+    double silentAfter() {
+        return SILENT_AFTER * shortestDeadline;
+    }
+
+    double stallMost() {
+        return STALL_MOST * shortestDeadline;
+    }
+
     EventLoop loop() {
         return loop;
     }
@@ -154,7 +172,11 @@
 
     void malformed(MalformedException e) {
         malformed++;
-        LOG.warn("a cache server's input was malformed: {}", e.getMessage());
+        // One line for many: a bad peer must not flood the log.
+        if (now() >= nextWarning) {
+            nextWarning = now() + WARN_EVERY;
+            LOG.warn("a cache server's answer was spoilt ({} so far): {}", malformed, e.getMessage());
+        }
     }
 
     public void count(ObjLongConsumer<String> to) {
--- a/src/test/java/stagepier/app/RouterTest.java
+++ b/src/test/java/stagepier/app/RouterTest.java
@@ -173,6 +173,69 @@
         assertTrue(router.isAlive());
     }
 
+    /** Guards against bytes behind a good answer that are taken for the next one's. */
+    @Test
+    void whatComesBehindAnAnswerEndsTheLinkAndCostsNobodyAnAnswer() throws Exception {
+        start(cache.getLocalPort());
+        for (String behind : List.of("VA 1 Oa h1\r\n1\r\n", "\u0001 noise", "SERVER_ERROR busy\r\n")) {
+            String id = "a" + behind.length();
+            write(client, "mg k1 v O" + id + " Pc=read,d=1900\r\n");
+            Socket link = cache.accept();
+            BufferedReader asked = reader(link);
+            assertTrue(asked.readLine().startsWith("mg k1 v O" + id));
+            write(link, "VA 1 O" + id + " h1\r\n1\r\n" + behind);
+            assertEquals("VA 1 O" + id, answers.readLine());
+            assertEquals("1", answers.readLine());
+            assertEquals(null, asked.readLine(), "of no further use");
+        }
+    }
+
+    /** Guards against a wait until the time is up for an answer that will never be whole, and for all behind it. */
+    @Test
+    void anAnswerThatStopsInTheMiddleFailsSoonWithAllBehindIt() throws Exception {
+        start(cache.getLocalPort());
+        long from = System.nanoTime();
+        write(client, "mg k1 v Oa Pc=read,d=1900\r\nmg k2 v Ob Pc=read,d=1900\r\n");
+        Socket link = cache.accept();
+        BufferedReader asked = reader(link);
+        assertTrue(asked.readLine().startsWith("mg k1 "));
+        assertTrue(asked.readLine().startsWith("mg k2 "));
+        write(link, "VA 10 Oa h1\r\nhalf");
+        assertTrue(answers.readLine().startsWith("SERVER_ERROR"));
+        assertTrue(answers.readLine().startsWith("SERVER_ERROR"));
+        assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(1000), "waited for the rest");
+        assertEquals(null, asked.readLine());
+    }
+
+    /** Guards against a link to the process that was there before, which takes new work. */
+    @Test
+    void aServerThatMovedIsAskedAtItsNewAddressWhileItsOldLinkStillHasAnAnswerToGive() throws Exception {
+        start(cache.getLocalPort());
+        Socket watch = discovery.accept();
+        assertTrue(reader(watch).readLine().startsWith("GET "));
+        write(client, "mg k1 v Oa Pc=read,d=1900\r\n");
+        Socket old = cache.accept();
+        assertTrue(reader(old).readLine().startsWith("mg k1 "));
+        try (ServerSocket moved = listen(); Socket other = new Socket(LOOPBACK, client.getPort())) {
+            tell(watch, 2, moved.getLocalPort(), "up");
+            write(other, "mg k2 v Ob Pc=read,d=1900\r\n");
+            Socket fresh = moved.accept();
+            assertTrue(reader(fresh).readLine().startsWith("mg k2 "));
+            write(old, "VA 1 Oa h1\r\n1\r\n");
+            assertEquals("VA 1 Oa", answers.readLine());
+            write(fresh, "VA 1 Ob h1\r\n2\r\n");
+            assertEquals("VA 1 Ob", reader(other).readLine());
+            assertEquals(-1, old.getInputStream().read(), "ends once nobody waits on it");
+        }
+    }
+
+    /** Discovery tells of the one cache server. */
+    private static void tell(Socket watch, int generation, int port, String lifecycle) throws IOException {
+        String list = "{\"generation\":" + generation + ",\"reset\":false,\"instances\":[{\"instanceId\":\"s-00000001\","
+                + "\"hostPort\":\"127.0.0.1:" + port + "\",\"lifecycle\":\"" + lifecycle + "\"}]}";
+        write(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+    }
+
     /** Guards against new work for a server that drains, and against a watch that starts from another list than known. */
     @Test
     void aServerThatDrainsGetsNothingNewAndTheWatchIsRenewed() throws Exception {
@@ -180,9 +243,7 @@
         Socket watch = discovery.accept();
         BufferedReader calls = reader(watch);
         assertTrue(calls.readLine().startsWith("GET /discovery/hosts?from=1&hold_ms="));
-        String list = "{\"generation\":2,\"reset\":false,\"instances\":[{\"instanceId\":\"s-00000001\",\"hostPort\":"
-                + "\"127.0.0.1:" + cache.getLocalPort() + "\",\"lifecycle\":\"draining\"}]}";
-        write(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+        tell(watch, 2, cache.getLocalPort(), "draining");
         assertEquals("GET /discovery/hosts?from=2", calls.lines().filter(l -> l.startsWith("GET")).findFirst()
                 .orElseThrow().split("&")[0]);
         assertTrue(ask("mg k1 v Oa Pc=read,d=1900").startsWith("SERVER_ERROR busy"));
