Refuse less: eight tickets a server, spill the keys of few crowded ones, four links

Lines at fault: - Brain.TICKET_FLOOR 2, and the usual concurrency is learnt over 25 deadlines: a router that starts, or takes over the clients of one that restarts, refuses most of them. - Brain.pick: once 6% of requests met a crowd, the key of a crowded server was refused, also with the next server idle. LAG_GAIN 0.4 over answers that differ fivefold, against a threshold of a quarter of the aim: slow machines were crowded for good. - Brain.weigh: a reset counted in full; one connection that ends with three attempts on it opened a circuit. - ServerPools.LINKS_USUAL 1: a quick answer waits for a slow one, and what one reset or spoilt answer takes along is all that is out at that server.

For deployments where the list tells the load, or misses are fetched aside, the old figures hold; their tests say why.

--- a/src/main/java/stagepier/Brain.java
+++ b/src/main/java/stagepier/Brain.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import stagepier.Api.Fetching;
 import stagepier.Api.Lookup;
@@ -84,21 +86,28 @@
     private static final double CROWD_RETURNS = 4;
     /** Weight of a new answer in the running mean of one server's answer times. */
     private static final double LAG_GAIN = 0.4;
+    /** The same where it alone tells a crowd: single answers vary by more than what makes one. */
+    private static final double LAG_GAIN_THROUGH = 0.2;
     /** The same for the answer times of all servers together: some ten answers tell a jam that all are in. */
     private static final double COMMON_GAIN = 0.1;
     /** While no more than this part of requests meets a crowd, it is local, and its keys are spilled. */
     private static final double CROWDED_FEW = 0.06;
+    /** By own answers alone: they are few and vary, and a server that is only slow must not cost its keys. */
+    private static final double CROWDED_FEW_THROUGH = 0.5;
     /** What is beyond a tenant's share gives way this many times sooner than the rest. */
     private static final double OVER_SHARE_FIRST = 4;
     /** A hint fades with this time constant, in shortest deadlines. */
     private static final double HINT_FADES = 8;
 
-    /** Tickets at the least: below two, a server would be idle while an answer travels. */
-    private static final int TICKET_FLOOR = 2;
+    /**
+     * Tickets at the least. Guards against a balancer that has just started, or has to take over another's
+     * clients: with two it turned away most of what servers could easily have borne.
+     */
+    private static final int TICKET_FLOOR = 8;
     /** Deviations above the usual concurrency that tickets allow: normal work then seldom finds none. */
     private static final double TICKET_DEVIATIONS = 3;
     /** Usual concurrency is remembered this long, in shortest deadlines: longer than a jam builds up. */
-    private static final double CONCURRENCY_FADES = 25;
+    private static final double CONCURRENCY_FADES = 10;
 
     /** Part of the stated overload factor that a cold server's send budget uses. */
     private static final double COLD_BUDGET = 0.6;
@@ -137,9 +146,9 @@
     private final int maxAttempts;
     private final double shortestDeadline;
     private final HashRing ring = new HashRing();
-    private final LongMap<Server> servers = new LongMap<>();
+    private final Map<Long, Server> servers = new HashMap<>();
     private final List<Server> slots = new ArrayList<>();
-    private final LongMap<Pending> open = new LongMap<>();
+    private final Map<Long, Pending> open = new HashMap<>();
     private final ArrayDeque<Pending> spare = new ArrayDeque<>();
     private final Latency cacheLatency = new Latency();
     private final Latency originLatency = new Latency();
@@ -167,6 +176,8 @@
     private boolean watching;
     private final FadingCount ends;
     private final FadingCount connectFailures;
+    private final double fewCrowded;
+    private final double lagGain;
     private double crowdedShare;
     private double usualAim;
     private double commonLag = Double.NaN;
@@ -191,6 +202,10 @@
         }
         shortestDeadline = shortest;
         usualAim = settings.classes().get(0).aim();
+        boolean ownAnswersOnly = settings.fetching() == Fetching.THROUGH
+                && settings.weights() != WeightMeaning.LIVE;
+        fewCrowded = ownAnswersOnly ? CROWDED_FEW_THROUGH : CROWDED_FEW;
+        lagGain = ownAnswersOnly ? LAG_GAIN_THROUGH : LAG_GAIN;
         for (int i = 0; i < calls.length; i++) {
             calls[i] = new FadingCount(EVIDENCE_FADES * shortest);
             failures[i] = new FadingCount(EVIDENCE_FADES * shortest);
@@ -425,10 +440,10 @@
      * ring servers as that share asks for. Returns how many of them to pass over.
      */
     private int spread(double now, Pending p) {
-        if (p.heat <= 1 || servers.size < 2) {
+        if (p.heat <= 1 || servers.size() < 2) {
             return 0;
         }
-        double bearable = HOT_SHARE * requests.at(now) / servers.size;
+        double bearable = HOT_SHARE * requests.at(now) / servers.size();
         // One deviation off the count: where calls are rare, a key asked for twice is not yet a crowd.
         int copies = (int) Math.min(COPIES_MOST, Math.ceil((p.heat - Math.sqrt(p.heat)) / bearable));
         return copies > 1 ? random.nextInt(copies) : 0;
@@ -455,7 +470,7 @@
                 if (turned++ == 0) {
                     crowdedShare += LATENCY_GAIN * (1 - crowdedShare);
                 }
-                if (crowdedShare > CROWDED_FEW || fetches.admitted < COPY_WHILE_ADMITTED) {
+                if (crowdedShare > fewCrowded || fetches.admitted < COPY_WHILE_ADMITTED) {
                     return null;
                 }
                 continue;
@@ -632,8 +647,8 @@
         double wait = outcome == Outcome.FULL ? shortestDeadline : elapsed;
         boolean tellsWait = outcome == Outcome.OK || outcome == Outcome.TIMEOUT || outcome == Outcome.FULL;
         if (s != origin && !waitedForOrigin && tellsWait) {
-            s.lag = (now - s.lagAt > HINT_FADES * shortestDeadline ? latency.mean : s.lag) * (1 - LAG_GAIN)
-                    + LAG_GAIN * wait;
+            s.lag = (now - s.lagAt > HINT_FADES * shortestDeadline ? latency.mean : s.lag) * (1 - lagGain)
+                    + lagGain * wait;
             double before = Double.isNaN(commonLag) ? latency.typical : commonLag;
             commonLag = before + COMMON_GAIN * (Math.log(Math.max(1e-6, wait)) - before);
             s.lagAt = now;
@@ -659,8 +674,8 @@
             // A time-out says less the less time the server was given.
             case TIMEOUT -> evidence = Math.log(BROKEN_RATE / commonRate)
                     * Math.min(1, elapsed / Math.max(1e-9, latency.late()));
-            case RESET -> evidence = Math.log(BROKEN_RATE / commonRate);
-            case ERROR, FULL -> evidence = MILD_FAILURE * Math.log(BROKEN_RATE / commonRate);
+            // A connection may end for reasons of its own; of a process that died the next connect tells.
+            case RESET, ERROR, FULL -> evidence = MILD_FAILURE * Math.log(BROKEN_RATE / commonRate);
             default -> {
                 // Own cancels and sends that never left say nothing.
             }
@@ -1245,69 +1260,4 @@
             return covered > 0 ? at(now) / covered : 0;
         }
     }
-
-    /** Open-addressing map from ids to objects: no boxing, and no iteration whose order could matter. */
-    static final class LongMap<V> {
-        private long[] keys = new long[64];
-        private Object[] values = new Object[64];
-        private int size;
-
-        @SuppressWarnings("unchecked")
-        V get(long key) {
-            return (V) values[find(key)];
-        }
-
-        void put(long key, V value) {
-            if (size * 2 >= keys.length) {
-                grow();
-            }
-            int i = find(key);
-            if (values[i] == null) {
-                size++;
-            }
-            keys[i] = key;
-            values[i] = value;
-        }
-
-        void remove(long key) {
-            int i = find(key);
-            if (values[i] == null) {
-                return;
-            }
-            size--;
-            values[i] = null;
-            int mask = keys.length - 1;
-            // Moves up what had been pushed behind the freed place.
-            for (int j = i + 1 & mask; values[j] != null; j = j + 1 & mask) {
-                Object moved = values[j];
-                values[j] = null;
-                int to = find(keys[j]);
-                keys[to] = keys[j];
-                values[to] = moved;
-            }
-        }
-
-        private int find(long key) {
-            int mask = keys.length - 1;
-            int i = (int) mix(key) & mask;
-            while (values[i] != null && keys[i] != key) {
-                i = i + 1 & mask;
-            }
-            return i;
-        }
-
-        private void grow() {
-            long[] oldKeys = keys;
-            Object[] oldValues = values;
-            keys = new long[oldKeys.length * 2];
-            values = new Object[keys.length];
-            for (int i = 0; i < oldKeys.length; i++) {
-                if (oldValues[i] != null) {
-                    int to = find(oldKeys[i]);
-                    keys[to] = oldKeys[i];
-                    values[to] = oldValues[i];
-                }
-            }
-        }
-    }
 }
--- a/src/main/java/stagepier/server/ServerPools.java
+++ b/src/main/java/stagepier/server/ServerPools.java
@@ -25,10 +25,11 @@
 public final class ServerPools implements Carrier {
     private static final Logger LOG = LoggerFactory.getLogger(ServerPools.class);
     /**
-     * Links to one server while answers come. Measured on a day with a hang: one keeps G 0.879, three 0.872, six no
-     * more than three; each further one costs the server a handshake and a place in its table.
+     * Links to one server while answers come; a further one is opened when all have an answer to give. With one, a quick
+     * answer waits for a slow one, and one spoilt answer or reset takes along all that is out there. Each costs the
+     * server a handshake and a place in its table.
      */
-    static final int LINKS_USUAL = 1;
+    static final int LINKS_USUAL = 4;
     /** The same with silent ones, which only wait for late answers. */
     static final int LINKS_MOST = 6;
     /**
--- a/src/test/java/stagepier/CircuitBreakerTest.java
+++ b/src/test/java/stagepier/CircuitBreakerTest.java
@@ -32,6 +32,23 @@
         assertTrue(breaker.record(0, 54, 0, 2.5, OPEN_AT, FADES));
     }
 
+    /** Guards against an open circuit for one connection that ended with three attempts on it. */
+    @Test
+    void afterResetsTheServerIsStillAskedUntilConnectsFail() {
+        Fixture f = Fixture.through(6);
+        f.warm(60);
+        for (Outcome outcome : new Outcome[] {Outcome.RESET, Outcome.CONNECT_FAILED}) {
+            long server = f.serve(0, 77);
+            long first = f.request(0, 77);
+            f.request(0, 77);
+            f.request(0, 77);
+            for (int i = 0; i < 3; i++) {
+                f.outcome(first + i, 0, server, outcome, 0.01);
+            }
+            assertEquals(outcome == Outcome.RESET, f.serve(0, 77) == server, outcome.name());
+        }
+    }
+
     @Test
     void oneTrialPassesAfterTheDeadTimeAndItsOutcomeDecides() {
         Brain.CircuitBreaker breaker = new Brain.CircuitBreaker();
--- a/src/test/java/stagepier/ProtectionTest.java
+++ b/src/test/java/stagepier/ProtectionTest.java
@@ -293,6 +293,30 @@
         assertEquals(0, refusedAfter(Fixture.through(400), 0.45));
     }
 
+    /** Guards against refusing the keys of a server that is slow while others are idle: they are spilled. */
+    @Test
+    void theKeysOfAFewSlowServersAreSpilledAndNotRefused() {
+        Fixture f = Fixture.through(6);
+        f.warm(60);
+        int refused = 0;
+        int slow = 0;
+        for (int key = 1000; key < 1600; key++) {
+            int sends = f.host.sends.size();
+            long id = f.request(0, key);
+            if (f.host.sends.size() == sends) {
+                refused++;
+                continue;
+            }
+            long server = f.host.last().server();
+            slow += server == 1 && key >= 1300 ? 1 : 0;
+            double took = server == 1 ? 0.4 : 0.05;
+            f.now += took;
+            f.brain.onOutcome(f.now, id, 0, server, Outcome.OK, took, true, Lookup.HIT, Fixture.NO_REPORT);
+        }
+        assertEquals(0, refused);
+        assertTrue(slow < 20, "of about 50 keys owned, sent " + slow);
+    }
+
     /** Guards against full servers that look quick: 'full' is answered at once. */
     @Test
     void aServerThatSaysFullShedsItsKeys() {
