Let a server busy by chance yield to the next one, and never call an idle one crowded

Seen: on half a core the module turned clients away for crowds that were its own lateness: after a start it read a late answer as a crowd at servers on which nothing was in flight, and one 'full' among good answers cost a server its keys.

Now: where only own answers tell, a server with nothing in flight here is not crowded; one 'full' among answers is no crowd, two are; a server with more in flight than usual and 1.5 deviations yields to the next ring server, no further; twelve tickets and five deviations; crowded from 0.33 of the aim.

--- a/src/main/java/stagepier/Brain.java
+++ b/src/main/java/stagepier/Brain.java
@@ -76,7 +76,7 @@
     /** A server is crowded from where waiting takes this part of the aim. */
     private static final double CROWD_FROM = 0.14;
     /** By own answers later, where some may have waited for the origin rather than the server. */
-    private static final double CROWD_FROM_THROUGH = 0.25;
+    private static final double CROWD_FROM_THROUGH = 0.33;
     /** By own answers most is shed where waiting takes so much more. */
     private static final double CROWD_RAMP = 0.35;
     /** Part of its keys that a crowded server keeps at the least: some must tell how it fares. */
@@ -103,9 +103,15 @@
      * Tickets at the least. Guards against a balancer that has just started, or has to take over another's
      * clients: with two it turned away most of what servers could easily have borne.
      */
-    private static final int TICKET_FLOOR = 8;
+    private static final int TICKET_FLOOR = 12;
     /** Deviations above the usual concurrency that tickets allow: normal work then seldom finds none. */
-    private static final double TICKET_DEVIATIONS = 3;
+    private static final double TICKET_DEVIATIONS = 5;
+    /**
+     * In flight at the least, and deviations above the usual, from which a server is busy by chance: the next
+     * ring server may have no wait at all. No more than one is asked: a key on many servers misses on many.
+     */
+    private static final double BUSY_FLOOR = 3;
+    private static final double BUSY_DEVIATIONS = 1.5;
     /** Usual concurrency is remembered this long, in shortest deadlines: longer than a jam builds up. */
     private static final double CONCURRENCY_FADES = 10;
 
@@ -176,6 +182,7 @@
     private boolean watching;
     private final FadingCount ends;
     private final FadingCount connectFailures;
+    private final boolean ownAnswersOnly;
     private final double fewCrowded;
     private final double lagGain;
     private double crowdedShare;
@@ -202,8 +209,7 @@
         }
         shortestDeadline = shortest;
         usualAim = settings.classes().get(0).aim();
-        boolean ownAnswersOnly = settings.fetching() == Fetching.THROUGH
-                && settings.weights() != WeightMeaning.LIVE;
+        ownAnswersOnly = settings.fetching() == Fetching.THROUGH && settings.weights() != WeightMeaning.LIVE;
         fewCrowded = ownAnswersOnly ? CROWDED_FEW_THROUGH : CROWDED_FEW;
         lagGain = ownAnswersOnly ? LAG_GAIN_THROUGH : LAG_GAIN;
         for (int i = 0; i < calls.length; i++) {
@@ -453,6 +459,7 @@
         walk++;
         int asked = -skip;
         int turned = 0;
+        Server busy = null;
         int size = ring.size();
         int at = ring.ownerIndex(p.point);
         for (int step = 0; step < size && asked < WALK_LIMIT; step++) {
@@ -477,11 +484,18 @@
             }
             if (maySend(now, p, s) && s.breaker.allows(now) && warmEnough(now, p, s)
                     && s.bulkhead.allows(tickets(s))) {
+                if (s.bulkhead.inFlight >= busyFrom(s)) {
+                    busy = busy == null ? s : busy;
+                    if (asked > 1) {
+                        return busy;
+                    }
+                    continue;
+                }
                 crowdedShare -= LATENCY_GAIN * (turned == 0 ? crowdedShare : 0);
                 return s;
             }
         }
-        return null;
+        return busy;
     }
 
     /**
@@ -491,6 +505,10 @@
     private boolean crowded(double now, Pending p, Server s) {
         // What is long ago at this server gives way to what all show in common, unless that is the origin's.
         boolean through = settings.fetching() == Fetching.THROUGH;
+        // Where only own answers tell and none is on its way, the last late one may have been our own doing.
+        if (ownAnswersOnly && s.bulkhead.inFlight == 0 && !p.overShare) {
+            return false;
+        }
         double common = through || Double.isNaN(commonLag) ? unhurried() : Math.exp(commonLag);
         double recent = Math.exp((s.lagAt - now) / (HINT_FADES * shortestDeadline));
         double wait = (s.lag - common) * recent + common - unhurried();
@@ -525,6 +543,12 @@
         return s.warmUp.affords(now, rate, Math.max(1, rate * settings.protection().overloadSpan() / 2));
     }
 
+    /** In flight from which a server is busy by chance, and the next one may have no wait at all. */
+    private double busyFrom(Server s) {
+        double usual = totalWeight > 0 ? usualInFlight * s.weight / totalWeight : 0;
+        return Math.max(BUSY_FLOOR, usual + BUSY_DEVIATIONS * Math.sqrt(usual));
+    }
+
     private int tickets(Server s) {
         return Bulkhead.cap(totalWeight > 0 ? usualInFlight * s.weight / totalWeight : 0);
     }
@@ -643,9 +667,12 @@
         if (outcome == Outcome.OK) {
             latency.add(elapsed);
         }
-        // 'Full' is answered at once, but says that the wait would have been past any client's patience.
+        // 'Full' is answered at once, but says that the wait would have been past any client's patience. A
+        // single one among answers does not: it costs a further try, not the server's keys.
         double wait = outcome == Outcome.FULL ? shortestDeadline : elapsed;
-        boolean tellsWait = outcome == Outcome.OK || outcome == Outcome.TIMEOUT || outcome == Outcome.FULL;
+        boolean tellsWait = outcome == Outcome.OK || outcome == Outcome.TIMEOUT
+                || outcome == Outcome.FULL && s.saidFull;
+        s.saidFull = outcome == Outcome.FULL;
         if (s != origin && !waitedForOrigin && tellsWait) {
             s.lag = (now - s.lagAt > HINT_FADES * shortestDeadline ? latency.mean : s.lag) * (1 - lagGain)
                     + lagGain * wait;
@@ -851,6 +878,8 @@
         /** Running mean of its own answer times to this balancer. */
         private double lag;
         private double lagAt = Double.NEGATIVE_INFINITY;
+        /** Its last outcome was 'full'. */
+        private boolean saidFull;
 
         Server(long id, int slot) {
             this.id = id;
