--- a/src/main/java/stagepier/app/Router.java
+++ b/src/main/java/stagepier/app/Router.java
@@ -1,8 +1,11 @@
 package stagepier.app;
 
+import io.netty.channel.DefaultSelectStrategyFactory;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SelectStrategy;
 import io.netty.channel.nio.NioIoHandler;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -16,6 +19,7 @@
 import stagepier.discovery.HostGroup;
 import stagepier.exchange.Clock;
 import stagepier.exchange.ModuleHost;
+import stagepier.overload.LoopDelay;
 import stagepier.server.ServerPools;
 
 /** One running router: puts the parts together on one event loop, starts them and stops them. */
@@ -26,12 +30,15 @@
     private static final int POLL_MS = 10;
     /** Files, selectors, the listening socket, discovery, and sockets that are accepted just before the listener is full. */
     private static final int OWN_DESCRIPTORS = 48;
-    private static final double SERVER_PART = 0.2;
-    /** Client links for which the heap has room, each with a half-sent message of the largest size. */
-    private static final int PLACES_MOST = 512;
+    private static final double SERVER_PART = 0.12;
+    /** Client links for which the heap has room while they hold little; what they hold beyond that has its own bound. */
+    private static final int PLACES_MOST = 1024;
 
     private final Config config;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Clock clock = new Clock();
+    private final LoopDelay delay = new LoopDelay();
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory(SelectorProvider.provider(), this::looking));
     private final EventLoop loop = group.next();
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -45,18 +52,26 @@
 
     Router(Config config) {
         this.config = config;
-        Clock clock = new Clock();
         Api.Settings settings = config.settings().settings();
         hosts = new HostGroup(config.settings().names());
-        host = new ModuleHost(loop, clock, config.settings());
-        servers = new ServerPools(loop, clock, host,
+        host = new ModuleHost(loop, clock, delay, config.settings());
+        servers = new ServerPools(loop, clock, delay, host,
                 ServerPools.sockets(loop, settings.limits().connectTimeout()), (int) (SERVER_PART * config.sockets()), settings,
                 config.settings().idleClose());
         host.connect(new Brain(settings, config.seed(), host), servers);
-        clients = new ClientListener(loop, clock, places(config.sockets()), host, this::stats);
+        clients = new ClientListener(loop, clock, delay, places(config.sockets()), host, this::stats);
         watch = new DiscoveryWatch(loop, config.discovery(), hosts, this::changed, host::membersFailed);
     }
 
+    /** The usual way to look for input, which tells when it does. */
+    private SelectStrategy looking() {
+        SelectStrategy usual = DefaultSelectStrategyFactory.INSTANCE.newSelectStrategy();
+        return (selectNow, hasTasks) -> {
+            delay.looks(clock.now());
+            return usual.calculateStrategy(selectNow, hasTasks);
+        };
+    }
+
     /** Descriptors for clients: what is left when the program's own and those for cache servers are set aside. */
     private static int places(int sockets) {
         return Math.min(PLACES_MOST, sockets - OWN_DESCRIPTORS - (int) (SERVER_PART * sockets));
@@ -76,6 +91,8 @@
                 LOG.warn("the known list is of no use: {}", e.getMessage());
             }
             watch.start();
+            long beat = (long) (LoopDelay.BEAT * 1e6);
+            loop.scheduleWithFixedDelay(() -> delay.beats(clock.now()), beat, beat, TimeUnit.MICROSECONDS);
         });
         return ready;
     }
--- a/src/main/java/stagepier/app/WarmUp.java
+++ b/src/main/java/stagepier/app/WarmUp.java
@@ -18,6 +18,7 @@
 import stagepier.exchange.Clock;
 import stagepier.exchange.ModuleHost;
 import stagepier.memcache.Protocol;
+import stagepier.overload.LoopDelay;
 import stagepier.server.ServerPools;
 import stagepier.settings.SettingsParser;
 
@@ -29,19 +30,22 @@
 final class WarmUp {
     private static final int SERVERS = 4;
     private static final int REQUESTS = 250;
+    private static final int PLACES = 8;
     /** So many ask at once. */
     private static final int AT_ONCE = 5;
 
     private final SettingsParser.Parsed settings;
     private final List<EmbeddedChannel> toServers = new ArrayList<>();
     private final ServerPools pools;
+    private final ClientListener listener;
     private final EmbeddedChannel client;
 
     private WarmUp(EventLoop loop, SettingsParser.Parsed settings) {
         this.settings = settings;
         Clock clock = new Clock();
-        ModuleHost host = new ModuleHost(loop, clock, settings);
-        pools = new ServerPools(loop, clock, host, this::connect, SERVERS * SERVERS, settings.settings(), 0);
+        LoopDelay delay = new LoopDelay();
+        ModuleHost host = new ModuleHost(loop, clock, delay, settings);
+        pools = new ServerPools(loop, clock, delay, host, this::connect, SERVERS * SERVERS, settings.settings(), 0);
         host.connect(new Brain(settings.settings(), 1, host), pools);
         List<Api.Member> members = new ArrayList<>();
         for (int i = 1; i <= SERVERS; i++) {
@@ -49,7 +53,7 @@
             pools.ready(i, new InetSocketAddress(i), 0);
         }
         host.members(true, members);
-        ClientListener listener = new ClientListener(loop, clock, 2, host, () -> "END");
+        listener = new ClientListener(loop, clock, delay, PLACES, host, () -> "END");
         client = new EmbeddedChannel(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -72,6 +76,7 @@
             say(client, i % 8 == 0 ? Protocol.withValue("ms " + key + " 16" + rest, new byte[16])
                     : Protocol.line("mg " + key + " v" + rest));
             if (i % AT_ONCE == AT_ONCE - 1) {
+                listener.workOff();
                 new ArrayList<>(toServers).forEach(WarmUp::answer);
                 served += heard(client).split("(VA|HD) ", -1).length - 1;
             }
--- a/src/main/java/stagepier/client/ClientLink.java
+++ b/src/main/java/stagepier/client/ClientLink.java
@@ -11,6 +11,8 @@
 import stagepier.memcache.MalformedException;
 import stagepier.memcache.Protocol;
 import stagepier.memcache.RingBuffer;
+import stagepier.overload.Places;
+import stagepier.overload.Places.Behaviour;
 
 /** A client's connection: commands in, answers out in the order of the commands. */
 final class ClientLink extends Link {
@@ -18,13 +20,13 @@
     private static final int PIPELINED_MOST = 128;
     /** Bytes of answers that wait for the client to read from which no more commands are read. */
     private static final int ANSWERS_MOST = 2 * Protocol.LARGEST_VALUE;
-    /** Seconds for which a client may leave answers unread. */
-    private static final double UNREAD_MOST = 4;
+    /** Bytes of a command that a link may always hold; for more there must be memory. */
+    private static final int ALWAYS_HELD = 4096;
 
     /** The place of one answer in the order. */
     private static final class Slot {
         private Exchange exchange;
-        private byte[] answer;
+        private AnswerBytes answer;
     }
 
     private final ClientListener owner;
@@ -35,11 +37,22 @@
     /** When the command that has come in part began; NaN where there is none. */
     private double partSince = Double.NaN;
     private boolean asked;
+    /** Requests that went to the module. */
+    private int requests;
+    /** When it can have connected at the earliest: it may have waited in the backlog. */
+    private final double connectedAt;
+    /** When the first bytes came that have not been taken yet, less the time that they lay unread; NaN for none. */
+    private double cameAt = Double.NaN;
+    /** It has bytes for which the listener will give it its turn. */
+    private boolean isWaiting;
+    /** Memory of which the listener knows. */
+    private int counted;
     private boolean leaving;
     private int answerBytes;
 
-    ClientLink(ClientListener owner, Channel channel) {
+    ClientLink(ClientListener owner, Channel channel, double connectedAt) {
         this.owner = owner;
+        this.connectedAt = connectedAt;
         openedAt = owner.now();
         activeAt = openedAt;
         attach(channel);
@@ -52,12 +65,16 @@
 
     @Override
     protected boolean wantsInput() {
+        return mayTake() && (unread() < ALWAYS_HELD || owner.hasMemory());
+    }
+
+    private boolean mayTake() {
         return slots.size() < PIPELINED_MOST && answerBytes < ANSWERS_MOST && !leaving;
     }
 
     @Override
     protected void onInput(RingBuffer bytes) throws MalformedException {
-        while (wantsInput() && !isClosed()) {
+        while (mayTake() && !isClosed()) {
             Command command = CommandParser.next(bytes);
             if (command == null) {
                 break;
@@ -67,6 +84,10 @@
             partSince = Double.NaN;
             take(command);
         }
+        if (mayTake()) {
+            // What is left is part of a command, whose time begins with its last byte.
+            cameAt = Double.NaN;
+        }
         if (unread() == 0) {
             partSince = Double.NaN;
         } else if (Double.isNaN(partSince)) {
@@ -74,34 +95,81 @@
         }
     }
 
-    /**
-     * Closes what holds a place and does nothing with it. Guards against clients that connect and say nothing, stop in
-     * the middle of a command, leave their answers unread, or keep a link for good: descriptors are few.
-     *
-     * @param patience seconds within which a first command must come, and any command whole once it has begun
-     * @param idleMost seconds for which a link may be idle that has asked before
-     */
-    void check(double now, double patience, double idleMost) {
-        if (isClosed()) {
-            return;
+    /** What it does, for {@link Places} to judge. */
+    Behaviour behaviour() {
+        if (isWaiting) {
+            return Behaviour.OWED;
         }
         if (!slots.isEmpty() || !nothingQueued()) {
-            // Only what the client leaves unread: as long as an answer is owed the link stays.
-            if (now - activeAt > UNREAD_MOST && slots.stream().allMatch(s -> s.answer != null)) {
-                close();
-            }
-        } else if (!asked && Double.isNaN(partSince) && now - openedAt > patience) {
+            return slots.stream().allMatch(s -> s.answer != null) ? Behaviour.UNREAD : Behaviour.OWED;
+        }
+        if (!Double.isNaN(partSince)) {
+            return Behaviour.PART;
+        }
+        return !asked ? Behaviour.SILENT
+                : requests == 0 ? Behaviour.PROBE : requests == 1 ? Behaviour.ONCE : Behaviour.REGULAR;
+    }
+
+    /** Since when it has done so. */
+    double since(Behaviour behaviour) {
+        return switch (behaviour) {
+            case PART -> partSince;
+            case SILENT -> openedAt;
+            default -> activeAt;
+        };
+    }
+
+    /** Gives up its place. Who is in the middle of a command is told so. */
+    void giveUp(Behaviour behaviour) {
+        if (behaviour != Behaviour.PART) {
             close();
-        } else if (now - partSince > patience) {
+        } else if (!leaving) {
             owner.malformed();
             leaving = true;
             say("CLIENT_ERROR command not finished in time");
-        } else if (asked && Double.isNaN(partSince) && now - activeAt > idleMost) {
-            close();
         }
     }
 
+    /** Reads on if it had stopped for want of memory. */
+    void resume() {
+        readOn();
+    }
+
+    boolean isOpen() {
+        return !isClosed();
+    }
+
+    /** Its commands are taken when all links have been read: answers of cache servers go first. */
+    @Override
+    protected void onBytes() {
+        double now = owner.now();
+        double came = owner.cameAt(now);
+        if (Double.isNaN(cameAt)) {
+            cameAt = asked ? came : Math.min(came, connectedAt);
+        }
+        if (!isWaiting) {
+            isWaiting = true;
+            owner.arrived(this);
+        }
+    }
+
+    /** Takes what has come. Called by the listener in its turn. */
+    void workOff() {
+        isWaiting = false;
+        digest();
+        readOn();
+    }
+
+    /** Change of the memory that its ring takes since this was asked last. */
+    int grown() {
+        int held = isClosed() ? 0 : heldBytes();
+        int grown = held - counted;
+        counted = held;
+        return grown;
+    }
+
     private void take(Command command) {
+        owner.took(command.kind());
         switch (command.kind()) {
             case GET, SET -> {
                 String objection = owner.host().objection(command);
@@ -122,8 +190,10 @@
     private void ask(Command command) {
         Slot slot = new Slot();
         slots.add(slot);
+        requests++;
         // The module may answer at once, before take returns.
-        Exchange exchange = owner.host().take((x, reply) -> settle(slot, x, reply), command);
+        Exchange exchange = owner.host().take((x, reply) -> settle(slot, x, reply), command,
+                Double.isNaN(cameAt) ? owner.now() : cameAt);
         if (slot.answer == null) {
             slot.exchange = exchange;
         }
@@ -134,39 +204,49 @@
         answer(slot, words(exchange.command(), reply));
     }
 
-    private static byte[] words(Command command, Reply reply) {
+    private static AnswerBytes words(Command command, Reply reply) {
         return switch (reply.kind()) {
             case SERVED -> command.isWrite()
-                    ? Protocol.line("HD O" + command.id() + " c" + new String(reply.body(), StandardCharsets.ISO_8859_1))
-                    : Protocol.withValue("VA " + reply.body().length + " O" + command.id(), reply.body());
-            case THROTTLE -> Protocol.line("SERVER_ERROR busy"
+                    ? line("HD O" + command.id() + " c" + new String(reply.body(), StandardCharsets.ISO_8859_1))
+                    : new AnswerBytes(Protocol.line("VA " + reply.body().length + " O" + command.id()), reply.body());
+            case THROTTLE -> line("SERVER_ERROR busy"
                     + (reply.retryAfterMs() > 0 ? " " + reply.retryAfterMs() : ""));
-            case FAILED -> Protocol.line("SERVER_ERROR failed");
+            case FAILED -> line("SERVER_ERROR failed");
         };
     }
 
-    private void say(String line) {
+    private static AnswerBytes line(String text) {
+        return new AnswerBytes(Protocol.line(text), null);
+    }
+
+    private void say(String text) {
         Slot slot = new Slot();
         slots.add(slot);
-        answer(slot, Protocol.line(line));
+        answer(slot, line(text));
     }
 
-    private void answer(Slot slot, byte[] bytes) {
+    private void answer(Slot slot, AnswerBytes bytes) {
         slot.answer = bytes;
-        answerBytes += bytes.length;
+        answerBytes += bytes.length();
         pump();
     }
 
     @Override
     protected void fill() {
-        for (Slot first = slots.peek(); first != null && first.answer != null && fits(first.answer.length);
-                first = slots.peek()) {
-            queue(first.answer);
-            answerBytes -= first.answer.length;
+        for (Slot first = slots.peek(); first != null && first.answer != null; first = slots.peek()) {
+            if (!first.answer.moveTo(this::queue)) {
+                return;
+            }
+            answerBytes -= first.answer.length();
             slots.remove();
         }
     }
 
+    @Override
+    public int heldBytes() {
+        return super.heldBytes() + answerBytes;
+    }
+
     @Override
     protected void onWritten() {
         activeAt = owner.now();
--- a/src/main/java/stagepier/client/ClientListener.java
+++ b/src/main/java/stagepier/client/ClientListener.java
@@ -3,20 +3,31 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import stagepier.exchange.Clock;
 import stagepier.exchange.ModuleHost;
+import stagepier.memcache.Command;
+import stagepier.overload.BacklogWait;
+import stagepier.overload.LoopDelay;
+import stagepier.overload.Places;
 
 /**
  * Accepts clients; owns the listening socket and knows all client links. Keeps them to a number of places, so that
@@ -24,32 +35,34 @@
  */
 public final class ClientListener {
     private static final int BACKLOG = 512;
-    private static final int CHECK_MS = 200;
-    /** Seconds within which a first command must come, and any command whole once it has begun. */
-    private static final double PATIENCE = 2;
-    private static final double PATIENCE_SCARCE = 1;
-    private static final double PATIENCE_FULL = 0.3;
-    /** For so long after the places were full they count as scarce: who came then has waited in the backlog. */
-    private static final double FULL_REMEMBERED = 2;
-    /** Seconds after which a link may be closed on which nothing is open. */
-    private static final double IDLE_LEAST = 2;
-    /** The same while places are plenty: clients keep their links, and a new one costs them time. */
-    private static final double IDLE_MOST = 30;
-    /** Part of the places from which on idle links are closed as soon as they may be. */
-    private static final double SCARCE_FROM = 0.5;
-    /** Bytes for each place that the buffers of all links may take before half-sent commands lose patience. */
-    private static final int BYTES_A_PLACE = 12 * 1024;
+    /** Connections that are accepted in a row; then all others have their turn. */
+    private static final int ACCEPTED_IN_A_ROW = 16;
+    /** Links whose commands are taken in a row; then sockets are looked at again, for answers may have come. */
+    private static final int WORKED_OFF_IN_A_ROW = 32;
+    /** Memory that the buffers of all client links should stay under. */
+    private static final long BYTES_MOST = 8 << 20;
+
+    private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
+    private static final double TOLD_EVERY = 1;
 
     private final ModuleHost host;
     private final Supplier<String> stats;
     private final Set<ClientLink> links = new LinkedHashSet<>();
     private final EventLoop loop;
     private final Clock clock;
-    private final int places;
+    private final LoopDelay delay;
+    private final Places places;
+    private final BacklogWait backlog = new BacklogWait(ACCEPTED_IN_A_ROW);
+    private final ArrayDeque<ClientLink> arrived = new ArrayDeque<>();
+    private final long[] ended = new long[Places.Behaviour.values().length];
     private Channel listening;
+    private Places.Level level = Places.Level.PLENTY;
+    private boolean looking;
     private boolean full;
-    /** When it was last full. */
-    private double fullAt = Double.NEGATIVE_INFINITY;
+    private boolean working;
+    private long held;
+    private double toldAt = Double.NEGATIVE_INFINITY;
+    private final long[] commands = new long[Command.Kind.values().length];
     private long opened;
     private long malformed;
     private long timesFull;
@@ -58,10 +71,11 @@
      * @param places how many links there may be
      * @param stats  the answer to {@code stats}, less its last line end
      */
-    public ClientListener(EventLoop loop, Clock clock, int places, ModuleHost host, Supplier<String> stats) {
+    public ClientListener(EventLoop loop, Clock clock, LoopDelay delay, int places, ModuleHost host, Supplier<String> stats) {
         this.loop = loop;
         this.clock = clock;
-        this.places = places;
+        this.delay = delay;
+        this.places = new Places(places, BYTES_MOST);
         this.host = host;
         this.stats = stats;
     }
@@ -69,6 +83,21 @@
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_IN_A_ROW))
+                .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext ctx, Object child) {
+                        backlog.accepts();
+                        ctx.fireChannelRead(child);
+                    }
+
+                    @Override
+                    public void channelReadComplete(ChannelHandlerContext ctx) {
+                        backlog.rests(clock.now());
+                        ctx.fireChannelReadComplete();
+                    }
+                })
                 .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -77,24 +106,100 @@
                     }
                 }).bind(address);
         listening = bound.channel();
-        loop.scheduleWithFixedDelay(this::check, CHECK_MS, CHECK_MS, TimeUnit.MILLISECONDS);
+        lookAgain();
         return bound;
     }
 
     /** Serves a client on a channel that is being set up. */
     public void adopt(Channel channel) {
-        new ClientLink(this, channel);
+        new ClientLink(this, channel, backlog.cameAfter(clock.now()));
+    }
+
+    private void lookAgain() {
+        if (!looking) {
+            looking = true;
+            loop.schedule(() -> {
+                looking = false;
+                look();
+                lookAgain();
+            }, (long) (Places.lookAgain(level) * 1e6), TimeUnit.MICROSECONDS);
+        }
     }
 
-    private void check() {
+    /** Gives back the places of those who make no use of them. */
+    private void look() {
         double now = clock.now();
-        long held = links.stream().mapToLong(ClientLink::heldBytes).sum();
-        boolean scarce = links.size() > SCARCE_FROM * places || now - fullAt < FULL_REMEMBERED;
-        // Clients ask as soon as they connect: while places or memory are short, who has not has no claim to them.
-        double patience = full || held > (long) BYTES_A_PLACE * places ? PATIENCE_FULL
-                : scarce ? PATIENCE_SCARCE : PATIENCE;
-        double idleMost = scarce ? IDLE_LEAST : IDLE_MOST;
-        new ArrayList<>(links).forEach(link -> link.check(now, patience, idleMost));
+        Places.Level was = level;
+        level = places.level(now, links.size(), held);
+        if (level != was || level != Places.Level.PLENTY) {
+            tell(now);
+        }
+        for (ClientLink link : new ArrayList<>(links)) {
+            Places.Behaviour behaviour = link.behaviour();
+            if (now - link.since(behaviour) > Places.patience(behaviour, level)) {
+                ended[behaviour.ordinal()]++;
+                link.giveUp(behaviour);
+            } else {
+                link.resume();
+            }
+        }
+        if (!full) {
+            backlog.idle(now);
+        }
+    }
+
+    /** An event for the operators while places are short, not more often than once a second. */
+    private void tell(double now) {
+        if (now - toldAt < TOLD_EVERY) {
+            return;
+        }
+        toldAt = now;
+        int[] of = new int[Places.Behaviour.values().length];
+        links.forEach(link -> of[link.behaviour().ordinal()]++);
+        var event = LOG.atInfo().addKeyValue("level", level).addKeyValue("links", links.size())
+                .addKeyValue("accepting", !full).addKeyValue("opened", opened).addKeyValue("held", held);
+        for (Places.Behaviour behaviour : Places.Behaviour.values()) {
+            event = event.addKeyValue(behaviour.name(), of[behaviour.ordinal()]);
+        }
+        event.log("places");
+    }
+
+    /** Bytes have come on a link. They are worked off once all sockets have been read, so that answers go first. */
+    void arrived(ClientLink link) {
+        arrived.add(link);
+        count(link);
+        if (!working) {
+            working = true;
+            loop.execute(this::workOff);
+        }
+    }
+
+    /** Takes the commands that have come, a batch at a time. Public for who has no event loop to wait for. */
+    public void workOff() {
+        for (int n = WORKED_OFF_IN_A_ROW; n > 0 && !arrived.isEmpty(); n--) {
+            ClientLink link = arrived.remove();
+            link.workOff();
+            count(link);
+        }
+        working = !arrived.isEmpty();
+        if (working) {
+            // By way of a timer: a task would run before sockets are looked at again.
+            loop.schedule(this::workOff, 0, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void count(ClientLink link) {
+        held += link.grown();
+    }
+
+    boolean hasMemory() {
+        return places.hasMemory(held);
+    }
+
+    /** When bytes that are read now can have come at the earliest. */
+    double cameAt(double now) {
+        delay.reads(now);
+        return now - delay.unreadFor(now);
     }
 
     /** Takes no more connections and no more requests; links close when all they took is answered. */
@@ -102,6 +207,10 @@
         if (listening != null) {
             listening.close();
         }
+        // What has come is taken still.
+        while (!arrived.isEmpty()) {
+            workOff();
+        }
         new ArrayList<>(links).forEach(ClientLink::leave);
     }
 
@@ -120,23 +229,31 @@
     void opened(ClientLink link) {
         opened++;
         links.add(link);
-        if (links.size() >= places && !full) {
+        if (!places.hasPlace(links.size()) && !full) {
+            look();
             // The next ones wait in the backlog: to accept and close at once would only make them come again.
-            full = true;
-            timesFull++;
-            listening.config().setAutoRead(false);
+            if (!places.hasPlace(links.size()) && listening != null) {
+                full = true;
+                timesFull++;
+                level = Places.Level.FULL;
+                listening.config().setAutoRead(false);
+            }
         }
     }
 
     void closed(ClientLink link) {
         links.remove(link);
-        if (full && links.size() < places) {
+        count(link);
+        if (full && places.hasPlace(links.size())) {
             full = false;
-            fullAt = clock.now();
             listening.config().setAutoRead(true);
         }
     }
 
+    void took(Command.Kind kind) {
+        commands[kind.ordinal()]++;
+    }
+
     double now() {
         return clock.now();
     }
@@ -150,5 +267,12 @@
         to.accept("client_links_opened", opened);
         to.accept("client_places_full", timesFull);
         to.accept("client_input_malformed", malformed);
+        to.accept("client_bytes_held", held);
+        for (Command.Kind kind : Command.Kind.values()) {
+            to.accept("client_commands_" + kind.name().toLowerCase(Locale.ROOT), commands[kind.ordinal()]);
+        }
+        for (Places.Behaviour behaviour : Places.Behaviour.values()) {
+            to.accept("client_links_given_up_" + behaviour.name().toLowerCase(Locale.ROOT), ended[behaviour.ordinal()]);
+        }
     }
 }
--- a/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/src/main/java/stagepier/exchange/ModuleHost.java
@@ -14,6 +14,7 @@
 import org.slf4j.LoggerFactory;
 import stagepier.Api;
 import stagepier.memcache.Command;
+import stagepier.overload.LoopDelay;
 import stagepier.settings.SettingsParser;
 
 /**
@@ -32,12 +33,17 @@
     /** After this the module has broken its promise of an answer, and the host answers in its place. */
     private static final double OVERDUE = 0.01;
 
+    /** A request that lay unread for so long is counted as come late; in seconds. */
+    private static final double LATE = 0.05;
+    /** No answer took less than this, whatever is taken off for own delay; in seconds. */
+    private static final double SHORTEST = 1e-4;
     /** Seconds for which an id stays taken after its request must be over. */
     private static final double ID_KEPT = 2;
     private static final Pattern TIME = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
 
     private final EventLoop loop;
     private final Clock clock;
+    private final LoopDelay delay;
     private final SettingsParser.Names names;
     private final Api.Settings settings;
     private final Map<Long, Exchange> open = new HashMap<>();
@@ -54,10 +60,12 @@
     private long unanswered;
     private long gone;
     private long overdue;
+    private long cameLate;
 
-    public ModuleHost(EventLoop loop, Clock clock, SettingsParser.Parsed parsed) {
+    public ModuleHost(EventLoop loop, Clock clock, LoopDelay delay, SettingsParser.Parsed parsed) {
         this.loop = loop;
         this.clock = clock;
+        this.delay = delay;
         names = parsed.names();
         settings = parsed.settings();
         longestDeadline = settings.classes().stream().mapToDouble(Api.RequestClass::deadline).max().orElseThrow();
@@ -122,16 +130,23 @@
         }
     }
 
-    /** Takes a request. From here on one final answer is owed. */
-    public Exchange take(Asker asker, Command command) {
+    /**
+     * Takes a request. From here on one final answer is owed.
+     *
+     * @param cameAt when its last byte was there to be read, as far as is known: its time has been running since then
+     */
+    public Exchange take(Asker asker, Command command, double cameAt) {
         int classIndex = names.classes().indexOf(command.attribute("c"));
         String time = command.attribute("d");
         double most = settings.classes().get(classIndex).deadline();
         double wait = time == null ? most : Math.min(most, Double.parseDouble(time) / 1e3);
-        double budget = wait - Math.min(MARGIN, MARGIN_PART * wait);
-        Exchange x = new Exchange(++lastId, command, asker, clock.now() + budget);
+        double now = clock.now();
+        double unread = Math.max(0, now - cameAt);
+        cameLate += unread > LATE ? 1 : 0;
+        double budget = wait - unread - Math.min(MARGIN, MARGIN_PART * wait);
+        Exchange x = new Exchange(++lastId, command, asker, now + budget);
         open.put(x.id(), x);
-        idsTaken.put(command.id(), clock.now());
+        idsTaken.put(command.id(), now);
         unanswered++;
         x.backstop(loop.schedule(() -> overdue(x), micros(budget + OVERDUE), TimeUnit.MICROSECONDS));
         Api.Request request = new Api.Request(x.id(), classIndex, tenant(command),
@@ -197,13 +212,19 @@
             byte[] body) {
         post(() -> {
             double now = clock.now();
+            double elapsed = now - sentAt;
+            if (outcome != Api.Outcome.TIMEOUT && outcome != Api.Outcome.CANCELLED) {
+                // What lay here unread is this router's own delay: no server may be judged by it.
+                elapsed = Math.max(Math.min(elapsed, SHORTEST), elapsed - delay.unreadFor(now));
+            }
+            double took = elapsed;
             outcomes[outcome.ordinal()]++;
             x.outstanding(-1);
             if (outcome == Api.Outcome.OK && !x.isFinished()) {
                 answer(x, Reply.served(body));
             }
             forgetIfOver(x);
-            module.onOutcome(now, x.id(), attempt, server, outcome, now - sentAt, x.isFinished(),
+            module.onOutcome(now, x.id(), attempt, server, outcome, took, x.isFinished(),
                     lookup(x.command().isWrite(), outcome, lookup), NO_REPORT);
         });
     }
@@ -318,6 +339,9 @@
         to.accept("requests_unanswered", unanswered);
         to.accept("requests_client_gone", gone);
         to.accept("requests_overdue", overdue);
+        to.accept("requests_read_late", cameLate);
+        to.accept("loop_late_mean_us", Math.round(delay.mean() * 1e6));
+        to.accept("loop_late_worst_us", Math.round(delay.worst() * 1e6));
         for (Reply.Kind kind : Reply.Kind.values()) {
             to.accept("answers_" + kind.name().toLowerCase(java.util.Locale.ROOT), replies[kind.ordinal()]);
         }
--- a/src/main/java/stagepier/link/Link.java
+++ b/src/main/java/stagepier/link/Link.java
@@ -41,7 +41,7 @@
                     /** Guards against bytes that have no place: a full ring is not read into. */
                     @Override
                     public int guess() {
-                        return Math.max(1, Math.min(READ_MOST, in.free()));
+                        return Math.max(1, Math.min(readMost(), in.free()));
                     }
                 };
             }
@@ -65,6 +65,11 @@
         } finally {
             bytes.release();
         }
+        onBytes();
+    }
+
+    /** Bytes have come. Takes what can be taken of them, now or later. */
+    protected void onBytes() {
         digest();
     }
 
@@ -127,11 +132,6 @@
         return closed;
     }
 
-    /** Whether a message of that size can be queued now. */
-    protected final boolean fits(int bytes) {
-        return bytes <= out.free();
-    }
-
     /** Queues a whole message; returns the count of bytes written once its last one is. */
     protected final long queue(byte[] message) {
         out.put(message);
@@ -139,6 +139,14 @@
         return queuedBytes;
     }
 
+    /** Queues as much of a message, from an index on, as there is room for; returns how much. */
+    protected final int queue(byte[] message, int from) {
+        int n = Math.min(message.length - from, out.free());
+        out.put(ByteBuffer.wrap(message, from, n));
+        queuedBytes += n;
+        return n;
+    }
+
     /** Bytes that the socket has taken so far. */
     protected final long writtenBytes() {
         return writtenBytes;
@@ -149,8 +157,13 @@
         return in.size();
     }
 
+    /** Bytes that are read at once at the most. */
+    protected int readMost() {
+        return READ_MOST;
+    }
+
     /** Memory that its buffers take. */
-    public final int heldBytes() {
+    public int heldBytes() {
         return in.capacity() + out.capacity();
     }
 
--- a/src/main/java/stagepier/memcache/AnswerParser.java
+++ b/src/main/java/stagepier/memcache/AnswerParser.java
@@ -2,18 +2,73 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import stagepier.overload.SharedRoom;
 
-/** Takes whole answers off a cache server's bytes. */
+/**
+ * Takes whole answers off a cache server's bytes; one for each connection. A value that is larger than what a ring
+ * holds is collected apart as its bytes come.
+ */
 public final class AnswerParser {
-    private AnswerParser() {
+    /** Largest value that is passed on: what cache servers of this protocol usually keep at the most. */
+    public static final int LARGEST_VALUE = 1 << 20;
+    /** Collected from this length on. */
+    private static final int LARGE = 16 * 1024;
+    /** Grown to as bytes come. Guards against a length that is claimed by many and whose bytes never come. */
+    private static final int AT_FIRST = 32 * 1024;
+
+    /** Memory for values that are collected, shared by all connections. */
+    private final SharedRoom room;
+    /** The line of a large value, while that is collected; null otherwise. */
+    private String[] large;
+    private int length;
+    private int got;
+    private byte[] body = Answer.NO_BODY;
+    private boolean kept;
+    private boolean blocked;
+
+    /** A parser for which there is always room. */
+    public AnswerParser() {
+        this(new SharedRoom(Long.MAX_VALUE));
+    }
+
+    public AnswerParser(SharedRoom room) {
+        this.room = room;
+    }
+
+    /** Whether an answer has begun to be collected. */
+    public boolean isInside() {
+        return large != null;
+    }
+
+    /** Whether it waits for room: the connection has to stop reading meanwhile. */
+    public boolean isBlocked() {
+        return blocked;
+    }
+
+    /** Gives up what it has begun to collect. */
+    public void drop() {
+        if (large != null && kept) {
+            room.giveBack(length);
+        }
+        large = null;
+        body = Answer.NO_BODY;
+    }
+
+    /** The next answer, as in {@link #next(RingBuffer, boolean)}, kept. */
+    public Answer next(RingBuffer in) throws MalformedException {
+        return next(in, true);
     }
 
     /**
      * The next answer, or null until it has come whole.
      *
+     * @param keep whether anybody waits for it: a large value that nobody does is passed over and comes without body
      * @throws MalformedException where the bytes are no answer that a cache server gives
      */
-    public static Answer next(RingBuffer in) throws MalformedException {
+    public Answer next(RingBuffer in, boolean keep) throws MalformedException {
+        if (large != null) {
+            return collect(in);
+        }
         int line = Protocol.lineLength(in);
         if (line < 0) {
             return null;
@@ -21,7 +76,7 @@
         String[] words = Protocol.words(in, line);
         switch (words[0]) {
             case "VA":
-                return value(in, line, words);
+                return value(in, line, words, keep);
             case "HD":
                 in.skip(line);
                 return new Answer(Answer.Kind.RECEIPT, flag(words, 1, 'O'),
@@ -37,16 +92,52 @@
         }
     }
 
-    private static Answer value(RingBuffer in, int line, String[] words) throws MalformedException {
-        int length = words.length < 2 ? -1 : Protocol.valueLength(words[1]);
-        if (length < 0 || length > Protocol.LARGEST_VALUE) {
+    private Answer value(RingBuffer in, int line, String[] words, boolean keep) throws MalformedException {
+        int told = words.length < 2 ? -1 : Protocol.valueLength(words[1]);
+        if (told < 0 || told > LARGEST_VALUE) {
             throw new MalformedException("bad value length");
         }
-        if (in.size() < line + length + 2) {
+        if (told >= LARGE) {
+            blocked = keep && !room.take(told);
+            if (blocked) {
+                return null;
+            }
+            in.skip(line);
+            large = words;
+            length = told;
+            got = 0;
+            kept = keep;
+            return collect(in);
+        }
+        if (in.size() < line + told + 2) {
+            return null;
+        }
+        byte[] value = Protocol.value(in, line, told);
+        in.skip(line + told + 2);
+        return value(words, value);
+    }
+
+    private Answer collect(RingBuffer in) throws MalformedException {
+        int n = Math.min(in.size(), length - got);
+        if (kept && got + n > body.length) {
+            body = Arrays.copyOf(body, Math.min(length, Math.max(got + n, Math.max(AT_FIRST, 2 * body.length))));
+        }
+        if (kept) {
+            in.copyTo(body, got, n);
+        }
+        in.skip(n);
+        got += n;
+        if (got < length || in.size() < 2) {
             return null;
         }
-        byte[] value = Protocol.value(in, line, length);
-        in.skip(line + length + 2);
+        Protocol.checkEnd(in, 0);
+        in.skip(2);
+        Answer whole = value(large, body);
+        drop();
+        return whole;
+    }
+
+    private static Answer value(String[] words, byte[] value) {
         Answer.Hit hit = switch (flag(words, 2, 'h')) {
             case "1" -> Answer.Hit.HIT;
             case "0" -> Arrays.asList(words).contains("Z") ? Answer.Hit.MISS_FETCHING : Answer.Hit.MISS;
--- a/src/main/java/stagepier/memcache/Protocol.java
+++ b/src/main/java/stagepier/memcache/Protocol.java
@@ -6,6 +6,7 @@
 /** Sizes and words that both directions share. */
 public final class Protocol {
     public static final int LARGEST_VALUE = 64 * 1024;
+    public static final byte[] LINE_END = {'\r', '\n'};
     static final int LARGEST_LINE = 2048;
     static final int LARGEST_KEY = 250;
     static final int LARGEST_ID = 32;
@@ -53,7 +54,7 @@
 
     /** A length of a value, or -1 where the word is none. */
     static int valueLength(String word) {
-        if (word.isEmpty() || word.length() > 6 || !word.chars().allMatch(c -> c >= '0' && c <= '9')) {
+        if (word.isEmpty() || word.length() > 7 || !word.chars().allMatch(c -> c >= '0' && c <= '9')) {
             return -1;
         }
         return Integer.parseInt(word);
@@ -61,9 +62,14 @@
 
     /** The value behind a line; whole messages only, the caller has checked the size. */
     static byte[] value(RingBuffer in, int from, int length) throws MalformedException {
-        if (in.at(from + length) != '\r' || in.at(from + length + 1) != '\n') {
+        checkEnd(in, from + length);
+        return in.copy(from, length);
+    }
+
+    /** Whether a line end is where a value has to end. */
+    static void checkEnd(RingBuffer in, int at) throws MalformedException {
+        if (in.at(at) != '\r' || in.at(at + 1) != '\n') {
             throw new MalformedException("bad data chunk");
         }
-        return in.copy(from, length);
     }
 }
--- a/src/main/java/stagepier/memcache/RingBuffer.java
+++ b/src/main/java/stagepier/memcache/RingBuffer.java
@@ -82,11 +82,20 @@
 
     public byte[] copy(int from, int n) {
         byte[] copy = new byte[n];
+        copy(from, copy, 0, n);
+        return copy;
+    }
+
+    /** Copies the first bytes to a place in an array; they stay here. */
+    void copyTo(byte[] to, int at, int n) {
+        copy(0, to, at, n);
+    }
+
+    private void copy(int from, byte[] to, int at, int n) {
         int start = place(from);
         int first = Math.min(n, bytes.length - start);
-        System.arraycopy(bytes, start, copy, 0, first);
-        System.arraycopy(bytes, 0, copy, first, n - first);
-        return copy;
+        System.arraycopy(bytes, start, to, at, first);
+        System.arraycopy(bytes, 0, to, at + first, n - first);
     }
 
     public String text(int from, int n) {
--- /dev/null
+++ b/src/main/java/stagepier/overload/BacklogWait.java
@@ -0,0 +1,39 @@
+package stagepier.overload;
+
+/**
+ * For how long at most a connection that is accepted now has waited to be: since the listener last found nobody
+ * waiting. What was sent on it is as old as that. Free of I/O and clock; all times in seconds.
+ */
+public final class BacklogWait {
+    private final int batch;
+    private double emptyAt = Double.NaN;
+    private int accepted;
+
+    /** @param batch connections that the listener accepts in a row at the most */
+    public BacklogWait(int batch) {
+        this.batch = batch;
+    }
+
+    /** One was accepted. */
+    public void accepts() {
+        accepted++;
+    }
+
+    /** The listener ends a row: fewer than a whole one means that nobody is left waiting. */
+    public void rests(double now) {
+        if (accepted < batch) {
+            emptyAt = now;
+        }
+        accepted = 0;
+    }
+
+    /** The listener had been accepting all along and nobody came: nobody waits. */
+    public void idle(double now) {
+        emptyAt = now;
+    }
+
+    /** The earliest time at which one that is accepted now can have come. */
+    public double cameAfter(double now) {
+        return Double.isNaN(emptyAt) ? now : emptyAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/overload/LoopDelay.java
@@ -0,0 +1,69 @@
+package stagepier.overload;
+
+/**
+ * How late an event loop is: for how long at most what it reads now may have lain unread. A loop looks for input, works
+ * off what it found, and looks again; what comes meanwhile waits. A process that is given no time by its machine waits,
+ * too, without seeing it: a heartbeat that comes late tells. Free of I/O and clock; all times in seconds.
+ */
+public final class LoopDelay {
+    /** Seconds between heartbeats. */
+    public static final double BEAT = 0.02;
+    /** A look that took longer waited for input: nothing lay unread when it began. */
+    private static final double WAITED = 0.0005;
+    /** A heartbeat is late from here on: timers are only so exact. */
+    private static final double INEXACT = 0.003;
+    /** Weight of one heartbeat in the running mean. */
+    private static final double GAIN = 0.1;
+
+    private double lookBegan = Double.NaN;
+    private double sawAt = Double.NaN;
+    private double sawBefore = Double.NaN;
+    private double nextBeat = Double.NaN;
+    private double mean;
+    private double worst;
+
+    /** The loop begins to look for input. */
+    public void looks(double now) {
+        // A turn in which nothing was read tells no more than that it looked.
+        sawBefore = Double.isNaN(sawAt) ? lookBegan : sawAt;
+        lookBegan = now;
+        sawAt = Double.NaN;
+    }
+
+    /** Input is being read; only the first call after a look counts. */
+    public void reads(double now) {
+        if (Double.isNaN(sawAt)) {
+            sawAt = now;
+        }
+    }
+
+    /** The heartbeat. */
+    public void beats(double now) {
+        double late = Double.isNaN(nextBeat) ? 0 : Math.max(0, now - nextBeat);
+        mean += GAIN * (late - mean);
+        worst = Math.max(worst, late);
+        nextBeat = now + BEAT;
+    }
+
+    /** Seconds for which what is read in this turn may have lain unread; 0 where nothing is known. */
+    public double unreadFor(double now) {
+        if (Double.isNaN(sawAt) || Double.isNaN(sawBefore)) {
+            return 0;
+        }
+        if (sawAt - lookBegan <= WAITED) {
+            return Math.max(0, now - sawBefore);
+        }
+        double frozen = Double.isNaN(nextBeat) ? 0 : sawAt - Math.max(lookBegan, nextBeat);
+        return Math.max(0, now - sawAt) + (frozen > INEXACT ? frozen : 0);
+    }
+
+    /** Seconds by which heartbeats come late: a running mean over the last ten or so. */
+    public double mean() {
+        return mean;
+    }
+
+    /** The latest heartbeat of all, in seconds. */
+    public double worst() {
+        return worst;
+    }
+}
--- /dev/null
+++ b/src/main/java/stagepier/overload/Silence.java
@@ -0,0 +1,59 @@
+package stagepier.overload;
+
+/**
+ * Tells a connection that has fallen silent from a server that has: on the first nothing comes while other connections
+ * to the same server answer what was sent later. Knows how long the first in order usually waits for its answer. One
+ * for each server. Free of I/O and clock; all times in seconds.
+ */
+public final class Silence {
+    /** Weight of one answer in the running means. */
+    private static final double GAIN = 1.0 / 32;
+    /** Answers from which on the means are trusted. */
+    private static final int TRUSTED_FROM = 8;
+    /** Deviations above the mean from which on nothing more is put behind a wait, and from which on it is given up. */
+    private static final double QUIET_DEVIATIONS = 3;
+    private static final double DEAD_DEVIATIONS = 6;
+    /** The same in parts of the shortest deadline: not sooner than the least, not later than the most. */
+    private static final double QUIET_LEAST = 0.06;
+    private static final double DEAD_LEAST = 0.2;
+    private static final double MOST = 0.66;
+    /** Answers to what was sent later, on other connections, that it takes: one may be luck. */
+    private static final int PASSED_BY = 3;
+
+    private final double shortestDeadline;
+    private double mean;
+    private double deviation;
+    private int seen;
+
+    public Silence(double shortestDeadline) {
+        this.shortestDeadline = shortestDeadline;
+    }
+
+    /** An answer came to what was first in its order for so long. */
+    public void answered(double wait) {
+        double gain = Math.max(GAIN, 1.0 / ++seen);
+        deviation += gain * (Math.abs(wait - mean) - deviation);
+        mean += gain * (wait - mean);
+    }
+
+    /** A wait that usual answers don't need: work that can go elsewhere is not put behind it. */
+    public boolean isQuiet(double wait) {
+        return wait > after(QUIET_LEAST, QUIET_DEVIATIONS);
+    }
+
+    /**
+     * Whether a connection is to be given up, so that what was sent on it can be tried elsewhere in time.
+     *
+     * @param wait     since it was last heard of with an answer due, less the router's own delay
+     * @param passedBy answers that came on other connections to what was sent since then
+     */
+    public boolean isDead(double wait, int passedBy) {
+        return passedBy >= PASSED_BY && wait > after(DEAD_LEAST, DEAD_DEVIATIONS);
+    }
+
+    private double after(double least, double deviations) {
+        double most = MOST * shortestDeadline;
+        return seen < TRUSTED_FROM ? most
+                : Math.max(least * shortestDeadline, Math.min(most, mean + deviations * deviation));
+    }
+}
--- a/src/main/java/stagepier/server/Execution.java
+++ b/src/main/java/stagepier/server/Execution.java
@@ -12,6 +12,9 @@
  * link still expects for it after that is discarded there.
  */
 final class Execution implements Carrier.Sending {
+    /** Seconds by which a timer is late only if the router itself is. */
+    private static final double LATE = 0.01;
+
     private final ServerPools pools;
     private final Exchange exchange;
     private final int attempt;
@@ -22,8 +25,11 @@
     private Future<?> timer;
     private boolean over;
     private boolean timedOut;
+    private boolean wokeLate;
     /** The link's count of written bytes at which the last one of this execution is written; 0 before that. */
     private long endsAt;
+    /** When it was handed to the socket. */
+    private double sentAt;
 
     /** @param exchange null for a probe */
     Execution(ServerPools pools, Exchange exchange, int attempt, long server, double timeout) {
@@ -36,10 +42,18 @@
     }
 
     void startTimer() {
-        timer = pools.loop().schedule(() -> {
-            timedOut = true;
-            giveUp(Api.Outcome.TIMEOUT);
-        }, (long) (timeout * 1e6), TimeUnit.MICROSECONDS);
+        timer = pools.loop().schedule(this::timeIsUp, (long) (timeout * 1e6), TimeUnit.MICROSECONDS);
+    }
+
+    /** Guards against blaming the server where this router woke too late to read its answer: it gets one more look. */
+    private void timeIsUp() {
+        if (!wokeLate && pools.now() - startedAt - timeout > LATE) {
+            wokeLate = true;
+            timer = pools.loop().schedule(this::timeIsUp, 1, TimeUnit.MILLISECONDS);
+            return;
+        }
+        timedOut = true;
+        giveUp(Api.Outcome.TIMEOUT);
     }
 
     void link(ServerLink on) {
@@ -54,6 +68,14 @@
         return endsAt;
     }
 
+    void sentAt(double now) {
+        sentAt = now;
+    }
+
+    double sentAt() {
+        return sentAt;
+    }
+
     boolean isOver() {
         return over;
     }
--- a/src/main/java/stagepier/server/ServerLink.java
+++ b/src/main/java/stagepier/server/ServerLink.java
@@ -14,6 +14,9 @@
 
 /** A connection to a cache server. Its answers come in the order of its executions. */
 final class ServerLink extends Link {
+    /** Bytes that are read at once while a large value comes. */
+    private static final int LARGE_READ = 64 * 1024;
+
     private final ServerPool pool;
     /** Not a byte of these has been handed to the socket. */
     private final ArrayDeque<Execution> waiting = new ArrayDeque<>();
@@ -26,9 +29,13 @@
     private double heardAt;
     private double bytesAt;
     private Future<?> stallTimer;
+    /** Answers that came on other links, since this one was last heard, to what was sent later. */
+    private int passedBy;
+    private final AnswerParser parser;
 
     ServerLink(ServerPool pool) {
         this.pool = pool;
+        parser = new AnswerParser(pool.pools().room());
         openedAt = pool.pools().now();
         heardAt = openedAt;
     }
@@ -52,13 +59,39 @@
      * The less there is to wait for the better; of links that are alike, the one that was heard longest ago. Guards
      * against asking on a link on whose last answer something follows that has not come yet.
      */
-    boolean isBetterThan(ServerLink other) {
+    boolean isBetterThan(ServerLink other, double now) {
+        if (isQuiet(now) != other.isQuiet(now)) {
+            return other.isQuiet(now);
+        }
         if (load() != other.load()) {
             return load() < other.load();
         }
         return up != other.up ? up : heardAt < other.heardAt;
     }
 
+    /** Since when an answer has been due with nothing heard, in seconds; 0 with none due. */
+    private double wait(double now) {
+        return sent.isEmpty() ? 0 : now - Math.max(heardAt, bytesAt);
+    }
+
+    boolean isQuiet(double now) {
+        return pool.silence().isQuiet(wait(now));
+    }
+
+    /** Another link has answered what was sent at that time; returns whether that makes this one suspect. */
+    boolean passedBy(double sentAt) {
+        if (sent.isEmpty() || sentAt <= Math.max(heardAt, bytesAt)) {
+            return false;
+        }
+        passedBy++;
+        return isDead(pool.pools().now());
+    }
+
+    /** Whether it has fallen silent while the server answers elsewhere. */
+    boolean isDead(double now) {
+        return !sent.isEmpty() && !parser.isBlocked() && pool.silence().isDead(wait(now), passedBy);
+    }
+
     boolean isIdle() {
         return up && load() == 0;
     }
@@ -101,8 +134,16 @@
         waiting.remove(execution);
     }
 
+    /** The server drains or is gone: what waits here ends unsent, and so does what the socket does not take. */
+    void drain() {
+        dropWaiting();
+        if (up && !nothingQueued()) {
+            close();
+        }
+    }
+
     /** Ends what waits here and has not begun to be sent. */
-    void dropWaiting() {
+    private void dropWaiting() {
         List<Execution> dropped = new ArrayList<>(waiting);
         waiting.clear();
         dropped.forEach(e -> e.end(Api.Outcome.CONNECT_FAILED));
@@ -117,12 +158,17 @@
 
     @Override
     protected void fill() {
+        if (pool.isRetired()) {
+            // The last point before bytes go out: whatever brought it here, nothing new goes to a server that drains.
+            dropWaiting();
+        }
         // One at a time: what waits here can still be withdrawn, what is in the ring can not.
         if (nothingQueued() && !waiting.isEmpty()) {
             if (sent.isEmpty()) {
                 heardAt = pool.pools().now();
             }
             Execution next = waiting.remove();
+            next.sentAt(pool.pools().now());
             sent.add(next);
             next.endsAt(queue(next.message()));
         }
@@ -134,13 +180,48 @@
 
     @Override
     protected boolean wantsInput() {
-        return true;
+        return !parser.isBlocked();
+    }
+
+    @Override
+    protected void onBytes() {
+        pool.pools().delay().reads(pool.pools().now());
+        digest();
+    }
+
+    @Override
+    protected int readMost() {
+        return parser.isInside() ? LARGE_READ : super.readMost();
+    }
+
+    /** There may be room for the large value that waits for it. */
+    private void unblock() {
+        bytesAt = pool.pools().now();
+        digest();
+        readOn();
+    }
+
+    private Answer next(RingBuffer bytes) throws MalformedException {
+        Execution first = sent.peek();
+        Answer answer = parser.next(bytes, first != null && !first.isOver());
+        if (answer == null && parser.isBlocked()) {
+            // Not at once: who gives room back is in the middle of something.
+            pool.pools().room().await(() -> pool.pools().loop().execute(this::unblock));
+        }
+        return answer;
+    }
+
+    /** Whether an answer has come in part. */
+    private boolean isInside() {
+        return unread() > 0 || parser.isInside();
     }
 
     @Override
     protected void onInput(RingBuffer bytes) throws MalformedException {
         bytesAt = pool.pools().now();
-        for (Answer answer = AnswerParser.next(bytes); answer != null; answer = AnswerParser.next(bytes)) {
+        passedBy = 0;
+        for (Answer answer = next(bytes); answer != null; answer = next(bytes)) {
+            double wait = bytesAt - heardAt;
             heardAt = bytesAt;
             Execution first = sent.peek();
             if (first == null || !first.accepts(answer)) {
@@ -150,6 +231,7 @@
             // Guards against taking for the next answer what came behind this one: nothing more is asked here.
             boolean tail = sent.isEmpty() && unread() > 0;
             retired |= tail;
+            pool.answered(this, first.sentAt(), wait);
             first.answered(answer);
             if (isClosed()) {
                 return;
@@ -158,12 +240,12 @@
                 throw new MalformedException("more than belongs to an answer");
             }
         }
-        if (sent.isEmpty() && unread() > 0) {
+        if (sent.isEmpty() && isInside()) {
             throw new MalformedException("bytes that nothing asked for");
         }
         if (retired && !hasLive()) {
             close();
-        } else if (unread() > 0 && stallTimer == null) {
+        } else if (isInside() && stallTimer == null) {
             awaitRest();
         }
     }
@@ -172,10 +254,10 @@
     private void awaitRest() {
         stallTimer = pool.pools().loop().schedule(() -> {
             stallTimer = null;
-            if (isClosed() || unread() == 0) {
+            if (isClosed() || !isInside()) {
                 return;
             }
-            if (pool.pools().now() - bytesAt >= pool.pools().stallMost()) {
+            if (!parser.isBlocked() && pool.pools().now() - bytesAt >= pool.pools().stallMost()) {
                 onMalformed(new MalformedException("an answer that stopped in the middle"));
             } else {
                 awaitRest();
@@ -211,6 +293,7 @@
     @Override
     protected void onClosed() {
         pool.closed(this);
+        parser.drop();
         if (stallTimer != null) {
             stallTimer.cancel(false);
         }
--- a/src/main/java/stagepier/server/ServerPool.java
+++ b/src/main/java/stagepier/server/ServerPool.java
@@ -4,16 +4,52 @@
 import java.util.ArrayList;
 import java.util.List;
 import stagepier.Api;
+import stagepier.overload.Silence;
 
 /** The links to one cache server; owns them. */
 final class ServerPool {
     private final ServerPools pools;
     private final List<ServerLink> links = new ArrayList<>();
+    private final Silence silence;
     private InetSocketAddress address;
     private boolean retired;
+    private boolean looking;
 
     ServerPool(ServerPools pools) {
         this.pools = pools;
+        silence = new Silence(pools.shortestDeadline());
+    }
+
+    Silence silence() {
+        return silence;
+    }
+
+    /** An answer came on a link to what was handed to it at that time, after so long as the first in its order. */
+    void answered(ServerLink on, double sentAt, double wait) {
+        silence.answered(wait);
+        boolean suspected = false;
+        for (ServerLink link : links) {
+            suspected |= link != on && link.passedBy(sentAt);
+        }
+        if (suspected && !looking) {
+            looking = true;
+            // When all that has come was read: an answer on the silent one may be among it.
+            pools.loop().execute(this::giveUpSilent);
+        }
+    }
+
+    /**
+     * Guards against work that is stuck on a connection gone silent until its time is up, and against holding that
+     * against a server that answers elsewhere. Few at a time: an origin that stalls makes many wait that are not silent.
+     */
+    private void giveUpSilent() {
+        looking = false;
+        double now = pools.now();
+        for (ServerLink link : new ArrayList<>(links)) {
+            if (link.isDead(now - pools.delay().unreadFor(now)) && pools.mayGiveUp(now)) {
+                link.drop();
+            }
+        }
     }
 
     ServerPools pools() {
@@ -41,7 +77,7 @@
      */
     void retire() {
         retired = true;
-        new ArrayList<>(links).forEach(ServerLink::dropWaiting);
+        new ArrayList<>(links).forEach(ServerLink::drain);
         closeIdle();
     }
 
@@ -62,14 +98,16 @@
                 if (deaf == null && !link.hasLive()) {
                     deaf = link;
                 }
-            } else if (best == null || link.isBetterThan(best)) {
+            } else if (best == null || link.isBetterThan(best, now)) {
                 best = link;
             }
         }
         if (best == null && links.size() >= ServerPools.LINKS_MOST && deaf != null) {
             deaf.drop();
         }
-        boolean mayOpen = (links.isEmpty() || pools.hasSpare()) && links.size() < (best == null ? ServerPools.LINKS_MOST : ServerPools.LINKS_USUAL);
+        boolean noneWell = best == null || best.isQuiet(now);
+        boolean mayOpen = (links.isEmpty() || pools.hasSpare())
+                && links.size() < (noneWell ? ServerPools.LINKS_MOST : ServerPools.LINKS_USUAL);
         if (mayOpen && (best == null || best.load() > 0)) {
             ServerLink fresh = new ServerLink(this);
             links.add(fresh);
--- a/src/main/java/stagepier/server/ServerPools.java
+++ b/src/main/java/stagepier/server/ServerPools.java
@@ -21,6 +21,9 @@
 import stagepier.exchange.ModuleHost;
 import stagepier.memcache.MalformedException;
 import stagepier.memcache.Protocol;
+import stagepier.overload.Allowance;
+import stagepier.overload.LoopDelay;
+import stagepier.overload.SharedRoom;
 
 /** The server side: a pool of links for each cache server of the list. */
 public final class ServerPools implements Carrier {
@@ -47,6 +50,11 @@
     private static final double WARN_EVERY = 10;
     private static final int CONNECT_TIMEOUT_MS = 1000;
     private static final double PROBE_TIMEOUT = 0.3;
+    /** Bytes of large values that may be on their way from cache servers at a time. Guards the heap, which is small. */
+    private static final long LARGE_VALUES_MOST = 8 << 20;
+    /** Links given up for their silence alone: a new one costs the server a handshake. */
+    private static final double GIVEN_UP_A_SECOND = 6;
+    private static final double GIVEN_UP_AT_ONCE = 6;
     static final byte[] PROBE = Protocol.line("mn");
 
     private final EventLoop loop;
@@ -62,15 +70,20 @@
     private long failedOpens;
     private long malformed;
     private double nextWarning;
+    private final Allowance givenUp = new Allowance(GIVEN_UP_A_SECOND, GIVEN_UP_AT_ONCE);
+    private final LoopDelay delay;
+    private long silenced;
+    private final SharedRoom room = new SharedRoom(LARGE_VALUES_MOST);
 
     /** @param linksMost links to all servers together from which on each server gets one at the most */
-    public ServerPools(EventLoop loop, Clock clock, ModuleHost host, Connector connector, int linksMost,
+    public ServerPools(EventLoop loop, Clock clock, LoopDelay delay, ModuleHost host, Connector connector, int linksMost,
             Api.Settings settings, double idleClose) {
         this.connector = connector;
         this.linksMost = linksMost;
         shortestDeadline = settings.classes().stream().mapToDouble(Api.RequestClass::deadline).min().orElseThrow();
         this.loop = loop;
         this.clock = clock;
+        this.delay = delay;
         this.host = host;
         idleMost = idleClose > 0 ? idleClose * IDLE_PART : Double.POSITIVE_INFINITY;
         sweeps = loop.scheduleWithFixedDelay(this::sweep, 1, 1, TimeUnit.SECONDS);
@@ -88,6 +101,25 @@
         return STALL_MOST * shortestDeadline;
     }
 
+    double shortestDeadline() {
+        return shortestDeadline;
+    }
+
+    /** Whether one more link may be given up for its silence alone. */
+    boolean mayGiveUp(double now) {
+        boolean may = givenUp.spend(now);
+        silenced += may ? 1 : 0;
+        return may;
+    }
+
+    LoopDelay delay() {
+        return delay;
+    }
+
+    SharedRoom room() {
+        return room;
+    }
+
     EventLoop loop() {
         return loop;
     }
@@ -197,5 +229,7 @@
         to.accept("server_links_opened", opened);
         to.accept("server_links_failed", failedOpens);
         to.accept("server_input_malformed", malformed);
+        to.accept("server_links_silent", silenced);
+        to.accept("server_large_values_waited", room.waits());
     }
 }
--- a/src/test/java/stagepier/app/RouterTest.java
+++ b/src/test/java/stagepier/app/RouterTest.java
@@ -177,6 +177,21 @@
         assertTrue(router.isAlive());
     }
 
+    /** Guards against taking for spoilt, and asking for again, what is only larger than a ring. */
+    @Test
+    void aValueLargerThanARingIsPassedOnWholeToASlowReader() throws Exception {
+        start(cache.getLocalPort());
+        write(client, "mg k1 v Oa Pc=read,d=1900\r\n");
+        Socket link = cache.accept();
+        assertTrue(reader(link).readLine().startsWith("mg k1 "));
+        String value = "0123456789abcdef".repeat(25_000);
+        write(link, "VA 400000 Oa h1\r\n" + value.substring(0, 150_000));
+        write(link, value.substring(150_000) + "\r\n");
+        assertEquals("VA 400000 Oa", answers.readLine());
+        assertEquals(value, answers.readLine());
+        assertEquals("MN", ask("mn"));
+    }
+
     /** Guards against bytes behind a good answer that are taken for the next one's. */
     @Test
     void whatComesBehindAnAnswerEndsTheLinkAndCostsNobodyAnAnswer() throws Exception {
--- a/src/test/java/stagepier/memcache/Wire.java
+++ b/src/test/java/stagepier/memcache/Wire.java
@@ -15,6 +15,12 @@
     private Wire() {
     }
 
+    static RingBuffer ring(byte[] bytes) {
+        RingBuffer ring = new RingBuffer();
+        ring.put(bytes);
+        return ring;
+    }
+
     /** What the parser makes of the bytes, cut at random; it never sees more than a ring holds. */
     static <T> List<T> parse(Parser<T> parser, byte[] bytes, long seed) throws MalformedException {
         Random random = new Random(seed);
--- /dev/null
+++ b/src/test/java/stagepier/overload/LoopDelayTest.java
@@ -0,0 +1,81 @@
+package stagepier.overload;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** A loop whose clock is in the test's hand. */
+class LoopDelayTest {
+    private static final double EXACT = 1e-9;
+    private final LoopDelay delay = new LoopDelay();
+
+    private void turn(double looks, double reads) {
+        delay.looks(looks);
+        delay.reads(reads);
+    }
+
+    @Test
+    void nothingIsKnownBeforeTheSecondLook() {
+        assertEquals(0, delay.unreadFor(5));
+        turn(5, 5.0001);
+        assertEquals(0, delay.unreadFor(5.1));
+    }
+
+    /** Guards against blaming a server for an answer that lay here while the loop was at work on something else. */
+    @Test
+    void whatIsFoundAtOnceMayHaveLainUnreadSinceTheLastLook() {
+        turn(5, 5.0001);
+        // At work on that for 250 ms; then a look that need not wait.
+        turn(5.25, 5.2501);
+        assertEquals(0.2505, delay.unreadFor(5.2506), EXACT);
+        // Read later in the same turn: as old, and a little more.
+        delay.reads(5.26);
+        assertEquals(0.2599, delay.unreadFor(5.26), EXACT);
+    }
+
+    @Test
+    void whatALookWaitedForIsNew() {
+        turn(5, 5.0001);
+        delay.beats(5.2);
+        turn(5.2, 5.212);
+        assertEquals(0, delay.unreadFor(5.212), EXACT);
+        assertEquals(0.003, delay.unreadFor(5.215), EXACT);
+    }
+
+    /** Guards against a process that gets no time from its machine: it sees nothing itself but a heartbeat come late. */
+    @Test
+    void aLookThatOutlastsTheHeartbeatWasFrozen() {
+        turn(5, 5.0001);
+        delay.beats(5.2);
+        turn(5.2, 5.3);
+        assertEquals(0.1 - LoopDelay.BEAT, delay.unreadFor(5.3), EXACT);
+        delay.beats(5.3);
+        assertEquals(0.1 - LoopDelay.BEAT, delay.worst(), EXACT);
+    }
+
+    @Test
+    void aTurnThatReadNothingCountsAsALook() {
+        turn(5, 5.0001);
+        delay.looks(5.1);
+        turn(5.2, 5.2001);
+        assertEquals(0.1001, delay.unreadFor(5.2001), EXACT);
+    }
+
+    @Test
+    void theMeanFollowsAndForgets() {
+        double now = 5;
+        delay.beats(now);
+        for (int i = 0; i < 60; i++) {
+            now += LoopDelay.BEAT + 0.05;
+            delay.beats(now);
+        }
+        assertEquals(0.05, delay.mean(), 0.001);
+        for (int i = 0; i < 60; i++) {
+            now += LoopDelay.BEAT;
+            delay.beats(now);
+        }
+        assertTrue(delay.mean() < 0.001, delay.mean() + " s");
+        assertEquals(0.05, delay.worst(), 1e-6);
+    }
+}
