Let probes give way at once in a full house, and tell a slow look from one that waited

After a stall the first read came more than 0.5 ms after the look, which was taken for a look that had waited: requests whose time was up were served (OverloadTest on a busy machine).

Now: probes give way after 0.1 s in a full house; a look counts as having waited only if it took a tenth of the turn before; a heartbeat every 50 ms.

--- a/src/main/java/stagepier/overload/LoopDelay.java
+++ b/src/main/java/stagepier/overload/LoopDelay.java
@@ -7,9 +7,11 @@
  */
 public final class LoopDelay {
     /** Seconds between heartbeats. */
-    public static final double BEAT = 0.02;
+    public static final double BEAT = 0.05;
     /** A look that took longer waited for input: nothing lay unread when it began. */
     private static final double WAITED = 0.0005;
+    /** The same in parts of the turn before: after a long one, a look that takes a little is no proof. */
+    private static final double WAITED_PART = 0.1;
     /** A heartbeat is late from here on: timers are only so exact. */
     private static final double INEXACT = 0.003;
     /** Weight of one heartbeat in the running mean. */
@@ -50,7 +52,7 @@
         if (Double.isNaN(sawAt) || Double.isNaN(sawBefore)) {
             return 0;
         }
-        if (sawAt - lookBegan <= WAITED) {
+        if (sawAt - lookBegan <= Math.max(WAITED, WAITED_PART * (lookBegan - sawBefore))) {
             return Math.max(0, now - sawBefore);
         }
         double frozen = Double.isNaN(nextBeat) ? 0 : sawAt - Math.max(lookBegan, nextBeat);
--- a/src/main/java/stagepier/overload/Places.java
+++ b/src/main/java/stagepier/overload/Places.java
@@ -37,8 +37,8 @@
     private static final double IDLE_LEAST = 2;
     /** How long each may hold its place, by level. */
     private static final double[] SILENT = {2, 1, 0.2, 0.1};
-    private static final double[] PART = {2, 1, 0.4, 0.2};
-    private static final double[] PROBE = {30, IDLE_LEAST, IDLE_LEAST, 0.5};
+    private static final double[] PART = {2, 1, 0.4, 0.1};
+    private static final double[] PROBE = {30, IDLE_LEAST, IDLE_LEAST, 0.1};
     private static final double[] ONCE = {30, IDLE_LEAST, IDLE_LEAST, IDLE_LEAST};
     private static final double[] REGULAR = {30, 30, 15, 8};
 
