Move the router into a Maven module of its own, and make architecture rules tests

Need: a laboratory with heavy libraries is to come beside the router, whose jar must stay small.

ArchUnit holds client and server apart, keeps decisions and the overload package free of I/O, clock and randomness, and parsers free of sockets.

--- /dev/null
+++ b/router/src/test/java/stagepier/ArchitectureTest.java
@@ -0,0 +1,37 @@
+package stagepier;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.importer.ImportOption.DoNotIncludeTests;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Which package may know which. */
+@AnalyzeClasses(packages = "stagepier", importOptions = DoNotIncludeTests.class)
+class ArchitectureTest {
+    @ArchTest
+    static final ArchRule CLIENTS_DO_NOT_KNOW_SERVERS = noClasses().that().resideInAPackage("stagepier.client..")
+            .should().dependOnClassesThat().resideInAPackage("stagepier.server..");
+
+    @ArchTest
+    static final ArchRule SERVERS_DO_NOT_KNOW_CLIENTS = noClasses().that().resideInAPackage("stagepier.server..")
+            .should().dependOnClassesThat().resideInAPackage("stagepier.client..");
+
+    /** What decides has neither I/O nor clock nor randomness of its own. */
+    @ArchTest
+    static final ArchRule DECISIONS_ARE_PURE = noClasses().that().resideInAnyPackage("stagepier", "stagepier.overload..")
+            .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..",
+                    "java.util.concurrent..", "org.slf4j..", "stagepier.app..", "stagepier.client..",
+                    "stagepier.server..", "stagepier.exchange..", "stagepier.link..", "stagepier.discovery..")
+            .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+            .orShould().callMethod(Math.class, "random");
+
+    @ArchTest
+    static final ArchRule PARSERS_KNOW_NO_SOCKETS = noClasses().that().resideInAPackage("stagepier.memcache..")
+            .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..");
+
+    @ArchTest
+    static final ArchRule NOTHING_KNOWS_THE_APP = noClasses().that().resideOutsideOfPackage("stagepier.app..")
+            .should().dependOnClassesThat().resideInAPackage("stagepier.app..");
+}
--- a/src/test/java/stagepier/EmbeddingExampleTest.java
+++ b/router/src/test/java/stagepier/EmbeddingExampleTest.java
@@ -85,7 +85,7 @@
     /** A change of the interface must reach the page: each statement there stands in this compiled copy. */
     @Test
     void theReadmeShowsThisExample() throws IOException {
-        String readme = Files.readString(Path.of("README.md"));
+        String readme = Files.readString(Path.of("../README.md"));
         String code = readme.substring(readme.indexOf("```java") + 7);
         code = code.substring(code.indexOf("Embedded() {"), code.indexOf("public static void main"));
         String here = squeeze(Files.readString(Path.of("src/test/java/stagepier/EmbeddingExampleTest.java")));
--- a/src/test/java/stagepier/ModuleGuardTest.java
+++ b/router/src/test/java/stagepier/ModuleGuardTest.java
@@ -54,8 +54,8 @@
     @Test
     void theModuleNamesItsInterfaceAndTheDeployFileNamesTheModule() throws IOException {
         assertTrue(String.join("\n", lines("Brain.java")).contains("Api.java"));
-        String deploy = Files.readString(Path.of("deploy/balancer.toml"));
-        assertTrue(deploy.contains("policy = [\"src/main/java/stagepier/Brain.java\"]"));
+        String deploy = Files.readString(Path.of("../deploy/balancer.toml"));
+        assertTrue(deploy.contains("policy = [\"router/src/main/java/stagepier/Brain.java\"]"));
         try (Stream<Path> files = Files.list(SOURCES)) {
             assertEquals(2, files.filter(Files::isRegularFile).count(), "decisions have one home");
         }
