Call a link silent only beyond one and a half times the longest wait of late

Now: a link is given up beyond 1.5 times the longest wait that its server's answers needed of late, and quiet links no longer make room for a fifth and sixth one.

--- a/router/src/main/java/stagepier/overload/Silence.java
+++ b/router/src/main/java/stagepier/overload/Silence.java
@@ -8,11 +8,14 @@
 public final class Silence {
     /** Weight of one answer in the running means. */
     private static final double GAIN = 1.0 / 32;
+    /** Part of the longest wait that is forgotten with each answer. */
+    private static final double FORGETS = 1.0 / 128;
     /** Answers from which on the means are trusted. */
     private static final int TRUSTED_FROM = 8;
-    /** Deviations above the mean from which on nothing more is put behind a wait, and from which on it is given up. */
+    /** Deviations above the mean from which on nothing more is put behind a wait. */
     private static final double QUIET_DEVIATIONS = 3;
-    private static final double DEAD_DEVIATIONS = 6;
+    /** Times the longest wait of late from which on it is given up: some wait for the origin, and are not silent. */
+    private static final double DEAD_TIMES = 1.5;
     /** The same in parts of the shortest deadline: not sooner than the least, not later than the most. */
     private static final double QUIET_LEAST = 0.06;
     private static final double DEAD_LEAST = 0.2;
@@ -23,6 +26,7 @@
     private final double shortestDeadline;
     private double mean;
     private double deviation;
+    private double longest;
     private int seen;
 
     public Silence(double shortestDeadline) {
@@ -34,11 +38,12 @@
         double gain = Math.max(GAIN, 1.0 / ++seen);
         deviation += gain * (Math.abs(wait - mean) - deviation);
         mean += gain * (wait - mean);
+        longest = Math.max(wait, longest * (1 - FORGETS));
     }
 
     /** A wait that usual answers don't need: work that can go elsewhere is not put behind it. */
     public boolean isQuiet(double wait) {
-        return wait > after(QUIET_LEAST, QUIET_DEVIATIONS);
+        return wait > after(QUIET_LEAST, mean + QUIET_DEVIATIONS * deviation);
     }
 
     /**
@@ -49,12 +54,11 @@
      * @param passedBy answers that came on other connections to what was sent since then
      */
     public double deadIn(double wait, int passedBy) {
-        return passedBy < PASSED_BY ? Double.POSITIVE_INFINITY : after(DEAD_LEAST, DEAD_DEVIATIONS) - wait;
+        return passedBy < PASSED_BY ? Double.POSITIVE_INFINITY : after(DEAD_LEAST, DEAD_TIMES * longest) - wait;
     }
 
-    private double after(double least, double deviations) {
+    private double after(double least, double unusual) {
         double most = MOST * shortestDeadline;
-        return seen < TRUSTED_FROM ? most
-                : Math.max(least * shortestDeadline, Math.min(most, mean + deviations * deviation));
+        return seen < TRUSTED_FROM ? most : Math.max(least * shortestDeadline, Math.min(most, unusual));
     }
 }
--- a/router/src/main/java/stagepier/server/ServerPool.java
+++ b/router/src/main/java/stagepier/server/ServerPool.java
@@ -134,9 +134,8 @@
         if (best == null && links.size() >= ServerPools.LINKS_MOST && deaf != null) {
             deaf.drop();
         }
-        boolean noneWell = best == null || best.isQuiet(now);
         boolean mayOpen = (links.isEmpty() || pools.hasSpare())
-                && links.size() < (noneWell ? ServerPools.LINKS_MOST : ServerPools.LINKS_USUAL);
+                && links.size() < (best == null ? ServerPools.LINKS_MOST : ServerPools.LINKS_USUAL);
         if (mayOpen && (best == null || best.load() > 0)) {
             ServerLink fresh = new ServerLink(this);
             links.add(fresh);
