Doubt a look that took a little only after a stall of 50 ms

Now: a turn counts as a stall from 50 ms on, and only then is a look that took less than a tenth of it no proof.

--- a/router/src/main/java/stagepier/overload/LoopDelay.java
+++ b/router/src/main/java/stagepier/overload/LoopDelay.java
@@ -10,7 +10,8 @@
     public static final double BEAT = 0.05;
     /** A look that took longer waited for input: nothing lay unread when it began. */
     private static final double WAITED = 0.0005;
-    /** The same in parts of the turn before: after a long one, a look that takes a little is no proof. */
+    /** A turn that took longer was a stall; after it, a look that took less than this part of it is no proof. */
+    private static final double STALL = 0.05;
     private static final double WAITED_PART = 0.1;
     /** A heartbeat is late from here on: timers are only so exact. */
     private static final double INEXACT = 0.003;
@@ -52,7 +53,8 @@
         if (Double.isNaN(sawAt) || Double.isNaN(sawBefore)) {
             return 0;
         }
-        if (sawAt - lookBegan <= Math.max(WAITED, WAITED_PART * (lookBegan - sawBefore))) {
+        double turn = lookBegan - sawBefore;
+        if (sawAt - lookBegan <= (turn > STALL ? WAITED_PART * turn : WAITED)) {
             return Math.max(0, now - sawBefore);
         }
         double frozen = Double.isNaN(nextBeat) ? 0 : sawAt - Math.max(lookBegan, nextBeat);
