Add the lab: stand-ins, ledger, scenarios, reports and a command line

Change: module lab/. Pure seeded models of cache nodes, origin, arrivals and keys; stand-ins of cache nodes, discovery and clients on Netty; fifteen kinds of faults by script; real router processes; a ledger that asks the router nothing; scenarios in TOML with file, line and key in each error; seconds, histogram logs, charts and a page for each run; comparison with bootstrap intervals; bin/stagepier with demo, lab run, list, report and compare, on picocli.

--- /dev/null
+++ b/lab/src/main/java/stagepier/lab/scenario/Scenario.java
@@ -0,0 +1,30 @@
+package stagepier.lab.scenario;
+
+import java.util.List;
+import stagepier.lab.model.Arrivals;
+import stagepier.lab.model.NodeModel;
+import stagepier.lab.model.OriginModel;
+import stagepier.lab.model.RequestKind;
+
+/**
+ * A whole experiment, as its file says.
+ *
+ * @param nodes     cache nodes
+ * @param routers   router processes
+ * @param zones     data centres that nodes are spread over
+ * @param sockets   descriptors that a router may hold
+ * @param notice    seconds until discovery tells of a change
+ * @param silentNotice the same for a machine that has gone silent
+ * @param retries   what clients do when they are refused
+ * @param retryMost tries after the first
+ * @param value     bytes of a value
+ */
+public record Scenario(String name, String about, int nodes, int routers, int zones, int sockets,
+        NodeModel.Traits node, OriginModel.Traits origin, double notice, double silentNotice, Arrivals.Demand demand,
+        List<RequestKind> kinds, Retries retries, int retryMost, int value, List<Fault> faults) {
+    /** What clients do when they are refused. */
+    public enum Retries { NONE, AT_ONCE, WAIT }
+
+    /** Seconds within which nothing new may go to a node that drains. */
+    public static final double DRAIN_GRACE = 1;
+}
--- /dev/null
+++ b/lab/src/main/java/stagepier/lab/standin/Fleet.java
@@ -0,0 +1,301 @@
+package stagepier.lab.standin;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import stagepier.lab.model.Arrivals;
+import stagepier.lab.model.KeySource;
+import stagepier.lab.model.NodeModel;
+import stagepier.lab.model.OriginModel;
+import stagepier.lab.model.Randoms;
+import stagepier.lab.model.RequestKind;
+import stagepier.lab.scenario.Fault;
+import stagepier.lab.scenario.Scenario;
+
+/** All cache nodes, the origin and discovery, on one event loop; knows who has to be told of what, and when. */
+public final class Fleet {
+    /** What a running fleet looks like, for people to see. */
+    public record Glance(List<String> nodes, long held, long fetches, long connections) {
+    }
+
+    /** Draws of keys, for each place of a node's memory, that fill it before the run. */
+    private static final int PREFILLED = 3;
+
+    private final World world;
+    private final Scenario scenario;
+    private final Randoms randoms;
+    private final List<DiscoveryAgent> agents = new ArrayList<>();
+
+    public Fleet(EventLoop loop, LabClock clock, Recorder recorder, Scenario scenario, Randoms randoms) {
+        this.scenario = scenario;
+        this.randoms = randoms;
+        world = new World(loop, clock, recorder, scenario, randoms);
+    }
+
+    /** Brings up all sockets. Waits; not on the event loop. */
+    public void start() throws InterruptedException {
+        for (int i = 0; i < scenario.nodes(); i++) {
+            // Half of the machines are slower, as in a fleet that grew.
+            NodeModel.Traits t = scenario.node();
+            double speed = t.speed() * (i % 2 == 0 ? 1 : 0.75);
+            NodeModel model = new NodeModel(new NodeModel.Traits(t.cores(), speed, t.held(), t.connections(),
+                    t.handshake(), t.coldShare(), t.warmUp(), t.fallMultiple(), t.fallSpan(), t.down(), t.memory()),
+                    Double.NEGATIVE_INFINITY);
+            CacheNode node = new CacheNode(world, i, model, randoms.of("node-" + i), scenario.routers());
+            node.listen();
+            world.nodes().add(node);
+        }
+        prefill();
+        for (int r = 0; r < scenario.routers(); r++) {
+            DiscoveryAgent agent = new DiscoveryAgent(world, r);
+            agent.listen();
+            agents.add(agent);
+        }
+        onLoop(() -> {
+            for (CacheNode node : world.nodes()) {
+                for (int r = 0; r < agents.size(); r++) {
+                    agents.get(r).publish(entry(node, r, "up", 0));
+                }
+            }
+            return null;
+        });
+    }
+
+    /** Nodes that have been running for long hold what was asked for lately. */
+    private void prefill() {
+        Arrivals.Demand d = scenario.demand();
+        KeySource keys = new KeySource(randoms.of("kept"), d.keys(), d.zipf(), 0);
+        for (int i = 0; i < PREFILLED * scenario.node().memory(); i++) {
+            long key = keys.next(0);
+            world.nodes().forEach(n -> n.model().keep(key, 0));
+        }
+    }
+
+    private DiscoveryAgent.Entry entry(CacheNode node, int router, String lifecycle, long startedAtMs) {
+        return new DiscoveryAgent.Entry(node.id(), node.number(), "127.0.0.1:" + node.port(router),
+                "z" + node.number() % scenario.zones(), lifecycle, startedAtMs);
+    }
+
+    /** The configuration of a router as it is to find it now. */
+    public String config(int router, int listenPort, long seed) throws InterruptedException {
+        return onLoop(() -> {
+            JsonObject o = new JsonObject();
+            o.addProperty("name", "n" + router);
+            o.addProperty("listen", "127.0.0.1:" + listenPort);
+            o.addProperty("discovery", "127.0.0.1:" + agents.get(router).port());
+            o.addProperty("seed", "%016x".formatted(seed));
+            JsonObject limits = new JsonObject();
+            limits.addProperty("sockets", scenario.sockets());
+            o.add("limits", limits);
+            o.add("known", agents.get(router).known());
+            o.add("settings", settings(router));
+            return o.toString();
+        });
+    }
+
+    private JsonObject settings(int router) {
+        JsonObject o = new JsonObject();
+        o.addProperty("Siblings", scenario.routers());
+        o.addProperty("Zone", router % scenario.zones());
+        JsonArray classes = new JsonArray();
+        for (RequestKind k : scenario.kinds()) {
+            JsonObject c = new JsonObject();
+            c.addProperty("Name", k.name());
+            c.addProperty("Deadline", k.deadline());
+            c.addProperty("GoalTime", k.aim());
+            c.addProperty("Worth", k.worth());
+            c.addProperty("Repeat", switch (k.repeat()) {
+                case SAFE -> "idempotent";
+                case KEYED -> "deduplicated";
+                case UNSAFE -> "at_most_once";
+            });
+            c.addProperty("Group", "all");
+            c.addProperty("DedupWindow", k.dedupWindow());
+            classes.add(c);
+        }
+        o.add("Classes", classes);
+        JsonArray realms = new JsonArray();
+        for (int t = 0; t < scenario.demand().tenants(); t++) {
+            JsonObject realm = new JsonObject();
+            realm.addProperty("Name", "t" + t);
+            realm.addProperty("Portion", 1.0 / scenario.demand().tenants());
+            realms.add(realm);
+        }
+        o.add("Realms", realms);
+        JsonArray zones = new JsonArray();
+        for (int z = 0; z < scenario.zones(); z++) {
+            zones.add("z" + z);
+        }
+        o.add("Areas", zones);
+        JsonArray kinds = new JsonArray();
+        kinds.add("m");
+        o.add("Flavors", kinds);
+        JsonObject limits = new JsonObject();
+        limits.addProperty("MaxAttempts", 3);
+        limits.addProperty("MayDuplicate", true);
+        limits.addProperty("Cancel", true);
+        limits.addProperty("MaxRetryAfter", 1.2);
+        limits.addProperty("DialTimeout", 0.25);
+        limits.addProperty("IdleClose", 60);
+        o.add("Limits", limits);
+        NodeModel.Traits t = scenario.node();
+        JsonObject rules = new JsonObject();
+        rules.addProperty("DrainGrace", Scenario.DRAIN_GRACE);
+        rules.addProperty("ColdFrom", t.coldShare());
+        rules.addProperty("Cold", t.warmUp());
+        rules.addProperty("FallMultiple", t.fallMultiple());
+        rules.addProperty("TipAfter", t.fallSpan());
+        o.add("Obligations", rules);
+        return o;
+    }
+
+    // ---- faults -------------------------------------------------------------------------------------------
+    /** Brings about a fault of cache nodes or discovery now, and its end when that is due. */
+    public void befall(Fault fault) {
+        world.loop().execute(() -> {
+            if (fault.kind() == Fault.Kind.DISCOVERY_DOWN) {
+                agents.forEach(a -> a.down(true));
+                world.at(world.clock().now() + fault.lasts(), () -> agents.forEach(a -> a.down(false)));
+                return;
+            }
+            for (int i : chosen(fault, scenario.nodes(), randoms)) {
+                befall(fault, world.nodes().get(i));
+            }
+        });
+    }
+
+    /** Those whom a fault befalls: the ones it names, or as many as its part says, always the same for a seed. */
+    public static Set<Integer> chosen(Fault fault, int of, Randoms randoms) {
+        Set<Integer> chosen = new HashSet<>(fault.nodes());
+        int want = (int) Math.round(fault.part() * of);
+        UniformRandomProvider random = randoms.of("fault-" + fault.kind().name().toLowerCase(Locale.ROOT) + fault.at());
+        while (chosen.size() < Math.min(of, Math.max(want, fault.part() > 0 ? 1 : 0))) {
+            chosen.add(random.nextInt(of));
+        }
+        return chosen;
+    }
+
+    private void befall(Fault fault, CacheNode node) {
+        double now = world.clock().now();
+        double over = now + fault.lasts();
+        switch (fault.kind()) {
+            case CRASH -> {
+                node.crash();
+                tell(node, scenario.notice(), "removed");
+                world.at(over, () -> backAgain(node));
+            }
+            case VANISH -> {
+                node.vanish();
+                tell(node, scenario.silentNotice(), "removed");
+                world.at(over, () -> backAgain(node));
+            }
+            case HANG -> {
+                node.hang(true);
+                world.at(over, () -> node.hang(false));
+            }
+            case SLOW -> {
+                node.model().slow(fault.factor());
+                world.at(over, () -> node.model().slow(1));
+            }
+            case FULL -> {
+                node.full(true);
+                world.at(over, () -> node.full(false));
+            }
+            case RESET, HALF, SPOIL -> {
+                node.spoil(fault.kind(), fault.factor());
+                world.at(over, () -> node.spoil(null, 0));
+            }
+            case MUTE -> node.mute(fault.factor());
+            case DRAIN -> drain(node, over, node.id());
+            case REPLACE -> drain(node, over, "s-%08x".formatted(0x900000 + node.number() * 0x101 + (int) now));
+            default -> throw new IllegalArgumentException(fault.kind() + " is no fault of a cache node");
+        }
+    }
+
+    /** Drains, ends once routers had their time, and is there again, maybe as another, when the fault is over. */
+    private void drain(CacheNode node, double over, String newId) {
+        tell(node, scenario.notice(), "draining");
+        double gone = Math.min(over, world.clock().now() + scenario.notice() + 3);
+        world.at(gone, () -> {
+            node.crash();
+            tell(node, 0.2, "removed");
+        });
+        world.at(Math.max(over, gone + 0.5), () -> {
+            node.comeBackAs(newId);
+            tell(node, scenario.notice(), "up");
+        });
+    }
+
+    private void backAgain(CacheNode node) {
+        node.comeBack();
+        tell(node, scenario.notice(), "up");
+    }
+
+    /** Every router's agent hears of it, each a little later than the other. */
+    private void tell(CacheNode node, double after, String lifecycle) {
+        long startedAtMs = lifecycle.equals("up") ? System.currentTimeMillis() : 0;
+        double now = world.clock().now();
+        for (int r = 0; r < agents.size(); r++) {
+            DiscoveryAgent agent = agents.get(r);
+            DiscoveryAgent.Entry entry = entry(node, r, lifecycle, startedAtMs);
+            world.at(now + after + 0.03 * r, () -> agent.publish(entry));
+        }
+    }
+
+    // ---- what it looks like -------------------------------------------------------------------------------
+    public Glance glance() throws InterruptedException {
+        return onLoop(() -> {
+            List<String> states = new ArrayList<>();
+            double now = world.clock().now();
+            for (CacheNode n : world.nodes()) {
+                states.add(!n.isRunning() ? "down" : n.isFull() ? "full" : n.model().isCold(now) ? "cold" : "up");
+            }
+            return new Glance(states, world.nodes().stream().mapToLong(n -> n.model().held()).sum(),
+                    world.origin().sent(), world.nodes().stream().mapToLong(CacheNode::connections).sum());
+        });
+    }
+
+    /** Connections opened to all nodes, the most that one held at a time, and requests turned away. */
+    public List<Long> totals() throws InterruptedException {
+        return onLoop(() -> List.of(world.nodes().stream().mapToLong(CacheNode::opened).sum(),
+                world.nodes().stream().mapToLong(CacheNode::connectionsPeak).max().orElse(0),
+                world.nodes().stream().mapToLong(CacheNode::turnedAway).sum()));
+    }
+
+    /** Fetches that the origin was sent, by cause. */
+    public long fetches(OriginModel.Cause cause) throws InterruptedException {
+        return onLoop(() -> world.origin().sent(cause));
+    }
+
+    private <T> T onLoop(java.util.concurrent.Callable<T> what) throws InterruptedException {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        world.loop().execute(() -> {
+            try {
+                result.complete(what.call());
+            } catch (Exception e) {
+                result.completeExceptionally(e);
+            }
+        });
+        try {
+            return result.get(10, TimeUnit.SECONDS);
+        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+            throw new IllegalStateException("the stand-ins' event loop failed: " + e.getCause(), e);
+        }
+    }
+
+    public void stop() throws InterruptedException {
+        onLoop(() -> {
+            world.nodes().forEach(CacheNode::close);
+            agents.forEach(DiscoveryAgent::close);
+            return null;
+        });
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/stagepier/lab/standin/MetaDecoder.java
@@ -0,0 +1,92 @@
+package stagepier.lab.standin;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.util.ByteProcessor;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * Takes lines of the memcache meta protocol, each with the data block that belongs to it. Written apart from the
+ * router's parsers, for these are among what is tested.
+ */
+final class MetaDecoder extends ByteToMessageDecoder {
+    /** A line and its data block; {@code firstByteAt} as the clock tells. */
+    record Message(String line, byte[] data, double firstByteAt) {
+        String[] words() {
+            return line.split(" ");
+        }
+
+        /** The rest of the word that begins with this letter, from the third word on; empty where there is none. */
+        String flag(char letter) {
+            String[] words = words();
+            for (int i = 1; i < words.length; i++) {
+                if (!words[i].isEmpty() && words[i].charAt(0) == letter && (i > 1 || letter == 'O')) {
+                    return words[i].substring(1);
+                }
+            }
+            return "";
+        }
+
+        /** A value of the list in the P flag; empty where there is none. */
+        String attribute(String name) {
+            for (String pair : flag('P').split(",")) {
+                if (pair.startsWith(name + "=")) {
+                    return pair.substring(name.length() + 1);
+                }
+            }
+            return "";
+        }
+    }
+
+    private static final int LARGEST_LINE = 8192;
+    private final LabClock clock;
+    private String line;
+    private int length;
+    private double firstByteAt = Double.NaN;
+
+    MetaDecoder(LabClock clock) {
+        this.clock = clock;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (Double.isNaN(firstByteAt)) {
+            firstByteAt = clock.now();
+        }
+        if (line == null) {
+            int end = in.forEachByte(ByteProcessor.FIND_LF);
+            if (end < 0) {
+                if (in.readableBytes() > LARGEST_LINE) {
+                    throw new IllegalStateException("line too long");
+                }
+                return;
+            }
+            String whole = in.readCharSequence(end + 1 - in.readerIndex(), StandardCharsets.ISO_8859_1).toString();
+            line = whole.stripTrailing();
+            length = dataLength(line);
+        }
+        if (length >= 0 && in.readableBytes() < length + 2) {
+            return;
+        }
+        byte[] data = null;
+        if (length >= 0) {
+            data = new byte[length];
+            in.readBytes(data);
+            in.skipBytes(2);
+        }
+        out.add(new Message(line, data, firstByteAt));
+        line = null;
+        firstByteAt = in.isReadable() ? clock.now() : Double.NaN;
+    }
+
+    /** Bytes of the data block behind that line, or -1 where none follows. */
+    private static int dataLength(String line) {
+        String[] words = line.split(" ");
+        if (line.startsWith("VA ") && words.length > 1) {
+            return Integer.parseInt(words[1]);
+        }
+        return line.startsWith("ms ") && words.length > 2 ? Integer.parseInt(words[2]) : -1;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/stagepier/lab/ExperimentTest.java
@@ -0,0 +1,113 @@
+package stagepier.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import stagepier.lab.fleet.Experiment;
+import stagepier.lab.fleet.RouterProcess;
+import stagepier.lab.fleet.RunResult;
+import stagepier.lab.ledger.Breach;
+import stagepier.lab.ledger.Breach.Rule;
+import stagepier.lab.report.Series.Fate;
+import stagepier.lab.scenario.Scenario;
+import stagepier.lab.scenario.ScenarioReader;
+
+/** Whole experiments over sockets: routers that are wrong on purpose are found out, and the real one is not. */
+@Timeout(60)
+class ExperimentTest {
+    private static final String SMALL = """
+            [fleet]
+            nodes = 3
+            routers = 1
+            notice_s = 0.2
+            [load]
+            rate = 60
+            seconds = 4
+            keys = 500
+            [[class]]
+            name = "read"
+            share = 3
+            [[class]]
+            name = "once"
+            repeat = "unsafe"
+            write = true
+            """;
+    @TempDir
+    private Path folder;
+
+    private RunResult run(String scenario, List<String> command) throws Exception {
+        Scenario parsed = ScenarioReader.parse("test", scenario);
+        try (Experiment experiment = new Experiment(parsed, 5, command, folder)) {
+            return experiment.run(p -> { });
+        }
+    }
+
+    private static List<String> wrong(String how) {
+        return List.of(RouterProcess.java(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                WrongRouter.class.getName(), how);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"none,", "mute,ONE_ANSWER", "close,ONE_ANSWER", "double,ONE_ANSWER", "swap,MADE_FOR_IT",
+        "again,REPEATS"})
+    void aRouterThatBreaksARuleIsFoundOut(String how, Rule rule) throws Exception {
+        RunResult result = run(SMALL, wrong(how));
+        Set<Rule> broken = result.breaches().stream().map(Breach::rule).collect(Collectors.toSet());
+        // One wrong may bring about others: who is answered twice takes the second for the answer to the next.
+        assertTrue(rule == null ? broken.isEmpty() : broken.contains(rule), result.breaches().toString());
+        assertFalse(broken.contains(Rule.DRAINS) || broken.contains(Rule.COLD_NODES), result.breaches().toString());
+        assertTrue(result.series().total(Fate.IN_TIME) > 100, "it served the rest");
+    }
+
+    @Test
+    void oneThatIgnoresDrainsIsFoundOut() throws Exception {
+        RunResult result = run(SMALL + "[[fault]]\nkind = \"drain\"\nat_s = 0.5\nlasts_s = 20\nnodes = [1]\n", wrong("none"));
+        assertTrue(result.breaches().stream().anyMatch(b -> b.rule() == Rule.DRAINS), result.breaches().toString());
+    }
+
+    @Test
+    void oneThatPushesAColdNodeOverIsFoundOut() throws Exception {
+        RunResult result = run(SMALL.replace("name = \"read\"", "name = \"read\"\nwork_ms = 60")
+                + "[[fault]]\nkind = \"crash\"\nat_s = 0.5\nlasts_s = 0.5\nnodes = [0]\n", wrong("storm"));
+        assertTrue(result.breaches().stream().anyMatch(b -> b.rule() == Rule.COLD_NODES), result.breaches().toString());
+    }
+
+    /** The real router, as the build made it, under one fault of each side. */
+    @ParameterizedTest
+    @CsvSource({"crash,nodes = [1]", "vanish,nodes = [1]", "drain,nodes = [1]", "mute,part = 1.0",
+        "router_kill,routers = [0]"})
+    void theRealRouterKeepsTheRules(String fault, String whom) throws Exception {
+        String scenario = """
+                [fleet]
+                nodes = 4
+                routers = 2
+                notice_s = 0.3
+                silent_notice_s = 1
+                [load]
+                rate = 150
+                seconds = 7
+                [[fault]]
+                kind = "%s"
+                at_s = 2
+                lasts_s = 2
+                %s
+                factor = 0.3
+                """.formatted(fault, whom);
+        RunResult result = run(scenario, RouterProcess.command(Path.of("../router/target/stagepier.jar").toAbsolutePath()));
+        assertEquals(List.of(), result.breaches());
+        assertTrue(result.valid(), "the load was sent as planned");
+        assertTrue(result.series().service(0, 2) > 0.95, "calm before: " + result.series().service(0, 2));
+        assertTrue(result.series().service(5, 7) > 0.9, "well again: " + result.series().service(5, 7));
+        assertFalse(result.series().offered() < 900);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/stagepier/lab/ScenarioReaderTest.java
@@ -0,0 +1,90 @@
+package stagepier.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import stagepier.lab.scenario.BadScenarioException;
+import stagepier.lab.scenario.Fault;
+import stagepier.lab.scenario.Scenario;
+import stagepier.lab.scenario.ScenarioReader;
+
+class ScenarioReaderTest {
+    @Test
+    void allThatAreShippedMakeSense() throws Exception {
+        try (Stream<Path> files = Files.list(Path.of("scenarios"))) {
+            List<Path> all = files.toList();
+            assertTrue(all.size() >= 12, all.toString());
+            for (Path file : all) {
+                Scenario s = ScenarioReader.read(file);
+                assertEquals(file.getFileName().toString(), s.name() + ".toml");
+                assertTrue(!s.about().isEmpty(), file.toString());
+            }
+        }
+    }
+
+    @Test
+    void anEmptyFileIsACalmFleet() throws Exception {
+        Scenario s = ScenarioReader.parse("x.toml", "");
+        assertEquals("x", s.name());
+        assertEquals(List.of(), s.faults());
+        assertEquals(2, s.kinds().size());
+    }
+
+    @Test
+    void everyErrorIsToldWithItsLineAndKey() {
+        String text = """
+                name = "Bad Name"
+                [fleet]
+                nodes = 0
+                nodez = 3
+                [load]
+                rate = "fast"
+                shape = "square"
+                [[class]]
+                name = "read"
+                aim_ms = 500
+                deadline_ms = 400
+                [[fault]]
+                at_s = 3
+                part = 0.5
+                [[fault]]
+                kind = "crash"
+                nodes = [1, 99]
+                [[fault]]
+                kind = "hang"
+                """;
+        String message = assertThrows(BadScenarioException.class, () -> ScenarioReader.parse("f.toml", text)).getMessage();
+        for (String line : List.of("f.toml:1: name: must be lower-case", "f.toml:3: fleet.nodes: must lie between 1 and 64",
+                "f.toml:4: fleet.nodez: is unknown", "f.toml:6: load.rate: must be a number",
+                "f.toml:7: load.shape: must be one of steady, wave, burst",
+                "f.toml:11: class[0].deadline_ms: must not be below aim_ms", "fault[0].kind: is missing",
+                "f.toml:17: fault[1].nodes: must hold whole numbers from 0 to 5",
+                "fault[2].part: is missing, and so is the list")) {
+            assertTrue(message.contains(line), line + " in" + System.lineSeparator() + message);
+        }
+        assertEquals(9, message.lines().count(), message);
+    }
+
+    @Test
+    void whatIsNoTomlIsToldByLine() {
+        for (var bad : Map.of("a = ", 1, "[x\n", 1, "a = 1\na = 2\n", 2).entrySet()) {
+            String message = assertThrows(BadScenarioException.class, () -> ScenarioReader.parse("f", bad.getKey()))
+                    .getMessage();
+            assertTrue(message.startsWith("f:" + bad.getValue() + ": "), message);
+        }
+    }
+
+    @Test
+    void faultsOfRoutersNameRouters() throws Exception {
+        Scenario s = ScenarioReader.parse("x", "[[fault]]\nkind = \"router_kill\"\nrouters = [1]\n");
+        assertEquals(Fault.Kind.ROUTER_KILL, s.faults().get(0).kind());
+        assertEquals(List.of(1), s.faults().get(0).nodes());
+    }
+}
