Never take for silent a link whose request this router has not read yet

Cause: with all places taken, links were looked through in the middle of accepting, before the sockets of that turn were read, and patience with the silent is 0.1 s then: a loop that was late itself closed links whose requests lay unread.

Now: the look comes as a task after all sockets were read, and patience is longer by what may have lain unread.

--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -138,12 +138,14 @@
         double now = clock.now();
         Places.Level was = level;
         level = places.level(now, links.size(), held);
+        double late = delay.unreadFor(now);
         if (level != was || level != Places.Level.PLENTY) {
             tell(now);
         }
         for (ClientLink link : new ArrayList<>(links)) {
             Places.Behaviour behaviour = link.behaviour();
-            if (now - link.since(behaviour) > Places.patience(behaviour, level)) {
+            // What a link has said may lie unread: it is no fault of the link that this router is late.
+            if (now - link.since(behaviour) > Places.patience(behaviour, level) + late) {
                 ended[behaviour.ordinal()]++;
                 link.giveUp(behaviour);
             } else {
@@ -237,14 +239,14 @@
         opened++;
         links.add(link);
         if (!places.hasPlace(links.size()) && !full) {
-            look();
             // The next ones wait in the backlog: to accept and close at once would only make them come again.
-            if (!places.hasPlace(links.size()) && listening != null) {
+            if (listening != null) {
                 full = true;
                 timesFull++;
-                level = Places.Level.FULL;
                 listening.config().setAutoRead(false);
             }
+            // Not before all sockets of this turn have been read: who has asked by now is not silent.
+            loop.execute(this::look);
         }
     }
 
