--- a/router/src/main/java/stagepier/app/Rehearsal.java
+++ b/router/src/main/java/stagepier/app/Rehearsal.java
@@ -38,10 +38,7 @@
     /** Returns how many requests were served. */
     static int run() throws Exception {
         try (ServerSocket cache = listen(); ServerSocket discovery = listen()) {
-            int port;
-            try (ServerSocket free = listen()) {
-                port = free.getLocalPort();
-            }
+            int port = freePort();
             String list = LIST.formatted(2, false, cache.getLocalPort());
             serve(cache, Rehearsal::cacheAnswer);
             serve(discovery, (line, in) -> line.isEmpty()
@@ -104,31 +101,38 @@
     }
 
     /** A stand-in's step; it ends when its socket is closed. */
-    private interface Step {
+    interface Step {
         void run() throws IOException;
     }
 
-    private static void daemon(Step step) {
+    static void daemon(Step step) {
         Thread thread = new Thread(() -> {
             try {
                 step.run();
             } catch (IOException e) {
-                // The rehearsal is over.
+                // The other side has closed, or the rehearsal is over.
             }
         }, "stand-in");
         thread.setDaemon(true);
         thread.start();
     }
 
-    private static ServerSocket listen() throws IOException {
+    static ServerSocket listen() throws IOException {
         return new ServerSocket(0, 50, LOOPBACK);
     }
 
-    private static BufferedReader reader(Socket socket) throws IOException {
+    /** A port on which nobody listens now. */
+    static int freePort() throws IOException {
+        try (ServerSocket free = listen()) {
+            return free.getLocalPort();
+        }
+    }
+
+    static BufferedReader reader(Socket socket) throws IOException {
         return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
     }
 
-    private static void write(Socket to, String text) throws IOException {
+    static void write(Socket to, String text) throws IOException {
         to.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 }
--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -135,10 +135,6 @@
         readOn();
     }
 
-    boolean isOpen() {
-        return !isClosed();
-    }
-
     /** Its commands are taken when all links have been read: answers of cache servers go first. */
     @Override
     protected void onBytes() {
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -28,6 +28,7 @@
 import stagepier.overload.BacklogWait;
 import stagepier.overload.LoopDelay;
 import stagepier.overload.Places;
+import stagepier.overload.Pressure;
 
 /**
  * Accepts clients; owns the listening socket and knows all client links. Keeps them to a number of places, so that
@@ -35,8 +36,6 @@
  */
 public final class ClientListener {
     private static final int BACKLOG = 512;
-    /** Connections that are accepted in a row; then all others have their turn. */
-    private static final int ACCEPTED_IN_A_ROW = 16;
     /** Links whose commands are taken in a row; then sockets are looked at again, for answers may have come. */
     private static final int WORKED_OFF_IN_A_ROW = 32;
     /** Memory that the buffers of all client links should stay under. */
@@ -53,12 +52,11 @@
     private final LoopDelay delay;
     private final Places places;
     private final ServerChannelRecvByteBufAllocator rows = new ServerChannelRecvByteBufAllocator();
-    private final BacklogWait backlog = new BacklogWait(ACCEPTED_IN_A_ROW);
+    private final BacklogWait backlog = new BacklogWait(Pressure.ACCEPTED_USUALLY);
     private final ArrayDeque<ClientLink> arrived = new ArrayDeque<>();
     private final long[] ended = new long[Places.Behaviour.values().length];
     private Channel listening;
     private Places.Level level = Places.Level.PLENTY;
-    private boolean looking;
     private boolean full;
     private boolean working;
     private long held;
@@ -77,7 +75,7 @@
         this.clock = clock;
         this.delay = delay;
         this.places = new Places(places, BYTES_MOST);
-        rows.maxMessagesPerRead(ACCEPTED_IN_A_ROW);
+        rows.maxMessagesPerRead(Pressure.ACCEPTED_USUALLY);
         this.host = host;
         this.stats = stats;
     }
@@ -123,14 +121,10 @@
     }
 
     private void lookAgain() {
-        if (!looking) {
-            looking = true;
-            loop.schedule(() -> {
-                looking = false;
-                look();
-                lookAgain();
-            }, (long) (Places.lookAgain(level) * 1e6), TimeUnit.MICROSECONDS);
-        }
+        loop.schedule(() -> {
+            look();
+            lookAgain();
+        }, (long) (Places.lookAgain(level) * 1e6), TimeUnit.MICROSECONDS);
     }
 
     /** Gives back the places of those who make no use of them. */
--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -217,14 +217,13 @@
                 // What lay here unread is this router's own delay: no server may be judged by it.
                 elapsed = Math.max(Math.min(elapsed, SHORTEST), elapsed - delay.unreadFor(now));
             }
-            double took = elapsed;
             outcomes[outcome.ordinal()]++;
             x.outstanding(-1);
             if (outcome == Api.Outcome.OK && !x.isFinished()) {
                 answer(x, Reply.served(body));
             }
             forgetIfOver(x);
-            module.onOutcome(now, x.id(), attempt, server, outcome, took, x.isFinished(),
+            module.onOutcome(now, x.id(), attempt, server, outcome, elapsed, x.isFinished(),
                     lookup(x.command().isWrite(), outcome, lookup), NO_REPORT);
         });
     }
--- a/router/src/main/java/stagepier/overload/Silence.java
+++ b/router/src/main/java/stagepier/overload/Silence.java
@@ -41,6 +41,11 @@
         longest = Math.max(wait, longest * (1 - FORGETS));
     }
 
+    /** A wait that is too long whatever is usual and whatever other connections do. */
+    public boolean isSilent(double wait) {
+        return wait > MOST * shortestDeadline;
+    }
+
     /** A wait that usual answers don't need: work that can go elsewhere is not put behind it. */
     public boolean isQuiet(double wait) {
         return wait > after(QUIET_LEAST, mean + QUIET_DEVIATIONS * deviation);
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -51,10 +51,6 @@
         return waiting.size() + sent.size();
     }
 
-    boolean isUp() {
-        return up;
-    }
-
     /**
      * The less there is to wait for the better; of links that are alike, the one that was heard longest ago. Guards
      * against asking on a link on whose last answer something follows that has not come yet.
@@ -111,7 +107,7 @@
      */
     boolean isSilent(double now) {
         Execution first = sent.peek();
-        return first != null && (first.timedOut() || now - heardAt > pool.pools().silentAfter());
+        return first != null && (first.timedOut() || pool.silence().isSilent(now - heardAt));
     }
 
     /** The server's address or process has changed: what is out here may still be answered, the rest goes elsewhere. */
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -35,11 +35,6 @@
     static final int LINKS_USUAL = 4;
     /** The same with silent ones, which only wait for late answers. */
     static final int LINKS_MOST = 6;
-    /**
-     * A link from which nothing came for so long while an answer is due takes no new work; in parts of the shortest
-     * deadline.
-     */
-    private static final double SILENT_AFTER = 0.66;
     /** An answer of which nothing more comes for so long is spoilt; in parts of the shortest deadline. */
     private static final double STALL_MOST = 0.15;
     /** A silent link on which nobody waits any more is closed after so long. */
@@ -88,10 +83,6 @@
         return clock.now();
     }
 
-    double silentAfter() {
-        return SILENT_AFTER * shortestDeadline;
-    }
-
     double stallMost() {
         return STALL_MOST * shortestDeadline;
     }
--- a/router/src/test/java/stagepier/app/OverloadTest.java
+++ b/router/src/test/java/stagepier/app/OverloadTest.java
@@ -5,11 +5,9 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -48,11 +46,11 @@
             socket = new Socket(LOOPBACK, port);
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(WAIT_MS);
-            answers = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            answers = Rehearsal.reader(socket);
         }
 
         void write(String text) throws IOException {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            Rehearsal.write(socket, text);
         }
 
         /** Whether the next answer is a value; it is taken whole. */
@@ -76,16 +74,14 @@
     private final List<Client> clients = new ArrayList<>();
 
     OverloadTest() throws IOException {
-        discovery = new ServerSocket(0, 50, LOOPBACK);
+        discovery = Rehearsal.listen();
         first = new StandInCache();
         second = new StandInCache();
     }
 
     @BeforeEach
     void start() throws Exception {
-        try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
-            port = free.getLocalPort();
-        }
+        port = Rehearsal.freePort();
         router = new Router(Config.parse(CONFIG.formatted(port, discovery.getLocalPort(),
                 HOST.formatted(1, first.port()), HOST.formatted(2, second.port()))));
         router.start().get(10, TimeUnit.SECONDS);
@@ -188,7 +184,7 @@
                 Socket s = new Socket(LOOPBACK, port);
                 crowd.add(s);
                 String says = i % 3 == 0 ? "mn\r\n" : i % 3 == 1 ? "mg k1 v Oaa" : "";
-                s.getOutputStream().write(says.getBytes(StandardCharsets.ISO_8859_1));
+                Rehearsal.write(s, says);
             }
             Client late = new Client(port);
             clients.add(late);
--- a/router/src/test/java/stagepier/app/StandInCache.java
+++ b/router/src/test/java/stagepier/app/StandInCache.java
@@ -3,11 +3,8 @@
 import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -28,12 +25,12 @@
     private final List<Connection> connections = new CopyOnWriteArrayList<>();
 
     StandInCache() throws IOException {
-        listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        daemon(() -> {
+        listening = Rehearsal.listen();
+        Rehearsal.daemon(() -> {
             while (true) {
                 Connection c = new Connection(listening.accept());
                 connections.add(c);
-                daemon(() -> serve(c));
+                Rehearsal.daemon(() -> serve(c));
             }
         });
     }
@@ -57,33 +54,16 @@
 
     private static void serve(Connection c) throws IOException {
         c.socket.setTcpNoDelay(true);
-        BufferedReader in = new BufferedReader(
-                new InputStreamReader(c.socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        BufferedReader in = Rehearsal.reader(c.socket);
         for (String line = in.readLine(); line != null; line = in.readLine()) {
             String id = line.substring(line.indexOf(" O"), line.indexOf(" P"));
             if (!c.silent) {
-                c.socket.getOutputStream().write(("VA 2" + id + " h1\r\nhi\r\n").getBytes(StandardCharsets.ISO_8859_1));
+                Rehearsal.write(c.socket, "VA 2" + id + " h1\r\nhi\r\n");
                 c.answered++;
             }
         }
     }
 
-    private interface Step {
-        void run() throws IOException;
-    }
-
-    private static void daemon(Step step) {
-        Thread thread = new Thread(() -> {
-            try {
-                step.run();
-            } catch (IOException e) {
-                // The other side has closed, or the test is over.
-            }
-        }, "stand-in");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     @Override
     public void close() throws IOException {
         listening.close();
