Weigh failed fetches by server, and tell gone servers from scarce connections

Causes: Brain.learnOfKey held each failed or late fetch against the origin. With thin traffic hardly any key is expected to hit, so all that eight servers of sixty spoil (three of four answers 'error') looked like the origin's doing, at every router. Brain.shareConnections took each failed connect for a sign of scarce connections; fifteen servers that are gone then make all routers give back each connection after each answer.

Change: a failed fetch counts by what fetches suffer at other servers; a failed connect counts only when the same server answers its next trial.

--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -7,15 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import stagepier.Api.Fetching;
-import stagepier.Api.Lookup;
-import stagepier.Api.Member;
-import stagepier.Api.MemberState;
-import stagepier.Api.Outcome;
-import stagepier.Api.Repeat;
-import stagepier.Api.RequestClass;
-import stagepier.Api.Scope;
-import stagepier.Api.WeightMeaning;
+import stagepier.Api.*;
 
 /**
  * Every decision of one balancer. Its interface (types, events, actions) is in {@code Api.java}.
@@ -72,6 +64,8 @@
     private static final double FETCH_LEAST = 0.02;
     /** A gate without news opens within this many shortest deadlines. */
     private static final double GATE_OPENS = 12;
+    /** How fetches end at each server is remembered this long, in shortest deadlines. */
+    private static final double FETCH_FADES = 4;
 
     /** A server is crowded from where waiting takes this part of the aim. */
     private static final double CROWD_FROM = 0.14;
@@ -99,17 +93,11 @@
     /** A hint fades with this time constant, in shortest deadlines. */
     private static final double HINT_FADES = 8;
 
-    /**
-     * Tickets at the least. Guards against a balancer that has just started, or has to take over another's
-     * clients: with two it turned away most of what servers could easily have borne.
-     */
+    /** Tickets at the least: with two, one that just started turned away what servers could bear. */
     private static final int TICKET_FLOOR = 12;
     /** Deviations above the usual concurrency that tickets allow: normal work then seldom finds none. */
     private static final double TICKET_DEVIATIONS = 5;
-    /**
-     * In flight at the least, and deviations above the usual, from which a server is busy by chance: the next
-     * ring server may have no wait at all. No more than one is asked: a key on many servers misses on many.
-     */
+    /** In flight at the least, and deviations above the usual, from which a server is busy by chance. */
     private static final double BUSY_FLOOR = 3;
     private static final double BUSY_DEVIATIONS = 1.5;
     /** Usual concurrency is remembered this long, in shortest deadlines: longer than a jam builds up. */
@@ -163,6 +151,8 @@
     private final FadingCount[] calls = new FadingCount[2];
     private final FadingCount[] failures = new FadingCount[2];
     private final KeyTable keys = new KeyTable();
+    private final FadingCount fetchEnds;
+    private final FadingCount fetchFaults;
     private final FadingCount requests;
     private final FadingCount warmSends;
     private final FadingCount[] tenantCalls;
@@ -226,6 +216,8 @@
         allCalls = new FadingCount(EVIDENCE_FADES * shortest);
         ends = new FadingCount(EVIDENCE_FADES * shortest);
         connectFailures = new FadingCount(EVIDENCE_FADES * shortest);
+        fetchEnds = new FadingCount(FETCH_FADES * shortest);
+        fetchFaults = new FadingCount(FETCH_FADES * shortest);
         requests = new FadingCount(POPULARITY_FADES * shortest);
         warmSends = new FadingCount(RATE_SPANS * Math.max(settings.protection().overloadSpan(), shortest));
     }
@@ -543,7 +535,7 @@
         return s.warmUp.affords(now, rate, Math.max(1, rate * settings.protection().overloadSpan() / 2));
     }
 
-    /** In flight from which a server is busy by chance, and the next one may have no wait at all. */
+    /** Busy by chance: the next one may have no wait; no more are asked, for a key on many misses on many. */
     private double busyFrom(Server s) {
         double usual = totalWeight > 0 ? usualInFlight * s.weight / totalWeight : 0;
         return Math.max(BUSY_FLOOR, usual + BUSY_DEVIATIONS * Math.sqrt(usual));
@@ -633,16 +625,28 @@
         }
         boolean fetched = atOrigin || settings.fetching() == Fetching.THROUGH && !p.expectsHit
                 && lookup != Lookup.HIT;
-        // Where keys expected to hit fail as often, it is the servers that are in trouble and not the origin.
-        double fault = atOrigin ? 1 : Math.max(0, 1 - failureRate(now, 1) / failureRate(now, 0));
-        if (fetched && outcome == Outcome.OK) {
-            fetches.record(now <= p.aimAt, fault);
-        } else if (fetched
-                && (outcome == Outcome.TIMEOUT || outcome == Outcome.ERROR || outcome == Outcome.FULL)) {
-            fetches.record(false, fault);
+        if (fetched && (outcome == Outcome.OK || outcome == Outcome.TIMEOUT || outcome == Outcome.ERROR
+                || outcome == Outcome.FULL)) {
+            boolean inTime = outcome == Outcome.OK && now <= p.aimAt;
+            fetches.record(inTime, atOrigin ? 1 : originsPart(now, s, inTime));
         }
     }
 
+    /**
+     * How far a fetch that fails is the origin's fault: not where keys expected to hit fail as often, nor where
+     * they fail at this server alone. Guards against few bad servers shutting the gate at all balancers.
+     */
+    private double originsPart(double now, Server s, boolean inTime) {
+        fetchEnds.add(now, 1);
+        fetchFaults.add(now, inTime ? 0 : 1);
+        s.fetchEnds.add(now, 1);
+        s.fetchFaults.add(now, inTime ? 0 : 1);
+        double elsewhere = rate(fetchFaults.at(now) - s.fetchFaults.at(now),
+                fetchEnds.at(now) - s.fetchEnds.at(now));
+        double here = (s.fetchFaults.at(now) + elsewhere) / (s.fetchEnds.at(now) + 1);
+        return Math.max(0, 1 - failureRate(now, 1) / failureRate(now, 0)) * Math.min(1, elsewhere / here);
+    }
+
     /**
      * Guards against servers whose connections are all taken: where many balancers hold one each for calls
      * every few seconds, others get none. While connections fail, idle ones are given back after each answer.
@@ -650,8 +654,14 @@
     private void shareConnections(double now, Server s, Outcome outcome) {
         ends.add(now, 1);
         if (outcome == Outcome.CONNECT_FAILED) {
-            connectFailures.add(now, 1);
-        } else if (s.bulkhead.inFlight == 0 && connectFailures.at(now) > SCARCE_CONNECTIONS * ends.at(now)) {
+            s.unreachedAt = now;
+            return;
+        }
+        // One that answers the first trial had no connection left. One that is gone says nothing of the others.
+        double soon = DEAD_TIME * (1 + JITTER) * shortestDeadline;
+        connectFailures.add(now, now - s.unreachedAt < soon ? 1 : 0);
+        s.unreachedAt = Double.NEGATIVE_INFINITY;
+        if (s.bulkhead.inFlight == 0 && connectFailures.at(now) > SCARCE_CONNECTIONS * ends.at(now)) {
             host.closeIdle(s.id);
         }
     }
@@ -719,7 +729,11 @@
     }
 
     private double failureRate(double now, int kind) {
-        return (failures[kind].at(now) + BELIEF_CALLS * USUAL_RATE) / (calls[kind].at(now) + BELIEF_CALLS);
+        return rate(failures[kind].at(now), calls[kind].at(now));
+    }
+
+    private static double rate(double failures, double calls) {
+        return (failures + BELIEF_CALLS * USUAL_RATE) / (calls + BELIEF_CALLS);
     }
 
     /** After the last outstanding attempt: the next step on the request's way, or its end. */
@@ -868,6 +882,10 @@
         private final Bulkhead bulkhead = new Bulkhead();
         private final WarmUp warmUp = new WarmUp();
         private final FadingCount sends = new FadingCount(EVIDENCE_FADES * shortestDeadline);
+        private final FadingCount fetchEnds = new FadingCount(FETCH_FADES * shortestDeadline);
+        private final FadingCount fetchFaults = new FadingCount(FETCH_FADES * shortestDeadline);
+        /** When it last could not be reached and had not answered since. */
+        private double unreachedAt = Double.NEGATIVE_INFINITY;
         private int zone;
         private int cell;
         private double weight;
--- /dev/null
+++ b/router/src/test/java/stagepier/ManyRoutersTest.java
@@ -0,0 +1,142 @@
+package stagepier;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import stagepier.Api.Lookup;
+import stagepier.Api.Outcome;
+
+/**
+ * Many instances of the module side by side under one clock, each with little traffic: what one does is counted over
+ * all. Guards against what is harmless alone and harmful when all do it.
+ */
+class ManyRoutersTest {
+    private static final int ROUTERS = 14;
+    private static final int SERVERS = 60;
+    private static final double REQUESTS_A_SECOND = 900;
+
+    /** How a server answers: what comes, after how long, and what it says of the lookup. */
+    private record Answer(Outcome outcome, double after, Lookup lookup) {
+    }
+
+    private interface World {
+        Answer answer(long server, double now, SplittableRandom random);
+    }
+
+    /** An execution that will end. */
+    private record Ending(double at, int router, ScriptedHost.Sent sent, int attempt, Answer answer) {
+    }
+
+    /** A fleet of routers over the same servers. */
+    private static final class Routers {
+        private final List<Fixture> all = new ArrayList<>();
+        private final int[] told = new int[ROUTERS];
+        private final List<Map<Long, Integer>> attempts = new ArrayList<>();
+        private final PriorityQueue<Ending> endings = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
+        private final SplittableRandom random = new SplittableRandom(7);
+        private final World world;
+        private double now = 100;
+        private int asked;
+        private final Map<Long, Integer> outcomes = new HashMap<>();
+
+        Routers(World world) {
+            this.world = world;
+            for (int i = 0; i < ROUTERS; i++) {
+                all.add(Fixture.through(SERVERS));
+                attempts.add(new HashMap<>());
+            }
+        }
+
+        void play(double seconds) {
+            for (double until = now + seconds; now < until; ) {
+                now += 1 / REQUESTS_A_SECOND;
+                while (!endings.isEmpty() && endings.peek().at() <= now) {
+                    end(endings.poll());
+                }
+                int router = random.nextInt(ROUTERS);
+                Fixture f = all.get(router);
+                f.now = now;
+                // Popularity as in life: some keys are asked for far more than most.
+                f.request(0, 1 + (long) Math.pow(20_000, random.nextDouble()));
+                asked++;
+                collect(router);
+            }
+        }
+
+        private void end(Ending e) {
+            Fixture f = all.get(e.router());
+            f.now = e.at();
+            Outcome outcome = e.answer().outcome();
+            outcomes.merge(e.sent().server(), 1, Integer::sum);
+            f.brain.onOutcome(f.now, e.sent().request(), e.attempt(), e.sent().server(), outcome, e.answer().after(),
+                    outcome == Outcome.OK, e.answer().lookup(), Fixture.NO_REPORT);
+            collect(e.router());
+        }
+
+        private void collect(int router) {
+            Fixture f = all.get(router);
+            for (; told[router] < f.host.sends.size(); told[router]++) {
+                ScriptedHost.Sent s = f.host.sends.get(told[router]);
+                int attempt = attempts.get(router).merge(s.request(), 1, Integer::sum) - 1;
+                Answer a = world.answer(s.server(), f.now, random);
+                endings.add(new Ending(f.now + a.after(), router, s, attempt, a));
+            }
+        }
+
+        int refused() {
+            return all.stream().mapToInt(f -> f.host.answers()).sum();
+        }
+
+        int closes() {
+            return all.stream().mapToInt(f -> f.host.closes).sum();
+        }
+    }
+
+    private static Answer good(SplittableRandom random) {
+        boolean miss = random.nextInt(3) == 0;
+        return new Answer(Outcome.OK, (miss ? 0.15 : 0.05) + 0.1 * random.nextDouble(), miss ? Lookup.MISS : Lookup.HIT);
+    }
+
+    @Test
+    void fewServersThatFailShutNoGateBeforeTheOrigin() {
+        Routers routers = new Routers((server, now, random) -> server <= 8 && random.nextInt(4) > 0
+                ? new Answer(Outcome.ERROR, 0.05, Lookup.UNKNOWN) : good(random));
+        routers.play(4);
+        int before = routers.refused();
+        routers.asked = 0;
+        routers.play(8);
+        double refused = (routers.refused() - before) / (double) routers.asked;
+        assertTrue(refused < 0.05, refused + " of all requests refused while 52 of 60 servers are well");
+    }
+
+    @Test
+    void anOriginThatFailsStillShutsTheGate() {
+        Routers routers = new Routers((server, now, random) -> random.nextInt(2) == 0
+                ? new Answer(Outcome.ERROR, 0.3, Lookup.UNKNOWN) : good(random));
+        routers.play(6);
+        assertTrue(routers.refused() > routers.asked / 5, "of " + routers.asked + " refused " + routers.refused());
+    }
+
+    @Test
+    void serversThatAreGoneMakeNobodyGiveUpConnectionsToTheRest() {
+        Routers routers = new Routers((server, now, random) -> server <= 15 && now > 104
+                ? new Answer(Outcome.CONNECT_FAILED, 0.25, Lookup.UNKNOWN) : good(random));
+        routers.play(12);
+        assertEquals(0, routers.closes(), "connections given back, each to be opened again at a server's cost");
+    }
+
+    @Test
+    void serversWhoseConnectionsAreAllTakenMakeAllGiveBackIdleOnes() {
+        Routers routers = new Routers((server, now, random) -> random.nextInt(10) == 0
+                ? new Answer(Outcome.CONNECT_FAILED, 0.05, Lookup.UNKNOWN) : good(random));
+        routers.play(6);
+        assertTrue(routers.closes() > 100, "only " + routers.closes());
+    }
+}
