--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -633,7 +633,7 @@
     }
 
     /**
-     * How far a fetch that fails is the origin's fault: not where keys expected to hit fail as often, nor where
+     * How far a failed fetch is the origin's fault: not where keys expected to hit fail as often, nor where
      * they fail at this server alone. Guards against few bad servers shutting the gate at all balancers.
      */
     private double originsPart(double now, Server s, boolean inTime) {
@@ -657,7 +657,7 @@
             s.unreachedAt = now;
             return;
         }
-        // One that answers the first trial had no connection left. One that is gone says nothing of the others.
+        // One that answers its first trial had no connection left; one that is gone tells nothing of others.
         double soon = DEAD_TIME * (1 + JITTER) * shortestDeadline;
         connectFailures.add(now, now - s.unreachedAt < soon ? 1 : 0);
         s.unreachedAt = Double.NEGATIVE_INFINITY;
