Give each machine kind ring weight by how fast its servers answer hits

Thin traffic hides it: a router has hardly ever two executions at one server, so neither its tickets nor its crowd see it. Over a kind, even few calls add up.

Cause: Brain.learn weighs by stated size alone. Ruled out: bad servers (fast errors), misses (weighed apart).

Change: hits' log answer times by machine kind, over all servers of it, give the kind's ring weight; changes under 15 percent move no keys; cold servers do not count.

--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -27,6 +27,11 @@
     private static final int WALK_LIMIT = 16;
     /** A weight must change by this part before virtual nodes follow: noise must not move keys. */
     private static final double REWEIGH_AT = 0.25;
+    /** Answers from which a kind's speed counts, weight of a new one, least speed, change that moves keys. */
+    private static final int KIND_TRUSTED = 60;
+    private static final double KIND_GAIN = 1.0 / 256;
+    private static final double KIND_SLOWEST = 0.4;
+    private static final double KIND_CHANGES = 0.15;
 
     /** Failure rate of a server that deserves an open circuit, and of one that cannot be reached. */
     private static final double BROKEN_RATE = 0.9;
@@ -162,6 +167,10 @@
     private double referenceWeight;
     private double totalWeight;
     private final double[] nominalWeight = new double[256];
+    /** By machine kind: speed that it counts for, in parts of the fastest; mean log answer time; answers. */
+    private final double[] kindSpeed = new double[256];
+    private final double[] kindTypical = new double[256];
+    private final int[] kindAnswers = new int[256];
     private double inFlight;
     private double usualInFlight;
     private double inFlightAt = Double.NaN;
@@ -198,6 +207,7 @@
             shortest = Math.min(shortest, c.deadline());
         }
         shortestDeadline = shortest;
+        Arrays.fill(kindSpeed, 1);
         usualAim = settings.classes().get(0).aim();
         ownAnswersOnly = settings.fetching() == Fetching.THROUGH && settings.weights() != WeightMeaning.LIVE;
         fewCrowded = ownAnswersOnly ? CROWDED_FEW_THROUGH : CROWDED_FEW;
@@ -297,15 +307,22 @@
             return;
         }
         // A live weight says how busy a server was, not how large it is: it must not move keys.
-        double weight = settings.weights() == WeightMeaning.SIZE && m.weight() > 0 && referenceWeight > 0
+        s.kind = m.kind() & 0xff;
+        s.size = settings.weights() == WeightMeaning.SIZE && m.weight() > 0 && referenceWeight > 0
                 ? m.weight() / referenceWeight : 1;
         if (settings.weights() == WeightMeaning.LIVE && m.weight() > 0) {
-            nominalWeight[m.kind() & 0xff] = Math.max(nominalWeight[m.kind() & 0xff], m.weight());
+            nominalWeight[s.kind] = Math.max(nominalWeight[s.kind], m.weight());
             // One request a core is work, what is beyond waits.
-            double waiting = nominalWeight[m.kind() & 0xff] / m.weight() - 2;
+            double waiting = nominalWeight[s.kind] / m.weight() - 2;
             s.crowd.judge(now, waiting * unhurried() / usualAim, shortestDeadline);
         }
-        if (s.ready && Math.abs(weight - s.weight) <= REWEIGH_AT * s.weight) {
+        place(s, REWEIGH_AT);
+    }
+
+    /** Gives a server its part of the ring, unless what it has is that but for a small part. */
+    private void place(Server s, double butFor) {
+        double weight = s.size * kindSpeed[s.kind];
+        if (s.ready && Math.abs(weight - s.weight) <= butFor * s.weight) {
             return;
         }
         leaveRing(s);
@@ -315,6 +332,25 @@
         ring.add(s.slot, s.id, (int) Math.max(1, Math.rint(VIRTUAL_NODES * Math.min(weight, 8))));
     }
 
+    /**
+     * Machines of one size differ in speed by kind, which no list tells. Guards against all balancers filling
+     * the slow kind first: it gets keys in proportion to how fast its servers, all together, answer hits.
+     */
+    private void learnSpeed(double now, Server s, double elapsed) {
+        int k = s.kind;
+        double gain = Math.max(KIND_GAIN, 1.0 / ++kindAnswers[k]);
+        kindTypical[k] += gain * (Math.log(Math.max(1e-6, elapsed)) - kindTypical[k]);
+        double best = kindTypical[k];
+        for (int i = 0; i < kindTypical.length; i++) {
+            best = kindAnswers[i] < KIND_TRUSTED ? best : Math.min(best, kindTypical[i]);
+        }
+        double speed = Math.max(KIND_SLOWEST, Math.exp(best - kindTypical[k]));
+        if (kindAnswers[k] >= KIND_TRUSTED && Math.abs(speed - kindSpeed[k]) > KIND_CHANGES * kindSpeed[k]) {
+            kindSpeed[k] = speed;
+            slots.stream().filter(x -> x != null && x.weight > 0 && x.kind == k).forEach(x -> place(x, 0));
+        }
+    }
+
     private Server admit(Member m) {
         int slot = slots.indexOf(null);
         if (slot < 0) {
@@ -377,10 +413,7 @@
         }
     }
 
-    /**
-     * Whether a request counts as beyond its tenant's share: by chance, as often as the tenant's part of the
-     * requests here exceeds its part of all shares. It acts only where something has to be turned away.
-     */
+    /** Beyond its tenant's share: by chance, as often as the tenant's part of requests exceeds that share. */
     private boolean overShare(double now, int tenant) {
         if (tenant < 0 || tenant >= tenantCalls.length || sumOfShares <= 0) {
             return false;
@@ -414,10 +447,7 @@
         }
     }
 
-    /**
-     * Guards against driving a slow origin to a stop: reads that will have to be fetched are shed by chance,
-     * so that the keys most asked for come through first. Writes are few and dear, and no copy serves them.
-     */
+    /** Guards against driving a slow origin to a stop: reads likely to be fetched are shed by chance. */
     private boolean mayFetch(Pending p) {
         double admitted = p.overShare ? Math.pow(fetches.admitted, OVER_SHARE_FIRST) : fetches.admitted;
         return p.request.write() || admitted >= 1 || random.nextDouble() < admitted;
@@ -487,10 +517,7 @@
         return busy;
     }
 
-    /**
-     * Guards against a jam that outlasts its cause: part of the keys of a server that looked crowded, always
-     * the same, is turned away, see {@link Crowd}.
-     */
+    /** Guards against a jam that outlasts its cause: part of its keys, always the same, is turned away. */
     private boolean crowded(double now, Pending p, Server s) {
         // What is long ago at this server gives way to what all show in common, unless that is the origin's.
         boolean through = settings.fetching() == Fetching.THROUGH;
@@ -514,10 +541,7 @@
         return usualWork > 0 ? Math.min(usualWork, cacheLatency.least) : cacheLatency.least;
     }
 
-    /**
-     * Guards against pushing a cold server over: of its ring share it gets, chosen by key, the part that its
-     * stated warm-up allows, and of that no more than a send budget in proportion to what warm servers get.
-     */
+    /** Guards against pushing a cold server over: it gets part of its keys, within a budget. */
     private boolean warmEnough(double now, Pending p, Server s) {
         double share = s.warmUp.share(now, settings.protection());
         if (share >= 1) {
@@ -643,10 +667,7 @@
         return Math.max(0, 1 - failureRate(now, 1) / failureRate(now, 0)) * Math.min(1, elsewhere / here);
     }
 
-    /**
-     * Guards against servers whose connections are all taken: where many balancers hold one each for calls
-     * every few seconds, others get none. While connections fail, idle ones are given back after each answer.
-     */
+    /** Guards against servers whose connections are all held idle: while some fail, those are given back. */
     private void shareConnections(double now, Server s, Outcome outcome) {
         ends.add(now, 1);
         if (outcome == Outcome.CONNECT_FAILED) {
@@ -672,6 +693,9 @@
         }
         if (outcome == Outcome.OK) {
             latency.add(elapsed);
+            if (s != origin && !waitedForOrigin && s.warmUp.share(now, settings.protection()) >= 1) {
+                learnSpeed(now, s, elapsed);
+            }
         }
         // 'Full' is answered at once, but says that the wait would have been past any client's patience. A
         // single one among answers does not: it costs a further try, not the server's keys.
@@ -872,6 +896,8 @@
         private double unreachedAt = Double.NEGATIVE_INFINITY;
         private int zone;
         private int cell;
+        private int kind;
+        private double size;
         private double weight;
         private boolean ready;
         private boolean listed;
@@ -953,10 +979,7 @@
         }
     }
 
-    /**
-     * Consistent hash ring in one sorted array: the upper 48 bits of a point are its place, the lower 16 the
-     * server's slot. A change merges or filters one server's points, so that it stays cheap in large fleets.
-     */
+    /** Consistent hash ring in one sorted array: 48 bits of a point are its place, 16 the server's slot. */
     static final class HashRing {
         private static final long SLOT_MASK = 0xffff;
         private long[] points = {};
@@ -1134,10 +1157,7 @@
         }
     }
 
-    /**
-     * What this balancer remembers of keys, in a fixed table: fading counts of requests, and which server
-     * served a key last. A key takes the place of one that hashes alike once that one's count has faded.
-     */
+    /** Fading counts of keys, and who served each last. A key takes a place whose count has faded. */
     private static final class KeyTable {
         private final long[] keys = new long[KEY_PLACES];
         private final double[] counts = new double[KEY_PLACES];
@@ -1181,10 +1201,8 @@
     }
 
     /**
-     * Part of its keys that a crowded server keeps. It is cut at once by as much as waiting is too long,
-     * rests the longer the more was cut, and comes back slowly. Without that memory all balancers would leave
-     * and return together, a server would swing between idle and jammed, and a choked one would never be
-     * idle for long enough to recover.
+     * Part of its keys that a crowded server keeps: cut at once, rested the longer the more was cut, and back
+     * slowly. Guards against all balancers leaving and returning together, so that a server swings.
      */
     static final class Crowd {
         private double kept = 1;
@@ -1208,10 +1226,7 @@
         }
     }
 
-    /**
-     * Part of the fetches that go to the origin. It falls with each fetch that fails or comes too late and
-     * recovers with each that comes in time: a slow origin keeps serving what it can, while hits go on.
-     */
+    /** Part of the fetches that go to the origin: falls with each that fails or is late, and recovers. */
     private static final class FetchGate {
         private double admitted = 1;
         private double at;
--- a/router/src/test/java/stagepier/ManyRoutersTest.java
+++ b/router/src/test/java/stagepier/ManyRoutersTest.java
@@ -104,6 +104,24 @@
         return new Answer(Outcome.OK, (miss ? 0.15 : 0.05) + 0.1 * random.nextDouble(), miss ? Lookup.MISS : Lookup.HIT);
     }
 
+    /** Machines of one stated size of which one kind needs twice the time: no list tells which. */
+    @Test
+    void aSlowKindGetsFewerKeysAtEveryRouter() {
+        Routers routers = new Routers((server, now, random) -> new Answer(Outcome.OK,
+                (server % 2 == 0 ? 0.1 : 0.05) * (0.5 + random.nextDouble()), Lookup.HIT));
+        for (Fixture f : routers.all) {
+            f.members(true, Fixture.fleet(SERVERS, 0).stream().map(m -> new Api.Member(m.id(), m.zone(), m.cell(),
+                    (int) m.id() % 2, m.state(), m.weight(), m.startedAt())).toList());
+        }
+        routers.play(5);
+        routers.outcomes.clear();
+        routers.play(5);
+        int slow = routers.outcomes.entrySet().stream().filter(e -> e.getKey() % 2 == 0)
+                .mapToInt(Map.Entry::getValue).sum();
+        int all = routers.outcomes.values().stream().mapToInt(i -> i).sum();
+        assertTrue(slow < 0.42 * all && slow > 0.25 * all, slow + " of " + all + " at the slow half");
+    }
+
     @Test
     void fewServersThatFailShutNoGateBeforeTheOrigin() {
         Routers routers = new Routers((server, now, random) -> server <= 8 && random.nextInt(4) > 0
