Offer cold servers 1.4 times the least that they may have

Alone a harmless caution; when most of the fleet is new, all of it is.

Checked: sends to cold servers stay far from the rule's four times (at the least capacity and the fleet's usual load about 1.3 times); their send budget is as it was.

Test: a cold server among six gets over a quarter of a warm one's sends; it failed before.

--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -109,8 +109,8 @@
 
     /** Part of the stated overload factor that a cold server's send budget uses. */
     private static final double COLD_BUDGET = 0.6;
-    /** Part of its stated capacity that a cold server is offered. */
-    private static final double COLD_SHARE = 0.9;
+    /** Part of its stated least capacity that a cold server is offered: most have more. */
+    private static final double COLD_SHARE = 1.4;
     /** Own send rates are measured over this many overload spans. */
     private static final double RATE_SPANS = 4;
 
--- a/router/src/test/java/stagepier/ProtectionTest.java
+++ b/router/src/test/java/stagepier/ProtectionTest.java
@@ -46,6 +46,15 @@
         assertTrue(late > 30);
     }
 
+    /** Guards against many servers that start at once leaving their keys to few warm ones for the whole warm-up. */
+    @Test
+    void aColdServerIsOfferedMoreThanTheLeastThatItMayHave() {
+        int[] perSecond = sendsToColdServer(1, 2000);
+        int early = perSecond[0] + perSecond[1] + perSecond[2];
+        int late = perSecond[21] + perSecond[22] + perSecond[23];
+        assertTrue(early >= 0.26 * late, early + " early, " + late + " late");
+    }
+
     /** Guards against a crowd on few keys: the budget counts sends, whatever the share of keys is. */
     @Test
     void hotKeysDoNotBreakTheBudgetOfAColdServer() {
