Let routers tell each other what they have in flight and which circuits are open

What others have in flight counts for 'busy by chance' as its own does; three others with an open circuit make a server suspect. Only where the settings allow messages.

--- a/router/src/main/java/stagepier/Api.java
+++ b/router/src/main/java/stagepier/Api.java
@@ -85,9 +85,36 @@
     public record Tenant(double share, double quotaPerSecond) {
     }
 
-    /** What the host permits. A {@code maxRetryAfter} of 0 means that clients get no advice. */
+    /**
+     * What the host permits. A {@code maxRetryAfter} of 0 means that clients get no advice.
+     *
+     * @param peers balancers may tell each other {@link News}
+     */
     public record Limits(int maxAttempts, boolean concurrentAttempts, boolean cancel, boolean probes,
-            double maxRetryAfter, double connectTimeout) {
+            double maxRetryAfter, double connectTimeout, boolean peers) {
+        /** Of a balancer that is on its own. */
+        public Limits(int maxAttempts, boolean concurrentAttempts, boolean cancel, boolean probes,
+                double maxRetryAfter, double connectTimeout) {
+            this(maxAttempts, concurrentAttempts, cancel, probes, maxRetryAfter, connectTimeout, false);
+        }
+    }
+
+    /**
+     * What one balancer tells the others of a server.
+     *
+     * @param inFlight its attempts that are out there
+     * @param open     it has a circuit open against it
+     */
+    public record News(long server, int inFlight, boolean open) {
+    }
+
+    /**
+     * What all other balancers told of a server, added up.
+     *
+     * @param inFlight their attempts that are out there
+     * @param open     how many of them have a circuit open against it
+     */
+    public record Elsewhere(long server, int inFlight, int open) {
     }
 
     /**
@@ -172,7 +199,12 @@
         void onTimer(double now, long token);
 
         /** A probe asked for by {@link Host#probe} ended. */
-        void onProbe(double now, long server, Outcome outcome, double elapsed, float[] report);
+        default void onProbe(double now, long server, Outcome outcome, double elapsed, float[] report) {
+        }
+
+        /** What all other balancers have told of late, whole: servers not named are idle and well there. */
+        default void onPeers(double now, List<Elsewhere> told) {
+        }
     }
 
     /** What the module asks of its host. */
@@ -198,6 +230,10 @@
         /** Asks for the changes of the list that were missed and all to come. */
         void watchMembers();
 
+        /** Tells all other balancers. What matters most comes first, for a message is short; it may be lost. */
+        default void tellPeers(List<News> news) {
+        }
+
         /** A line for the operators. */
         void note(String text);
     }
--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -9,15 +9,9 @@
 import stagepier.Api.*;
 
 /**
- * Every decision of one balancer. Its interface (types, events, actions) is in {@code Api.java}.
- *
- * <p>The mechanism: a key goes to its owner on a consistent hash ring of virtual nodes. Each server, and the
- * origin where this balancer fetches misses, is guarded by a {@link CircuitBreaker} (asked first) and a
- * {@link Bulkhead} of tickets. A send that either turns away goes to the next ring server at once; with the
- * ring exhausted, or the origin turned away, the request is refused with a retry-after.
- *
- * <p>Kept besides: the {@link WarmUp} ramp of a cold server, the rules of repeats ({@link #maySend} and
- * {@link #mayRefuse}) and a budget of further tries. Departures and their conditions: docs/DESIGN.md.
+ * Every decision of one balancer; its interface is {@code Api.java}. A key goes to its owner on a hash ring.
+ * Each server, and an origin that is asked from here, is guarded by a {@link CircuitBreaker} and then by a
+ * {@link Bulkhead} of tickets; what either turns away goes on to the next ring server, or is refused.
  */
 public final class Brain implements Api.Events {
     // ---- constants: dimensionless, or multiples of what the settings say ----------------------------------
@@ -56,7 +50,6 @@
 
     /** A key is hot from this part of a server's fair share of all requests. */
     private static final double HOT_SHARE = 0.3;
-    /** Ring servers that one key is spread over at most. */
     private static final int COPIES_MOST = 40;
     /** Popularity is remembered this long, in shortest deadlines: it drifts, but chance needs averaging. */
     private static final double POPULARITY_FADES = 40;
@@ -138,6 +131,11 @@
     private static final int MOST_ATTEMPTS = 16;
     /** Timer of a new call for the list; all others carry a request's id, which is not negative. */
     private static final long WATCH_TOKEN = -1;
+    private static final long TELL_TOKEN = -2;
+    /** What is out and what is open is told to the other balancers so often, in shortest deadlines. */
+    private static final double TELLS_EVERY = 0.18;
+    /** So many others with an open circuit make a server suspect here, too: no single one is believed. */
+    private static final int SUSPECTED_BY = 3;
 
     // ---- state --------------------------------------------------------------------------------------------
     private final Api.Settings settings;
@@ -179,6 +177,8 @@
     private int walk;
     private boolean tellsLookups;
     private boolean watching;
+    private boolean telling;
+    private double elsewhere;
     private final FadingCount ends;
     private final FadingCount connectFailures;
     private final boolean ownAnswersOnly;
@@ -240,6 +240,10 @@
             watching = true;
             host.watchMembers();
         }
+        if (!telling && settings.limits().peers() && settings.balancers() > 1) {
+            telling = true;
+            host.setTimer(TELLS_EVERY * shortestDeadline * random.nextDouble(), TELL_TOKEN);
+        }
         if (referenceWeight == 0) {
             referenceWeight = referenceWeight(members);
         }
@@ -300,8 +304,7 @@
             s.breaker.reset();
             s.warmUp.restart(m.startedAt(), now, random.nextDouble());
         }
-        boolean isOrigin = settings.fetching() == Fetching.ASIDE && m.kind() == settings.originKind();
-        if (isOrigin) {
+        if (settings.fetching() == Fetching.ASIDE && m.kind() == settings.originKind()) {
             origin = s;
             s.ready = true;
             return;
@@ -332,10 +335,7 @@
         ring.add(s.slot, s.id, (int) Math.max(1, Math.rint(VIRTUAL_NODES * Math.min(weight, 8))));
     }
 
-    /**
-     * Machines of one size differ in speed by kind, which no list tells. Guards against all balancers filling
-     * the slow kind first: it gets keys in proportion to how fast its servers, all together, answer hits.
-     */
+    /** Guards against all balancers filling the slow kind first: size says nothing of a kind's speed. */
     private void learnSpeed(double now, Server s, double elapsed) {
         int k = s.kind;
         double gain = Math.max(KIND_GAIN, 1.0 / ++kindAnswers[k]);
@@ -459,11 +459,7 @@
         return s != null ? s : pick(now, p, 0);
     }
 
-    /**
-     * Guards against a key that is more than one server can bear: no single balancer's tickets show it. Only
-     * a key with a good part of a server's fair share of the requests is spread, over as many of its first
-     * ring servers as that share asks for. Returns how many of them to pass over.
-     */
+    /** Guards against a key that is more than one server can bear: ring servers to pass over. */
     private int spread(double now, Pending p) {
         if (p.heat <= 1 || servers.size() < 2) {
             return 0;
@@ -501,9 +497,10 @@
                 }
                 continue;
             }
-            if (maySend(now, p, s) && s.breaker.allows(now) && warmEnough(now, p, s)
+            boolean suspect = !s.breaker.isOpen && s.openElsewhere >= SUSPECTED_BY;
+            if (maySend(now, p, s) && !suspect && s.breaker.allows(now) && warmEnough(now, p, s)
                     && s.bulkhead.allows(tickets(s))) {
-                if (s.bulkhead.inFlight >= busyFrom(s)) {
+                if (s.bulkhead.inFlight + s.elsewhere >= busyFrom(s)) {
                     busy = busy == null ? s : busy;
                     if (asked > 1) {
                         return busy;
@@ -558,7 +555,7 @@
 
     /** Busy by chance: the next one may have no wait; no more are asked, for a key on many misses on many. */
     private double busyFrom(Server s) {
-        double usual = totalWeight > 0 ? usualInFlight * s.weight / totalWeight : 0;
+        double usual = totalWeight > 0 ? (usualInFlight + elsewhere) * s.weight / totalWeight : 0;
         return Math.max(BUSY_FLOOR, usual + BUSY_DEVIATIONS * Math.sqrt(usual));
     }
 
@@ -652,10 +649,7 @@
         }
     }
 
-    /**
-     * How far a failed fetch is the origin's fault: not where keys expected to hit fail as often, nor where
-     * they fail at this server alone. Guards against few bad servers shutting the gate at all balancers.
-     */
+    /** Guards against few bad servers shutting the gate: what fails at one alone is not the origin's. */
     private double originsPart(double now, Server s, boolean inTime) {
         fetchEnds.add(now, 1);
         fetchFaults.add(now, inTime ? 0 : 1);
@@ -697,8 +691,7 @@
                 learnSpeed(now, s, elapsed);
             }
         }
-        // 'Full' is answered at once, but says that the wait would have been past any client's patience. A
-        // single one among answers does not: it costs a further try, not the server's keys.
+        // 'Full' says that the wait would have been past any patience; a single one among answers does not.
         double wait = outcome == Outcome.FULL ? shortestDeadline : elapsed;
         boolean tellsWait = outcome == Outcome.OK || outcome == Outcome.TIMEOUT
                 || outcome == Outcome.FULL && s.saidFull;
@@ -714,7 +707,6 @@
         forgetIfIdle(s);
     }
 
-    /** Weighs what an outcome says of the server's health, and opens its circuit where that is enough. */
     private void weigh(double now, Server s, long request, int attempt, Outcome outcome, double elapsed,
             boolean expectsHit) {
         Latency latency = s == origin ? originLatency : cacheLatency;
@@ -756,7 +748,6 @@
         return (failures + BELIEF_CALLS * USUAL_RATE) / (calls + BELIEF_CALLS);
     }
 
-    /** After the last outstanding attempt: the next step on the request's way, or its end. */
     private void proceed(double now, Pending p, Outcome outcome) {
         if (outcome == Outcome.MISS) {
             sendToOrigin(now, p);
@@ -845,6 +836,10 @@
             host.watchMembers();
             return;
         }
+        if (token == TELL_TOKEN) {
+            tell(now);
+            return;
+        }
         Pending p = open.get(token);
         if (p == null || p.attempts != 1 || p.outstanding != 1 || p.started || retryTokens < 1
                 || fetches.admitted < COPY_WHILE_ADMITTED) {
@@ -857,8 +852,31 @@
         }
     }
 
+    /** Tells what no other can see: with many balancers, each alone sees too little of any server. */
+    private void tell(double now) {
+        List<Api.News> news = new ArrayList<>();
+        for (Server s : slots) {
+            if (s != null && s.ready && (s.bulkhead.inFlight > 0 || s.breaker.isOpen)) {
+                news.add(new Api.News(s.id, s.bulkhead.inFlight, s.breaker.isOpen));
+            }
+        }
+        news.sort((a, b) -> a.open() != b.open() ? a.open() ? -1 : 1 : b.inFlight() - a.inFlight());
+        host.tellPeers(news);
+        host.setTimer(TELLS_EVERY * shortestDeadline * (0.5 + random.nextDouble()), TELL_TOKEN);
+    }
+
     @Override
-    public void onProbe(double now, long server, Outcome outcome, double elapsed, float[] report) {
+    public void onPeers(double now, List<Api.Elsewhere> told) {
+        elsewhere = 0;
+        servers.values().forEach(s -> s.elsewhere = s.openElsewhere = 0);
+        for (Api.Elsewhere e : told) {
+            Server s = servers.get(e.server());
+            if (s != null && s.ready) {
+                s.elsewhere = e.inFlight();
+                s.openElsewhere = e.open();
+                elsewhere += e.inFlight();
+            }
+        }
     }
 
     private void countInFlight(double now, int change) {
@@ -897,6 +915,8 @@
         private int zone;
         private int cell;
         private int kind;
+        private int elsewhere;
+        private int openElsewhere;
         private double size;
         private double weight;
         private boolean ready;
@@ -1027,11 +1047,7 @@
         }
     }
 
-    /**
-     * Turns sends away from a failing server. Evidence is the log odds that the server is broken rather than
-     * like the rest, so it weighs more where failures are rare and less where all fail; it never falls below
-     * none, fades with time, and opens the circuit at a threshold.
-     */
+    /** Evidence is the log odds that a server is broken rather than like the rest; it fades, and opens. */
     static final class CircuitBreaker {
         private double evidence;
         private double evidenceAt;
@@ -1200,10 +1216,7 @@
         }
     }
 
-    /**
-     * Part of its keys that a crowded server keeps: cut at once, rested the longer the more was cut, and back
-     * slowly. Guards against all balancers leaving and returning together, so that a server swings.
-     */
+    /** Part of its keys that a crowded server keeps: back slowly, or all leave and return together. */
     static final class Crowd {
         private double kept = 1;
         private double at = Double.NEGATIVE_INFINITY;
--- a/router/src/main/java/stagepier/adapter/Adapter.java
+++ b/router/src/main/java/stagepier/adapter/Adapter.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import stagepier.Api;
 import stagepier.Brain;
+import stagepier.peers.NewsCodec;
+import stagepier.peers.PeerView;
 import stagepier.settings.SettingsException;
 import stagepier.settings.SettingsParser;
 
@@ -46,7 +48,7 @@
         Api.MemberState.DRAINING};
 
     /** One balancer: its module and a report buffer of the size that its settings announce. */
-    private record Instance(Brain brain, float[] report) {
+    private record Instance(Brain brain, float[] report, PeerView peers) {
     }
 
     private static final float[] NO_REPORT = {};
@@ -178,10 +180,7 @@
             case HANGUP -> instance.brain.onClientGone(now, record.u64());
             case HEADERS -> headers(instance.brain, now);
             case HEALTH_RESULT -> probed(instance, now, where);
-            case WHISPER -> {
-                record.u32();
-                record.skip(record.u16());
-            }
+            case WHISPER -> whisper(instance, now);
             default -> throw new WireException(where + ": unknown record code " + code);
         }
     }
@@ -191,7 +190,7 @@
         try {
             SettingsParser.Parsed parsed = SettingsParser.parse(record.text());
             instances[who] = new Instance(new Brain(parsed.settings(), seed, reply.hostFor(who)),
-                    new float[parsed.reportFields()]);
+                    new float[parsed.reportFields()], new PeerView());
         } catch (SettingsException e) {
             throw new WireException(e.getMessage());
         } catch (IllegalArgumentException e) {
@@ -253,6 +252,19 @@
                 (options & HINT_VALID) != 0 ? hint : 0, (options & CLIENT_RETRY) != 0, (options & WRITE) != 0));
     }
 
+    private void whisper(Instance instance, double now) {
+        int peer = (int) record.u32();
+        byte[] message = record.bytes(record.u16());
+        List<Api.News> news;
+        try {
+            news = NewsCodec.decode(message);
+        } catch (IllegalArgumentException e) {
+            // Not this program's: nobody has to understand it.
+            return;
+        }
+        instance.brain.onPeers(now, instance.peers.heard(now, peer, news));
+    }
+
     private void headers(Brain brain, double now) {
         long id = record.u64();
         record.u32();
--- a/router/src/main/java/stagepier/adapter/RecordReader.java
+++ b/router/src/main/java/stagepier/adapter/RecordReader.java
@@ -1,6 +1,7 @@
 package stagepier.adapter;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /** Reads big-endian fields of one record in a reused buffer, and never past the record's end. */
 final class RecordReader {
@@ -75,6 +76,12 @@
         return s;
     }
 
+    byte[] bytes(int n) {
+        need(n);
+        at += n;
+        return Arrays.copyOfRange(bytes, at - n, at);
+    }
+
     void skip(int n) {
         need(n);
         at += n;
--- a/router/src/main/java/stagepier/adapter/ReplyWriter.java
+++ b/router/src/main/java/stagepier/adapter/ReplyWriter.java
@@ -4,7 +4,9 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import stagepier.Api;
+import stagepier.peers.NewsCodec;
 
 /** Collects one reply in a reused buffer: header (length, count), then records. */
 final class ReplyWriter {
@@ -16,6 +18,7 @@
     static final int SOUND_OUT = 1000;
     static final int CLOSE = 1060;
     static final int KEEP_INFORMED = 1050;
+    static final int SHARE = 1010;
     static final int NOTE_DOWN = 1100;
     static final int EXCEPTION = 1090;
     private static final int HEADER = 8;
@@ -94,6 +97,16 @@
                 bytes[length++] = 1;
             }
 
+            @Override
+            public void tellPeers(List<Api.News> news) {
+                byte[] message = NewsCodec.encode(news);
+                begin(SHARE, 8 + message.length, instance);
+                u32(-1);
+                u16(message.length);
+                System.arraycopy(message, 0, bytes, length, message.length);
+                length += message.length;
+            }
+
             @Override
             public void note(String line) {
                 text(NOTE_DOWN, instance, line);
--- a/router/src/main/java/stagepier/app/Config.java
+++ b/router/src/main/java/stagepier/app/Config.java
@@ -8,7 +8,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import stagepier.discovery.HostGroup;
+import stagepier.peers.PeerSocket;
 import stagepier.settings.SettingsException;
 import stagepier.settings.SettingsParser;
 
@@ -17,9 +20,10 @@
  *
  * @param known   the list of cache servers as this router last had it, or null
  * @param sockets file descriptors that the process may hold
+ * @param peers   where routers hear of each other, or null where they don't
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, JsonElement known, int sockets,
-        SettingsParser.Parsed settings) {
+        SettingsParser.Parsed settings, PeerSocket.Addresses peers) {
     private static final int SOCKETS_USUAL = 1024;
     private static final int SOCKETS_LEAST = 128;
 
@@ -47,9 +51,11 @@
         try {
             JsonObject o = JsonParser.parseString(text).getAsJsonObject();
             JsonElement known = o.get("known");
-            return new Config(address(o, "listen"), address(o, "discovery"), seed(o),
-                    known == null || known.isJsonNull() ? null : known, sockets(o),
-                    SettingsParser.parse(String.valueOf(o.get("settings"))));
+            InetSocketAddress listen = address(o, "listen");
+            InetSocketAddress discovery = address(o, "discovery");
+            SettingsParser.Parsed settings = SettingsParser.parse(String.valueOf(o.get("settings")));
+            return new Config(listen, discovery, seed(o), known == null || known.isJsonNull() ? null : known, sockets(o),
+                    settings, peers(o, settings));
         } catch (JsonParseException | IllegalStateException | UnsupportedOperationException
                 | IllegalArgumentException | SettingsException e) {
             throw new BadConfigException("configuration: " + e.getMessage());
@@ -64,6 +70,16 @@
         }
     }
 
+    private static PeerSocket.Addresses peers(JsonObject o, SettingsParser.Parsed settings) {
+        if (!settings.settings().limits().peers() || !o.has("peer_listen") || !o.has("peers") || !o.has("peers_all")) {
+            return null;
+        }
+        List<InetSocketAddress> routers = new ArrayList<>();
+        o.getAsJsonArray("peers").forEach(e -> routers.add(HostGroup.address(e.getAsString())));
+        return new PeerSocket.Addresses(address(o, "peer_listen"), address(o, "peers_all"), List.copyOf(routers),
+                settings.slot());
+    }
+
     private static int sockets(JsonObject o) {
         JsonElement limits = o.get("limits");
         if (limits == null || !limits.getAsJsonObject().has("sockets")) {
--- a/router/src/main/java/stagepier/app/Rehearsal.java
+++ b/router/src/main/java/stagepier/app/Rehearsal.java
@@ -18,11 +18,13 @@
     private static final int ROUNDS = 300;
     private static final int WAIT_MS = 10_000;
     private static final String CONFIG = """
-            {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"1","limits":{"sockets":256},"settings":{
+            {"listen":"127.0.0.1:%1$d","discovery":"127.0.0.1:%2$d","seed":"1","limits":{"sockets":256},
+            "peer_listen":"127.0.0.1:%4$d","peers":["127.0.0.1:%1$d","127.0.0.1:%4$d"],"peers_all":"127.0.0.1:%4$d",
+            "settings":{"Siblings":2,"SlotNo":0,
             "Classes":[{"Name":"read","Deadline":5,"GoalTime":5,"Repeat":"idempotent"},
             {"Name":"put","Deadline":5,"GoalTime":5,"Repeat":"deduplicated","Group":"all","DedupWindow":9}],
             "Realms":[{"Name":"t","Portion":1,"QuotaPerS":9}],"Areas":["a"],"Flavors":["m"],"WeightKind":"nominal",
-            "Limits":{"MaxAttempts":3,"MayDuplicate":true,"Cancel":true}},"known":%s}""";
+            "Limits":{"MaxAttempts":3,"MayDuplicate":true,"Cancel":true,"Peers":true}},"known":%3$s}""";
     private static final String LIST = """
             {"generation":%d,"reset":%b,"instances":[{"instanceId":"s-00000001","hostPort":"127.0.0.1:%d","zone":"a",
             "machineType":"m","cell":0,"lifecycle":"up","weight":3.0,"startedAtMs":0}]}""";
@@ -44,7 +46,7 @@
             serve(discovery, (line, in) -> line.isEmpty()
                     ? "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list : "");
             Router router = new Router(Config.parse(CONFIG.formatted(port, discovery.getLocalPort(),
-                    LIST.formatted(1, true, cache.getLocalPort()))));
+                    LIST.formatted(1, true, cache.getLocalPort()), freePort())));
             router.start().get();
             int served = ask(port);
             router.stop().get();
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -21,6 +21,7 @@
 import stagepier.exchange.ModuleHost;
 import stagepier.overload.LoopDelay;
 import stagepier.overload.Pressure;
+import stagepier.peers.PeerSocket;
 import stagepier.server.ServerPools;
 
 /** One running router: puts the parts together on one event loop, starts them and stops them. */
@@ -49,6 +50,8 @@
     private final ServerPools servers;
     private final ClientListener clients;
     private final DiscoveryWatch watch;
+    /** Null where routers don't tell each other anything. */
+    private final PeerSocket peers;
     private boolean listening;
     private boolean stopping;
 
@@ -63,6 +66,10 @@
         host.connect(new Brain(settings, config.seed(), host), servers);
         clients = new ClientListener(loop, clock, delay, places(config.sockets()), host, this::stats);
         watch = new DiscoveryWatch(loop, config.discovery(), hosts, this::changed, host::membersFailed);
+        peers = config.peers() == null ? null : new PeerSocket(loop, config.peers(), host::heard);
+        if (peers != null) {
+            host.connectPeers(peers::tell);
+        }
     }
 
     /** The usual way to look for input, which tells when it does. */
@@ -108,6 +115,9 @@
                 LOG.warn("the known list is of no use: {}", e.getMessage());
             }
             watch.start();
+            if (peers != null) {
+                peers.start();
+            }
             long beat = (long) (LoopDelay.BEAT * 1e6);
             loop.scheduleWithFixedDelay(this::beat, beat, beat, TimeUnit.MICROSECONDS);
         });
@@ -179,6 +189,9 @@
     private void awaitEnd() {
         if (clients.isEmpty() && host.unanswered() == 0) {
             watch.stop();
+            if (peers != null) {
+                peers.stop();
+            }
             stopped.complete(null);
         } else {
             loop.schedule(this::awaitEnd, POLL_MS, TimeUnit.MILLISECONDS);
@@ -198,6 +211,9 @@
         host.count(to);
         servers.count(to);
         watch.count(to);
+        if (peers != null) {
+            peers.count(to);
+        }
     }
 
     /** All counters in one line for the log. On the event loop. */
--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
@@ -15,6 +16,7 @@
 import stagepier.Api;
 import stagepier.memcache.Command;
 import stagepier.overload.LoopDelay;
+import stagepier.peers.PeerView;
 import stagepier.settings.SettingsParser;
 
 /**
@@ -55,6 +57,8 @@
     private final double longestDeadline;
     private Api.Events module;
     private Carrier carrier;
+    private Consumer<List<Api.News>> peers = news -> { };
+    private final PeerView peerView = new PeerView();
     private boolean inEvent;
     private long lastId;
     private long unanswered;
@@ -71,6 +75,11 @@
         longestDeadline = settings.classes().stream().mapToDouble(Api.RequestClass::deadline).max().orElseThrow();
     }
 
+    /** Where what the module tells other routers goes; until then nowhere. */
+    public void connectPeers(Consumer<List<Api.News>> to) {
+        peers = to;
+    }
+
     /** Before anything else. */
     public void connect(Api.Events decisions, Carrier servers) {
         module = decisions;
@@ -318,6 +327,19 @@
         carrier.closeIdle(server);
     }
 
+    @Override
+    public void tellPeers(List<Api.News> news) {
+        peers.accept(news);
+    }
+
+    /** Another router has told something. */
+    public void heard(int peer, List<Api.News> news) {
+        post(() -> {
+            double now = clock.now();
+            module.onPeers(now, peerView.heard(now, peer, news));
+        });
+    }
+
     /** The watch of discovery runs from the start and renews itself. */
     @Override
     public void watchMembers() {
--- /dev/null
+++ b/router/src/main/java/stagepier/peers/PeerSocket.java
@@ -0,0 +1,129 @@
+package stagepier.peers;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.SocketProtocolFamily;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ObjLongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stagepier.Api;
+
+/**
+ * The datagrams between routers; owns their one socket. What comes from an address that is no router's, or makes no sense,
+ * is counted and dropped. Routers serve as well without it: a socket that cannot be had is logged, and that is all.
+ */
+public final class PeerSocket {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerSocket.class);
+
+    /** Takes what another router told. */
+    @FunctionalInterface
+    public interface Listener {
+        /** @param peer the number of the router that told it */
+        void heard(int peer, List<Api.News> news);
+    }
+
+    /**
+     * Where routers hear of each other.
+     *
+     * @param listen where this one is told
+     * @param all    what is sent here goes to every router
+     * @param routers one address for each, in the order of their numbers; others have to send from these
+     * @param own    this router's number
+     */
+    public record Addresses(InetSocketAddress listen, InetSocketAddress all, List<InetSocketAddress> routers, int own) {
+    }
+
+    private final EventLoop loop;
+    private final Addresses addresses;
+    private final Listener listener;
+    private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
+    private Channel channel;
+    private long sent;
+    private long heard;
+    private long strange;
+    private long malformed;
+
+    public PeerSocket(EventLoop loop, Addresses addresses, Listener listener) {
+        this.loop = loop;
+        this.addresses = addresses;
+        this.listener = listener;
+        for (int i = 0; i < addresses.routers().size(); i++) {
+            numbers.put(addresses.routers().get(i), i);
+        }
+    }
+
+    public void start() {
+        new Bootstrap().group(loop).channelFactory(() -> new NioDatagramChannel(SocketProtocolFamily.INET))
+                // A byte more than the most: what fills it was longer, and is no message.
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(NewsCodec.BYTES_MOST + 1))
+                .handler(new Inbound()).bind(addresses.listen()).addListener((io.netty.channel.ChannelFuture bound) -> {
+                    if (bound.isSuccess()) {
+                        channel = bound.channel();
+                    } else {
+                        LOG.warn("no word from other routers: {}", bound.cause().getMessage());
+                    }
+                });
+    }
+
+    public void stop() {
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
+    /** Tells all other routers; may be lost. */
+    public void tell(List<Api.News> news) {
+        if (channel != null && channel.isActive()) {
+            sent++;
+            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(NewsCodec.encode(news)), addresses.all()),
+                    channel.voidPromise());
+        }
+    }
+
+    private final class Inbound extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            Integer peer = numbers.get(packet.sender());
+            if (peer == null || peer == addresses.own()) {
+                strange += peer == null ? 1 : 0;
+                return;
+            }
+            List<Api.News> news;
+            try {
+                news = NewsCodec.decode(ByteBufUtil.getBytes(packet.content()));
+            } catch (IllegalArgumentException e) {
+                malformed++;
+                return;
+            }
+            heard++;
+            listener.heard(peer, news);
+        }
+
+        /** A send that failed is a message lost. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            LOG.debug("peers: {}", cause.toString());
+        }
+    }
+
+    public void count(ObjLongConsumer<String> to) {
+        to.accept("peer_messages_sent", sent);
+        to.accept("peer_messages_heard", heard);
+        to.accept("peer_messages_strange", strange);
+        to.accept("peer_messages_malformed", malformed);
+    }
+}
--- a/router/src/main/java/stagepier/settings/SettingsParser.java
+++ b/router/src/main/java/stagepier/settings/SettingsParser.java
@@ -20,8 +20,9 @@
      * @param reportFields values in a load report
      * @param names        the words by which sockets name what the module knows by index
      * @param idleClose    a server closes a connection that was idle for so many seconds; 0 for never
+     * @param slot         this balancer's number among all, from 0
      */
-    public record Parsed(Api.Settings settings, int reportFields, Names names, double idleClose) {
+    public record Parsed(Api.Settings settings, int reportFields, Names names, double idleClose, int slot) {
     }
 
     /** The names in the settings, each at its index. */
@@ -60,7 +61,8 @@
                 text(o, "Discovery", "push").equals("ask"));
         Names names = new Names(named(array(o, "Classes")), named(array(o, "Realms")), strings(o, "Areas"),
                 strings(o, "Flavors"));
-        return new Parsed(settings, fields.size(), names, number(object(o, "Limits"), "IdleClose", 0));
+        return new Parsed(settings, fields.size(), names, number(object(o, "Limits"), "IdleClose", 0),
+                (int) number(o, "SlotNo", 0));
     }
 
     private static List<Api.RequestClass> classes(JsonObject o) {
@@ -99,7 +101,8 @@
     private static Api.Limits limits(JsonObject o) {
         double retryAfter = bool(o, "RetryAfter", true) ? number(o, "MaxRetryAfter", 0) : 0;
         return new Api.Limits((int) number(o, "MaxAttempts", 1), bool(o, "MayDuplicate", false),
-                bool(o, "Cancel", false), bool(o, "Probes", false), retryAfter, number(o, "DialTimeout", 0));
+                bool(o, "Cancel", false), bool(o, "Probes", false), retryAfter, number(o, "DialTimeout", 0),
+                bool(o, "Peers", false));
     }
 
     private static Api.Protection protection(JsonObject o) {
--- a/router/src/test/java/stagepier/ManyRoutersTest.java
+++ b/router/src/test/java/stagepier/ManyRoutersTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import stagepier.Api.Lookup;
 import stagepier.Api.Outcome;
+import stagepier.peers.PeerView;
 
 /**
  * Many instances of the module side by side under one clock, each with little traffic: what one does is counted over
@@ -34,22 +35,46 @@
     private record Ending(double at, int router, ScriptedHost.Sent sent, int attempt, Answer answer) {
     }
 
+    /** A timer of the module that will come due. */
+    private record Due(double at, int router, long token) {
+    }
+
     /** A fleet of routers over the same servers. */
     private static final class Routers {
         private final List<Fixture> all = new ArrayList<>();
         private final int[] told = new int[ROUTERS];
+        private final int[] timed = new int[ROUTERS];
+        private final int[] gossiped = new int[ROUTERS];
+        private final List<PeerView> views = new ArrayList<>();
+        private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
+        private final boolean peers;
         private final List<Map<Long, Integer>> attempts = new ArrayList<>();
         private final PriorityQueue<Ending> endings = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
         private final SplittableRandom random = new SplittableRandom(7);
         private final World world;
         private double now = 100;
         private int asked;
+        private int timeouts;
+        private int messages;
         private final Map<Long, Integer> outcomes = new HashMap<>();
 
         Routers(World world) {
+            this(world, false);
+        }
+
+        Routers(World world, boolean peers) {
             this.world = world;
+            this.peers = peers;
+            Api.Settings alone = Fixture.settings(Api.Fetching.THROUGH, true, Api.Scope.ALL, Api.WeightMeaning.NONE);
+            Api.Settings settings = new Api.Settings(ROUTERS, 0, alone.classes(), alone.tenants(), alone.weights(),
+                    alone.fetching(), alone.originKind(), alone.tick(), alone.quotaWorth(),
+                    new Api.Limits(3, true, true, false, 0.75, 0.1, peers), alone.protection(), alone.prices(),
+                    alone.report(), false);
             for (int i = 0; i < ROUTERS; i++) {
-                all.add(Fixture.through(SERVERS));
+                Fixture f = new Fixture(settings);
+                f.members(true, Fixture.fleet(SERVERS, 0));
+                all.add(f);
+                views.add(new PeerView());
                 attempts.add(new HashMap<>());
             }
         }
@@ -60,6 +85,12 @@
                 while (!endings.isEmpty() && endings.peek().at() <= now) {
                     end(endings.poll());
                 }
+                while (!dues.isEmpty() && dues.peek().at() <= now) {
+                    Due due = dues.poll();
+                    all.get(due.router()).now = due.at();
+                    all.get(due.router()).brain.onTimer(due.at(), due.token());
+                    collect(due.router());
+                }
                 int router = random.nextInt(ROUTERS);
                 Fixture f = all.get(router);
                 f.now = now;
@@ -75,6 +106,7 @@
             f.now = e.at();
             Outcome outcome = e.answer().outcome();
             outcomes.merge(e.sent().server(), 1, Integer::sum);
+            timeouts += outcome == Outcome.TIMEOUT ? 1 : 0;
             f.brain.onOutcome(f.now, e.sent().request(), e.attempt(), e.sent().server(), outcome, e.answer().after(),
                     outcome == Outcome.OK, e.answer().lookup(), Fixture.NO_REPORT);
             collect(e.router());
@@ -88,6 +120,25 @@
                 Answer a = world.answer(s.server(), f.now, random);
                 endings.add(new Ending(f.now + a.after(), router, s, attempt, a));
             }
+            for (; timed[router] < f.host.timers.size(); timed[router]++) {
+                ScriptedHost.Timer t = f.host.timers.get(timed[router]);
+                dues.add(new Due(f.now + t.delay(), router, t.token()));
+            }
+            for (; gossiped[router] < f.host.told.size(); gossiped[router]++) {
+                List<Api.News> news = f.host.told.get(gossiped[router]);
+                for (int i = 0; i < ROUTERS; i++) {
+                    if (i != router) {
+                        tell(i, router, news);
+                    }
+                }
+            }
+        }
+
+        void tell(int to, int from, List<Api.News> news) {
+            messages++;
+            Fixture f = all.get(to);
+            f.now = Math.max(f.now, now);
+            f.brain.onPeers(f.now, views.get(to).heard(f.now, from, news));
         }
 
         int refused() {
@@ -157,4 +208,36 @@
         routers.play(6);
         assertTrue(routers.closes() > 100, "only " + routers.closes());
     }
+
+    private static Routers zoneGoesSilent(boolean peers) {
+        Routers routers = new Routers((server, now, random) -> server <= 15 && now > 104
+                ? new Answer(Outcome.TIMEOUT, 1, Lookup.UNKNOWN) : good(random), peers);
+        routers.play(14);
+        return routers;
+    }
+
+    /** With thin traffic each router alone trips late: fifteen silent servers cost every router its own lesson. */
+    @Test
+    void oneLessonServesAllWhereRoutersTellEachOther() {
+        int alone = zoneGoesSilent(false).timeouts;
+        Routers together = zoneGoesSilent(true);
+        assertTrue(together.timeouts < 0.6 * alone, together.timeouts + " timed out, alone " + alone);
+        double aSecond = together.messages / 14.0 / ROUTERS / (ROUTERS - 1);
+        assertTrue(aSecond < 8, aSecond + " messages a second from each router to each");
+    }
+
+    /** A peer that lies, or is wrong, takes no server away and keeps none busy for ever. */
+    @Test
+    void onePeerAloneIsNotBelieved() {
+        Routers routers = new Routers((server, now, random) -> good(random), true);
+        List<Api.News> lies = Fixture.fleet(SERVERS, 0).stream().map(m -> new Api.News(m.id(), 0, true)).toList();
+        for (int i = 0; i < 40; i++) {
+            routers.play(0.1);
+            for (int to = 1; to < ROUTERS; to++) {
+                routers.tell(to, 0, lies);
+            }
+        }
+        assertEquals(0, routers.refused());
+        assertEquals(SERVERS, routers.outcomes.size(), "all servers are asked");
+    }
 }
--- a/router/src/test/java/stagepier/ScriptedHost.java
+++ b/router/src/test/java/stagepier/ScriptedHost.java
@@ -19,6 +19,8 @@
     final List<Long> cancelled = new ArrayList<>();
     int watches;
     int closes;
+    /** What was told to other balancers, each time. */
+    final List<List<Api.News>> told = new ArrayList<>();
     final StringBuilder log = new StringBuilder();
 
     @Override
@@ -68,6 +70,11 @@
         watches++;
     }
 
+    @Override
+    public void tellPeers(List<Api.News> news) {
+        told.add(news);
+    }
+
     @Override
     public void note(String text) {
         log.append("note ").append(text).append('\n');
--- /dev/null
+++ b/router/src/test/java/stagepier/peers/PeerSocketTest.java
@@ -0,0 +1,73 @@
+package stagepier.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import stagepier.Api;
+
+/** One router's socket against a stand-in router and a stranger, over loopback. */
+class PeerSocketTest {
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final List<Api.News> NEWS = List.of(new Api.News(7, 2, true));
+
+    private static void send(DatagramSocket from, byte[] bytes, InetSocketAddress to) throws Exception {
+        from.send(new DatagramPacket(bytes, bytes.length, to));
+    }
+
+    private static InetSocketAddress of(DatagramSocket socket) {
+        return new InetSocketAddress(LOOPBACK, socket.getLocalPort());
+    }
+
+    @Test
+    void onlyWholeMessagesOfOtherRoutersAreHeard() throws Exception {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        InetSocketAddress here;
+        try (DatagramSocket free = new DatagramSocket(0, LOOPBACK)) {
+            here = of(free);
+        }
+        try (DatagramSocket peer = new DatagramSocket(0, LOOPBACK); DatagramSocket stranger = new DatagramSocket(0, LOOPBACK)) {
+            peer.setSoTimeout(10_000);
+            BlockingQueue<Map.Entry<Integer, List<Api.News>>> heard = new LinkedBlockingQueue<>();
+            PeerSocket socket = new PeerSocket(group.next(), new PeerSocket.Addresses(here, of(peer),
+                    List.of(here, of(peer)), 0), (from, news) -> heard.add(Map.entry(from, news)));
+            socket.start();
+            // Told until heard: the socket is bound in its own time, and a datagram may be lost.
+            byte[] got = new byte[NewsCodec.BYTES_MOST + 1];
+            DatagramPacket packet = new DatagramPacket(got, got.length);
+            group.next().scheduleAtFixedRate(() -> socket.tell(NEWS), 1, 20, TimeUnit.MILLISECONDS);
+            peer.receive(packet);
+            assertEquals(NEWS, NewsCodec.decode(java.util.Arrays.copyOf(got, packet.getLength())));
+
+            send(stranger, NewsCodec.encode(NEWS), here);
+            send(peer, new byte[] {9, 9}, here);
+            send(peer, new byte[NewsCodec.BYTES_MOST * 2], here);
+            send(peer, NewsCodec.encode(NEWS), here);
+            assertEquals(Map.entry(1, NEWS), heard.poll(10, TimeUnit.SECONDS));
+            Map<String, Long> counts = group.next().submit(() -> {
+                Map<String, Long> all = new HashMap<>();
+                socket.count(all::put);
+                socket.stop();
+                return all;
+            }).get(10, TimeUnit.SECONDS);
+            assertEquals(1, counts.get("peer_messages_strange"));
+            assertEquals(2, counts.get("peer_messages_malformed"));
+            assertEquals(1, counts.get("peer_messages_heard"));
+            assertTrue(heard.isEmpty());
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+}
