Give a busy owner's requests to the least busy of its first two ring servers

Cause: Brain.pick's return of the first busy server. Change: where peers tell, the one of the first two with the least in flight for its size; only the owner is asked while fetches are shed, for a key on more servers misses on more.

Test: with peers' counts on owner and next, each way round.

--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -118,7 +118,6 @@
     private static final double COPY_BEFORE = 0.7;
     /** Answers after which their mean time is taken for what an answer needs that waits for nothing. */
     private static final int ANSWERS_TO_TRUST = 8;
-    /** Weight of a new answer in the running mean of answer times. */
     private static final double LATENCY_GAIN = 1.0 / 64;
     /** Retry-after in parts of the aim: late enough to spread, early enough to be of use. */
     private static final double RETRY_AFTER_MIN = 0.05;
@@ -474,6 +473,8 @@
         walk++;
         int asked = -skip;
         int turned = 0;
+        int busies = 0;
+        double least = Double.POSITIVE_INFINITY;
         Server busy = null;
         int size = ring.size();
         int at = ring.ownerIndex(p.point);
@@ -500,9 +501,11 @@
             boolean suspect = !s.breaker.isOpen && s.openElsewhere >= SUSPECTED_BY;
             if (maySend(now, p, s) && !suspect && s.breaker.allows(now) && warmEnough(now, p, s)
                     && s.bulkhead.allows(tickets(s))) {
-                if (s.bulkhead.inFlight + s.elsewhere >= busyFrom(s)) {
-                    busy = busy == null ? s : busy;
-                    if (asked > 1) {
+                double load = (s.bulkhead.inFlight + s.elsewhere) / busyFrom(s);
+                if (load >= 1) {
+                    busy = busy == null || elsewhere > 0 && load < least ? s : busy;
+                    least = Math.min(load, least);
+                    if (++busies >= (fetches.admitted < COPY_WHILE_ADMITTED ? 1 : 2)) {
                         return busy;
                     }
                     continue;
@@ -553,7 +556,7 @@
         return s.warmUp.affords(now, rate, Math.max(1, rate * settings.protection().overloadSpan() / 2));
     }
 
-    /** Busy by chance: the next one may have no wait; no more are asked, for a key on many misses on many. */
+    /** Busy by chance: the next may have no wait; no more are asked, for a key on many misses on many. */
     private double busyFrom(Server s) {
         double usual = totalWeight > 0 ? (usualInFlight + elsewhere) * s.weight / totalWeight : 0;
         return Math.max(BUSY_FLOOR, usual + BUSY_DEVIATIONS * Math.sqrt(usual));
@@ -634,7 +637,6 @@
         }
     }
 
-    /** Remembers who holds the key, and what the outcome says of fetches. */
     private void learnOfKey(double now, Pending p, Server s, Outcome outcome, Lookup lookup) {
         boolean atOrigin = s == origin;
         if (outcome == Outcome.OK && !p.request.write()) {
@@ -677,7 +679,6 @@
         }
     }
 
-    /** Gives the ticket back and learns from the outcome. */
     private void account(double now, Server s, long request, int attempt, Outcome outcome, double elapsed,
             boolean expectsHit, boolean waitedForOrigin) {
         s.bulkhead.giveBack(now, CONCURRENCY_FADES * shortestDeadline);
@@ -1276,7 +1277,6 @@
             least = seen <= ANSWERS_TO_TRUST ? Math.exp(typical) : Math.min(Math.exp(typical), least);
         }
 
-        /** A time that few healthy answers need. */
         double late() {
             return mean + LATE_DEVIATIONS * deviation;
         }
--- a/router/src/test/java/stagepier/ManyRoutersTest.java
+++ b/router/src/test/java/stagepier/ManyRoutersTest.java
@@ -240,4 +240,21 @@
         assertEquals(0, routers.refused());
         assertEquals(SERVERS, routers.outcomes.size(), "all servers are asked");
     }
+
+    /** Of a key's first two servers the less busy one is asked, and only its owner while fetches are shed. */
+    @Test
+    void whereOthersKeepTheOwnerBusyTheNextIsAsked() {
+        Fixture f = Fixture.through(10);
+        f.warm(500);
+        long owner = f.serve(0, 5);
+        f.brain.onPeers(f.now, List.of(new Api.Elsewhere(owner, 30, 0)));
+        long next = f.serve(0, 5);
+        assertTrue(next != owner, "the owner has thirty in flight from others");
+        f.brain.onPeers(f.now, List.of(new Api.Elsewhere(owner, 30, 0), new Api.Elsewhere(next, 40, 0)));
+        assertEquals(owner, f.serve(0, 5), "both are busy, the owner less");
+        f.brain.onPeers(f.now, List.of(new Api.Elsewhere(owner, 40, 0), new Api.Elsewhere(next, 30, 0)));
+        assertEquals(next, f.serve(0, 5), "both are busy, the next less");
+        f.brain.onPeers(f.now, List.of());
+        assertEquals(owner, f.serve(0, 5), "nothing is told any more");
+    }
 }
