--- a/router/src/test/java/stagepier/ArchitectureTest.java
+++ b/router/src/test/java/stagepier/ArchitectureTest.java
@@ -31,6 +31,17 @@
     static final ArchRule PARSERS_KNOW_NO_SOCKETS = noClasses().that().resideInAPackage("stagepier.memcache..")
             .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..");
 
+    /** What routers tell each other has one form and one sum for sockets and simulator alike. */
+    @ArchTest
+    static final ArchRule NEWS_KNOWS_NO_SOCKETS = noClasses().that().resideInAPackage("stagepier.peers..")
+            .and().haveSimpleNameNotStartingWith("PeerSocket")
+            .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..", "org.slf4j..");
+
+    @ArchTest
+    static final ArchRule PEERS_STAND_ALONE = noClasses().that().resideInAPackage("stagepier.peers..")
+            .should().dependOnClassesThat().resideInAnyPackage("stagepier.client..", "stagepier.server..",
+                    "stagepier.exchange..", "stagepier.discovery..");
+
     @ArchTest
     static final ArchRule NOTHING_KNOWS_THE_APP = noClasses().that().resideOutsideOfPackage("stagepier.app..")
             .should().dependOnClassesThat().resideInAPackage("stagepier.app..");
