--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -75,7 +75,6 @@
     /** Shortest deadlines for which one that keeps the least rests, and in which all keys come back then. */
     private static final double CROWD_RESTS = 5;
     private static final double CROWD_RETURNS = 4;
-    /** Weight of a new answer in the running mean of one server's answer times. */
     private static final double LAG_GAIN = 0.4;
     /** The same where it alone tells a crowd: single answers vary by more than what makes one. */
     private static final double LAG_GAIN_THROUGH = 0.2;
@@ -133,6 +132,8 @@
     private static final long TELL_TOKEN = -2;
     /** What is out and what is open is told to the other balancers so often, in shortest deadlines. */
     private static final double TELLS_EVERY = 0.18;
+    /** Balancers from which on it is told: fewer see enough themselves, and would only move keys about. */
+    private static final int MANY = 7;
     /** So many others with an open circuit make a server suspect here, too: no single one is believed. */
     private static final int SUSPECTED_BY = 3;
 
@@ -239,7 +240,7 @@
             watching = true;
             host.watchMembers();
         }
-        if (!telling && settings.limits().peers() && settings.balancers() > 1) {
+        if (!telling && settings.limits().peers() && settings.balancers() >= MANY) {
             telling = true;
             host.setTimer(TELLS_EVERY * shortestDeadline * random.nextDouble(), TELL_TOKEN);
         }
@@ -1282,7 +1283,6 @@
         }
     }
 
-    /** A count in which what lies back fades away. */
     private static final class FadingCount {
         private final double fades;
         private double count;
