--- a/router/src/main/java/stagepier/server/ServerPool.java
+++ b/router/src/main/java/stagepier/server/ServerPool.java
@@ -131,11 +131,12 @@
                 best = link;
             }
         }
-        if (best == null && links.size() >= ServerPools.LINKS_MOST && deaf != null) {
+        int most = pools.linksMost();
+        if (best == null && links.size() >= most && deaf != null) {
             deaf.drop();
         }
         boolean mayOpen = (links.isEmpty() || pools.hasSpare())
-                && links.size() < (best == null || best.isFlowing() ? ServerPools.LINKS_MOST : ServerPools.LINKS_USUAL);
+                && links.size() < (best == null || best.isFlowing() ? most : pools.linksUsual());
         if (mayOpen && (best == null || best.load() > 0)) {
             ServerLink fresh = new ServerLink(this);
             links.add(fresh);
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -21,20 +21,13 @@
 import stagepier.exchange.ModuleHost;
 import stagepier.memcache.MalformedException;
 import stagepier.memcache.Protocol;
+import stagepier.overload.LinkShare;
 import stagepier.overload.LoopDelay;
 import stagepier.overload.SharedRoom;
 
 /** The server side: a pool of links for each cache server of the list. */
 public final class ServerPools implements Carrier {
     private static final Logger LOG = LoggerFactory.getLogger(ServerPools.class);
-    /**
-     * Links to one server while answers come; a further one is opened when all have an answer to give. With one, a quick
-     * answer waits for a slow one, and one spoilt answer or reset takes along all that is out there. Each costs the
-     * server a handshake and a place in its table.
-     */
-    static final int LINKS_USUAL = 4;
-    /** The same with silent ones, which only wait for late answers. */
-    static final int LINKS_MOST = 6;
     /** An answer of which nothing more comes for so long is spoilt; in parts of the shortest deadline. */
     private static final double STALL_MOST = 0.15;
     /** A silent link on which nobody waits any more is closed after so long. */
@@ -217,6 +210,16 @@
         return pools.values().stream().mapToInt(ServerPool::size).sum();
     }
 
+    /** Links a server while all have an answer to give; more where descriptors allow, for a slow answer holds up all behind it. */
+    int linksUsual() {
+        return LinkShare.usual(linksMost, pools.size());
+    }
+
+    /** The same with silent ones. */
+    int linksMost() {
+        return LinkShare.most(linksMost, pools.size());
+    }
+
     /** Whether there are descriptors for more than one link a server. */
     boolean hasSpare() {
         return links() < linksMost;
