--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -165,6 +165,8 @@
     private Server origin;
     private double referenceWeight;
     private double totalWeight;
+    private double warmWeight;
+    private double weighedAt = Double.NEGATIVE_INFINITY;
     private final double[] nominalWeight = new double[256];
     /** By machine kind: speed that it counts for, in parts of the fastest; mean log answer time; answers. */
     private final double[] kindSpeed = new double[256];
@@ -203,27 +205,18 @@
         this.host = host;
         random = new SplittableRandom(seed);
         maxAttempts = Math.max(1, Math.min(MOST_ATTEMPTS, settings.limits().maxAttempts()));
-        double shortest = Double.POSITIVE_INFINITY;
-        for (RequestClass c : settings.classes()) {
-            shortest = Math.min(shortest, c.deadline());
-        }
+        double shortest = settings.classes().stream().mapToDouble(RequestClass::deadline).min().getAsDouble();
         shortestDeadline = shortest;
         Arrays.fill(kindSpeed, 1);
         usualAim = settings.classes().get(0).aim();
         ownAnswersOnly = settings.fetching() == Fetching.THROUGH && settings.weights() != WeightMeaning.LIVE;
         fewCrowded = ownAnswersOnly ? CROWDED_FEW_THROUGH : CROWDED_FEW;
         lagGain = ownAnswersOnly ? LAG_GAIN_THROUGH : LAG_GAIN;
-        for (int i = 0; i < calls.length; i++) {
-            calls[i] = new FadingCount(EVIDENCE_FADES * shortest);
-            failures[i] = new FadingCount(EVIDENCE_FADES * shortest);
-        }
         tenantCalls = new FadingCount[settings.tenants().size()];
-        double shares = 0;
-        for (int i = 0; i < tenantCalls.length; i++) {
-            tenantCalls[i] = new FadingCount(EVIDENCE_FADES * shortest);
-            shares += settings.tenants().get(i).share();
+        for (FadingCount[] counts : List.of(calls, failures, tenantCalls)) {
+            Arrays.setAll(counts, i -> new FadingCount(EVIDENCE_FADES * shortest));
         }
-        sumOfShares = shares;
+        sumOfShares = settings.tenants().stream().mapToDouble(Tenant::share).sum();
         allCalls = new FadingCount(EVIDENCE_FADES * shortest);
         ends = new FadingCount(EVIDENCE_FADES * shortest);
         connectFailures = new FadingCount(EVIDENCE_FADES * shortest);
@@ -478,6 +471,7 @@
         int busies = 0;
         double least = Double.POSITIVE_INFINITY;
         Server busy = null;
+        Server spare = null;
         int size = ring.size();
         int at = ring.ownerIndex(p.point);
         for (int step = 0; step < size && asked < WALK_LIMIT; step++) {
@@ -496,27 +490,36 @@
                     crowdedShare += LATENCY_GAIN * (1 - crowdedShare);
                 }
                 if (crowdedShare > fewCrowded || fetches.admitted < COPY_WHILE_ADMITTED) {
-                    return null;
+                    // Guards against turning away whose owner is only busy, for a crowd at the next one.
+                    return busy;
                 }
                 continue;
             }
             boolean suspect = !s.breaker.isOpen && s.openElsewhere >= SUSPECTED_BY;
-            if (maySend(now, p, s) && !suspect && s.breaker.allows(now) && warmEnough(now, p, s)
-                    && s.bulkhead.allows(tickets(s))) {
+            if (maySend(now, p, s) && !suspect && s.breaker.allows(now) && s.bulkhead.allows(tickets(s))
+                    && affordsCold(now, s)) {
+                if (!warmEnough(now, p, s)) {
+                    boolean idles = p.outstanding == 0 && s.bulkhead.inFlight < busyFrom(s);
+                    spare = spare == null && idles ? s : spare;
+                    continue;
+                }
                 double load = (s.bulkhead.inFlight + s.elsewhere) / busyFrom(s);
                 if (load >= 1) {
                     busy = busy == null || elsewhere > 0 && load < least ? s : busy;
                     least = Math.min(load, least);
                     if (++busies >= (fetches.admitted < COPY_WHILE_ADMITTED ? 1 : 2)) {
-                        return busy;
+                        break;
                     }
                     continue;
                 }
-                crowdedShare -= LATENCY_GAIN * (turned == 0 ? crowdedShare : 0);
-                return s;
+                busy = s;
+                break;
             }
         }
-        return busy;
+        // Whoever met no crowd counts, sent to a busy server or not: or few crowded servers look like many.
+        crowdedShare -= LATENCY_GAIN * (busy != null && turned == 0 ? crowdedShare : 0);
+        // Guards against refusing while cold servers idle: they get what no warm one takes, on budget.
+        return busy == null ? spare : busy;
     }
 
     /** Guards against a jam that outlasts its cause: part of its keys, always the same, is turned away. */
@@ -543,19 +546,29 @@
         return usualWork > 0 ? Math.min(usualWork, cacheLatency.least) : cacheLatency.least;
     }
 
-    /** Guards against pushing a cold server over: it gets part of its keys, within a budget. */
+    /** Part of its keys goes to a server that is not warm. */
     private boolean warmEnough(double now, Pending p, Server s) {
         double share = s.warmUp.share(now, settings.protection());
-        if (share >= 1) {
-            return true;
-        }
-        if (unit(mix(p.point ^ s.id)) >= share * COLD_SHARE) {
-            return false;
+        return share >= 1 || unit(mix(p.point ^ s.id)) < share * COLD_SHARE;
+    }
+
+    /** Guards against pushing a cold server over: whatever goes there keeps to a budget. */
+    private boolean affordsCold(double now, Server s) {
+        double share = s.warmUp.share(now, settings.protection());
+        double perWeight = warmSends.rate(now, startedAt) / Math.max(warmWeight(now), s.weight);
+        double rate = COLD_BUDGET * settings.protection().overloadFactor() * share * perWeight * s.weight;
+        return share >= 1
+                || s.warmUp.affords(now, rate, Math.max(1, rate * settings.protection().overloadSpan() / 2));
+    }
+
+    /** Of the warm ones, who share what they are sent: else a half cold fleet seems to be asked for less. */
+    private double warmWeight(double now) {
+        if (now >= weighedAt + TELLS_EVERY * shortestDeadline) {
+            weighedAt = now;
+            warmWeight = servers.values().stream().mapToDouble(s ->
+                    s.warmUp.share(now, settings.protection()) < 1 ? 0 : s.weight).sum();
         }
-        double perWeight = warmSends.rate(now, startedAt) / Math.max(totalWeight, s.weight);
-        double factor = COLD_BUDGET * settings.protection().overloadFactor();
-        double rate = factor * share * perWeight * s.weight;
-        return s.warmUp.affords(now, rate, Math.max(1, rate * settings.protection().overloadSpan() / 2));
+        return warmWeight;
     }
 
     /** Busy by chance: the next may have no wait; no more are asked, for a key on many misses on many. */
@@ -992,12 +1005,7 @@
         }
 
         boolean tried(Server s) {
-            for (int i = 0; i < attempts; i++) {
-                if (on[i] == s) {
-                    return true;
-                }
-            }
-            return false;
+            return Arrays.asList(on).contains(s);
         }
     }
 
@@ -1024,14 +1032,7 @@
         }
 
         void remove(int slot) {
-            long[] kept = new long[points.length];
-            int n = 0;
-            for (long point : points) {
-                if ((point & SLOT_MASK) != slot) {
-                    kept[n++] = point;
-                }
-            }
-            points = Arrays.copyOf(kept, n);
+            points = Arrays.stream(points).filter(point -> (point & SLOT_MASK) != slot).toArray();
         }
 
         int size() {
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -123,23 +123,32 @@
         long from = System.nanoTime();
         WarmUp.run(loop, config.settings(), served -> {
             LOG.debug("warmed up in {} ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from));
-            try {
-                if (config.known() != null) {
-                    changed(hosts.apply(config.known()));
-                }
-            } catch (IllegalArgumentException e) {
-                LOG.warn("the known list is of no use: {}", e.getMessage());
-            }
-            watch.start();
-            if (peers != null) {
-                peers.start();
+            if (console == null) {
+                serve();
+            } else {
+                SocketWarmUp.run(loop, config.console(), this::serve);
             }
-            long beat = (long) (LoopDelay.BEAT * 1e6);
-            loop.scheduleWithFixedDelay(this::beat, beat, beat, TimeUnit.MICROSECONDS);
         });
         return ready;
     }
 
+    /** All is warm: takes up the list as it was known last, and goes on with the one that is. */
+    private void serve() {
+        try {
+            if (config.known() != null) {
+                changed(hosts.apply(config.known()));
+            }
+        } catch (IllegalArgumentException e) {
+            LOG.warn("the known list is of no use: {}", e.getMessage());
+        }
+        watch.start();
+        if (peers != null) {
+            peers.start();
+        }
+        long beat = (long) (LoopDelay.BEAT * 1e6);
+        loop.scheduleWithFixedDelay(this::beat, beat, beat, TimeUnit.MICROSECONDS);
+    }
+
     private void changed(HostGroup.Change change) {
         List<Api.Member> members = new ArrayList<>();
         for (HostGroup.Host h : change.hosts()) {
