Play staff in the lab: nodes out by hand, paused routers, upgrades on a passed socket

Need: the lab had no scenario for what staff do daily. Change: faults suspend, router_pause, router_upgrade; the ledger holds sends against the word of staff (Event.Staff), whatever discovery says; PassedSocket holds the clients' socket and forks. Result: ExperimentTest plays each against the real router with a clean ledger; LedgerTest finds a planted send to a node that staff took out.

--- a/lab/src/main/java/stagepier/lab/fleet/Experiment.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Experiment.java
@@ -42,6 +42,12 @@
     /** Later than this at the 99th percentile, the generator was too slow for what it had to send. */
     private static final long LAG_MOST_US = 20_000;
     private static final int ENDS_WITHIN_S = 12;
+    /** Seconds after SUSPEND at which a node is restarted by hand, and that this takes. */
+    private static final double RESTARTED_AFTER = 1.5;
+    private static final double RESTART_TAKES = 0.5;
+    /** Seconds for which new clients still come to a router that says no, and after which all have to be gone. */
+    private static final double FRONT_NOTICES = 0.3;
+    private static final double GONE_WITHIN = 4;
 
     private final Scenario scenario;
     private final long seed;
@@ -57,6 +63,7 @@
     private final List<RouterProcess> routers = new ArrayList<>();
     private final Thread atExit = new Thread(this::killAll, "end-routers");
     private Fleet fleet;
+    private Clients clients;
 
     /**
      * @param command starts one router, which finds its configuration by GW_CONFIG
@@ -73,7 +80,7 @@
     }
 
     private void killAll() {
-        routers.forEach(RouterProcess::kill);
+        routers.forEach(RouterProcess::close);
     }
 
     /** Runs it all. {@code watcher} is told about once a second, on a thread of the experiment's. */
@@ -81,7 +88,7 @@
         fleet = new Fleet(worldLoop, clock, recorder, scenario, randoms);
         fleet.start();
         for (int r = 0; r < scenario.routers(); r++) {
-            RouterProcess router = new RouterProcess(r, command, folder);
+            RouterProcess router = new RouterProcess(r, command, folder, scenario.hasStaff());
             routers.add(router);
             router.start(fleet.config(r, router.port(), seed * 31 + r));
         }
@@ -90,7 +97,7 @@
             ready.add(router.awaitReady());
         }
         List<Planned> plan = Arrivals.draw(randoms, scenario.demand(), scenario.kinds());
-        Clients clients = new Clients(clientLoop, clock, recorder, scenario, plan,
+        clients = new Clients(clientLoop, clock, recorder, scenario, plan,
                 routers.stream().mapToInt(RouterProcess::port).toArray());
         List<Double> cpuBefore = routers.stream().map(RouterProcess::cpuSeconds).toList();
         CountDownLatch over = new CountDownLatch(1);
@@ -143,6 +150,10 @@
     }
 
     private void befall(Fault fault) {
+        if (fault.kind() == Fault.Kind.SUSPEND) {
+            Fleet.chosen(fault, scenario.nodes(), randoms).forEach(node -> script.execute(() -> suspend(fault, node)));
+            return;
+        }
         if (!fault.kind().isOfRouters()) {
             fleet.befall(fault);
             return;
@@ -160,6 +171,13 @@
                     router.config(fleet.config(r, router.port(), seed * 31 + r));
                     router.reload();
                 }
+                case ROUTER_PAUSE -> pause(fault, r);
+                case ROUTER_UPGRADE -> {
+                    String wrong = router.upgrade(fleet.config(r, router.port(), seed * 31 + r + 2000));
+                    if (wrong != null) {
+                        stray(r, wrong);
+                    }
+                }
                 case ROUTER_KILL -> {
                     recorder.add(new Event.Router(clock.now(), r, false));
                     router.kill();
@@ -168,19 +186,75 @@
                 default -> {
                     // Clients still come for a while after the word; what it takes then it has to answer.
                     if (!router.end(ENDS_WITHIN_S)) {
-                        recorder.add(new Event.Stray(clock.now(), r, "(it did not end in order when told to)"));
+                        stray(r, "it did not end in order when told to");
                     }
                     recorder.add(new Event.Router(clock.now(), r, false));
                     startAgain(r);
                 }
             }
         } catch (IOException e) {
-            recorder.add(new Event.Stray(clock.now(), r, "(fault " + fault.kind() + " failed: " + e.getMessage() + ")"));
+            stray(r, "fault " + fault.kind() + " failed: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Something that is no answer at all, and wrong. */
+    private void stray(int r, String what) {
+        recorder.add(new Event.Stray(clock.now(), r, "(" + what + ")"));
+    }
+
+    private void later(double seconds, Runnable what) {
+        script.schedule(what, (long) (seconds * 1e6), TimeUnit.MICROSECONDS);
+    }
+
+    // ---- what staff do ------------------------------------------------------------------------------------
+    /** Out at every router, restarted meanwhile, and back, cold. */
+    private void suspend(Fault fault, int node) {
+        callAll("SUSPEND", node, true);
+        later(RESTARTED_AFTER, () -> fleet.restart(node, RESTART_TAKES));
+        later(Math.max(fault.lasts(), RESTARTED_AFTER + RESTART_TAKES), () -> callAll("RESTORE", node, false));
+    }
+
+    private void callAll(String word, int node, boolean out) {
+        try {
+            String id = fleet.id(node);
+            for (int r = 0; r < routers.size(); r++) {
+                if (routers.get(r).says(word + " " + id)) {
+                    recorder.add(new Event.Staff(clock.now(), r, node, out));
+                } else {
+                    stray(r, word + " " + id + " was not answered with yes in 1 s");
+                }
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Sends a router's clients away, to the next one, looks whether they are gone after 4 s, and lets them come again. */
+    private void pause(Fault fault, int r) {
+        if (!routers.get(r).says("PAUSE")) {
+            stray(r, "PAUSE was not answered with yes in 1 s");
+        }
+        later(FRONT_NOTICES, () -> clients.move(r, (r + 1) % routers.size()));
+        later(GONE_WITHIN, () -> {
+            try {
+                int held = clients.open(r);
+                if (held > 0 || routers.get(r).isAlive(1000)) {
+                    stray(r, held + " connections of clients held, or yes said, 4 s after PAUSE");
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        later(Math.max(fault.lasts(), GONE_WITHIN + 1), () -> {
+            if (!routers.get(r).says("RESUME") || !routers.get(r).isAlive(1000)) {
+                stray(r, "RESUME was not answered with yes, or no yes after it");
+            }
+            clients.move(r, r);
+        });
+    }
+
     private void startAgain(int r) {
         RouterProcess router = routers.get(r);
         try {
@@ -188,7 +262,7 @@
             router.awaitReady();
             recorder.add(new Event.Router(clock.now(), r, true));
         } catch (IOException e) {
-            recorder.add(new Event.Stray(clock.now(), r, "(it did not start again: " + e.getMessage() + ")"));
+            stray(r, "it did not start again: " + e.getMessage());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/lab/src/main/java/stagepier/lab/fleet/RouterProcess.java
+++ b/lab/src/main/java/stagepier/lab/fleet/RouterProcess.java
@@ -12,10 +12,21 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
-/** One real router as a process of its own. */
+/** One real router as a process of its own; during an upgrade as two, on a socket that both inherit. */
 public final class RouterProcess {
+    /** A process that was started: its exit code, below 0 for a signal, and where its console is; 0 for nowhere. */
+    record Running(ProcessHandle process, CompletableFuture<Integer> exit, int console) {
+    }
+
+    /** A new version has so long to say yes; seconds. */
+    private static final int UPGRADE_READY_MS = 6000;
+    /** After SIGTERM the old one has the longest deadline, counted as 3 s, and 0.7 s. */
+    private static final int OLD_ENDS_MS = 3700;
     private static final int READY_WITHIN_S = 30;
     /** As in the deployment: a small heap, one compiler, the classes from the archive if the build made one. */
     private static final List<String> FLAGS = List.of("-Xms24m", "-Xmx64m", "-Xss512k", "-XX:MaxDirectMemorySize=16m",
@@ -26,13 +37,17 @@
     private final List<String> command;
     private final Path folder;
     private final int port;
-    private Process process;
+    /** Null where no staff call and no version is put in another's place. */
+    private final PassedSocket socket;
+    private Running running;
 
-    RouterProcess(int number, List<String> command, Path folder) throws IOException {
+    /** @param staff whether it has a console, and its clients' socket is held outside of it */
+    RouterProcess(int number, List<String> command, Path folder, boolean staff) throws IOException {
         this.number = number;
         this.command = List.copyOf(command);
         this.folder = folder;
-        port = Ports.free();
+        socket = staff ? new PassedSocket(command, Files.createDirectories(folder.resolve("router-" + number + ".shared"))) : null;
+        port = staff ? socket.port() : Ports.free();
     }
 
     /**
@@ -66,12 +81,74 @@
 
     /** Writes its configuration and starts it; does not wait. */
     void start(String config) throws IOException {
+        running = launch(config);
+    }
+
+    private Running launch(String config) throws IOException {
         Path file = config(config);
+        Path log = folder.resolve("router-" + number + ".log");
+        if (socket != null) {
+            return socket.start(file.toAbsolutePath(), Ports.free(), log.toAbsolutePath());
+        }
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GW_CONFIG", file.toString());
         builder.redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("router-" + number + ".log").toFile()));
-        process = builder.start();
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        Process process = builder.start();
+        return new Running(process.toHandle(), process.onExit().thenApply(Process::exitValue), 0);
+    }
+
+    /**
+     * Puts a new process in the place of the one that serves, as a platform does.
+     *
+     * @return what was wrong about it, or null
+     */
+    String upgrade(String config) throws IOException, InterruptedException {
+        Running old = running;
+        Running fresh = launch(config);
+        long from = System.nanoTime();
+        while (!saysYes(fresh, "STATUS")) {
+            if (System.nanoTime() - from > TimeUnit.MILLISECONDS.toNanos(UPGRADE_READY_MS)) {
+                fresh.process().destroyForcibly();
+                return "the new process did not say yes within 6 s";
+            }
+            Thread.sleep(20);
+        }
+        running = fresh;
+        old.process().destroy();
+        try {
+            int code = old.exit().get(OLD_ENDS_MS, TimeUnit.MILLISECONDS);
+            return code == 0 ? null : "the old process ended with " + code;
+        } catch (TimeoutException e) {
+            old.process().destroyForcibly();
+            return "the old process did not end within 3.7 s";
+        } catch (ExecutionException e) {
+            throw new IOException(e);
+        }
+    }
+
+    private static boolean saysYes(Running router, String call) {
+        try {
+            return Console.saysYes(router.console(), call);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** A call of staff; returns whether it was answered with yes in time. */
+    boolean says(String call) {
+        return saysYes(running, call);
+    }
+
+    /** Whether it says that clients may come. */
+    boolean isAlive(int waitMs) {
+        try (Socket s = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            s.setSoTimeout(waitMs);
+            s.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            return "MN".equals(reader(s).readLine());
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     /** Writes its configuration for when it reads it next. */
@@ -83,19 +160,14 @@
     double awaitReady() throws IOException, InterruptedException {
         long from = System.nanoTime();
         while (System.nanoTime() - from < TimeUnit.SECONDS.toNanos(READY_WITHIN_S)) {
-            if (!process.isAlive()) {
-                throw new IOException("router " + number + " ended with " + process.exitValue() + " before it was ready; see "
-                        + folder.resolve("router-" + number + ".log"));
+            if (!running.process().isAlive()) {
+                throw new IOException("router " + number + " ended with " + running.exit().getNow(null)
+                        + " before it was ready; see " + folder.resolve("router-" + number + ".log"));
             }
-            try (Socket s = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
-                s.setSoTimeout(2000);
-                s.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.ISO_8859_1));
-                if ("MN".equals(reader(s).readLine())) {
-                    return (System.nanoTime() - from) / 1e9;
-                }
-            } catch (IOException e) {
-                Thread.sleep(20);
+            if (isAlive(2000)) {
+                return (System.nanoTime() - from) / 1e9;
             }
+            Thread.sleep(20);
         }
         throw new IOException("router " + number + " was not ready within " + READY_WITHIN_S + " s");
     }
@@ -123,14 +195,14 @@
 
     /** Processor seconds that it has taken so far, or NaN. */
     double cpuSeconds() {
-        return process == null ? Double.NaN
-                : process.info().totalCpuDuration().map(d -> d.toNanos() / 1e9).orElse(Double.NaN);
+        return running == null ? Double.NaN
+                : running.process().info().totalCpuDuration().map(d -> d.toNanos() / 1e9).orElse(Double.NaN);
     }
 
     /** Resident memory in MB as the system tells it, or NaN where it does not. */
     double residentMb() {
         try {
-            for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+            for (String line : Files.readAllLines(Path.of("/proc", Long.toString(running.process().pid()), "status"))) {
                 if (line.startsWith("VmRSS:")) {
                     return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024.0;
                 }
@@ -141,31 +213,36 @@
         return Double.NaN;
     }
 
-    boolean isAlive() {
-        return process != null && process.isAlive();
+    void kill() {
+        if (running != null) {
+            running.process().destroyForcibly();
+        }
     }
 
-    void kill() {
-        if (process != null) {
-            process.destroyForcibly();
+    /** Ends whatever it started. */
+    void close() {
+        kill();
+        if (socket != null) {
+            socket.close();
         }
     }
 
     /** Tells it to end in order; returns whether it did so with exit code 0 within that time. */
     boolean end(int seconds) throws InterruptedException {
-        if (process == null) {
+        if (running == null) {
             return true;
         }
-        process.destroy();
-        if (process.waitFor(seconds, TimeUnit.SECONDS)) {
-            return process.exitValue() == 0;
+        running.process().destroy();
+        try {
+            return running.exit().get(seconds, TimeUnit.SECONDS) == 0;
+        } catch (ExecutionException | TimeoutException e) {
+            running.process().destroyForcibly();
+            return false;
         }
-        process.destroyForcibly().waitFor();
-        return false;
     }
 
     /** Tells it to read its configuration again. */
     void reload() throws IOException {
-        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start();
+        new ProcessBuilder("kill", "-HUP", Long.toString(running.process().pid())).start();
     }
 }
--- a/lab/src/main/java/stagepier/lab/ledger/Event.java
+++ b/lab/src/main/java/stagepier/lab/ledger/Event.java
@@ -38,6 +38,10 @@
     record Told(double at, int router, int node, boolean usable) implements Event {
     }
 
+    /** A router has told staff that a node is out, or that it is back; whatever discovery says, that holds. */
+    record Staff(double at, int router, int node, boolean out) implements Event {
+    }
+
     /** A router was killed or ended, or is up again. */
     record Router(double at, int router, boolean up) implements Event {
     }
--- a/lab/src/main/java/stagepier/lab/ledger/Ledger.java
+++ b/lab/src/main/java/stagepier/lab/ledger/Ledger.java
@@ -27,6 +27,8 @@
     private final Map<Long, Story> stories = new HashMap<>();
     private final Map<Integer, TreeMap<Double, Boolean>> routerUp = new HashMap<>();
     private final Map<Integer, Map<Integer, Double>> unusableSince = new HashMap<>();
+    /** By router: nodes that staff took out, and since when. */
+    private final Map<Integer, Map<Integer, Double>> outSince = new HashMap<>();
     /** The last arrivals at each node, to name who pushed it over. */
     private final Map<Integer, Map<Integer, Integer>> senders = new HashMap<>();
 
@@ -75,6 +77,13 @@
             } else {
                 of.putIfAbsent(e.node(), e.at());
             }
+        } else if (event instanceof Event.Staff e) {
+            Map<Integer, Double> of = outSince.computeIfAbsent(e.router(), r -> new HashMap<>());
+            if (e.out()) {
+                of.putIfAbsent(e.node(), e.at());
+            } else {
+                of.remove(e.node());
+            }
         } else if (event instanceof Event.Router e) {
             routerUp.computeIfAbsent(e.router(), r -> new TreeMap<>()).put(e.at(), e.up());
             if (!e.up()) {
@@ -97,10 +106,15 @@
             story(e.request()).runs.add(e);
         }
         senders.computeIfAbsent(e.node(), n -> new TreeMap<>()).merge(e.router(), 1, Integer::sum);
-        Double since = unusableSince.getOrDefault(e.router(), Map.of()).get(e.node());
+        judgeDrain(e, unusableSince, "it was told of its drain");
+        judgeDrain(e, outSince, "staff took it out");
+    }
+
+    private void judgeDrain(Event.Arrived e, Map<Integer, Map<Integer, Double>> sinceWhen, String what) {
+        Double since = sinceWhen.getOrDefault(e.router(), Map.of()).get(e.node());
         if (since != null && e.firstByteAt() > since + drainGrace + SLACK) {
-            breach(Rule.DRAINS, e.at(), "router %d sent request %x to node %d, %.3f s after it was told of its drain"
-                    .formatted(e.router(), e.request(), e.node(), e.firstByteAt() - since));
+            breach(Rule.DRAINS, e.at(), "router %d sent request %x to node %d, %.3f s after %s".formatted(e.router(), e.request(),
+                    e.node(), e.firstByteAt() - since, what));
         }
     }
 
--- a/lab/src/main/java/stagepier/lab/scenario/Fault.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Fault.java
@@ -43,10 +43,21 @@
         /** Routers are told to end, and started again. */
         ROUTER_RESTART,
         /** Routers are told to read their configuration again. */
-        ROUTER_RELOAD;
+        ROUTER_RELOAD,
+        /** Staff send a router's clients away, to the next router, and let them come again. */
+        ROUTER_PAUSE,
+        /** A new process is started beside a router's under load, and the old one told to end. */
+        ROUTER_UPGRADE,
+        /** Staff take nodes out at every router; these are restarted meanwhile, and put back, cold. */
+        SUSPEND;
 
         public boolean isOfRouters() {
-            return this == ROUTER_KILL || this == ROUTER_RESTART || this == ROUTER_RELOAD;
+            return name().startsWith("ROUTER_");
+        }
+
+        /** Whether it is staff at the routers' consoles who bring it about. */
+        public boolean isByStaff() {
+            return this == ROUTER_PAUSE || this == ROUTER_UPGRADE || this == SUSPEND;
         }
     }
 }
--- a/lab/src/main/java/stagepier/lab/scenario/Scenario.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Scenario.java
@@ -25,6 +25,11 @@
     /** What clients do when they are refused. */
     public enum Retries { NONE, AT_ONCE, WAIT }
 
+    /** Whether staff call at the routers' consoles. */
+    public boolean hasStaff() {
+        return faults.stream().anyMatch(f -> f.kind().isByStaff());
+    }
+
     /** Seconds within which nothing new may go to a node that drains. */
     public static final double DRAIN_GRACE = 1;
 }
--- a/lab/src/main/java/stagepier/lab/standin/Clients.java
+++ b/lab/src/main/java/stagepier/lab/standin/Clients.java
@@ -48,6 +48,8 @@
     private final int[] ports;
     private final List<ArrayDeque<Connection>> idle = new ArrayList<>();
     private final int[] open;
+    /** Where the clients of each router go now: the front sends those of one that is drained elsewhere. */
+    private final int[] at;
     private final Series series = new Series();
     private final Histogram lag = new Histogram(60_000_000, 3);
     private double startedAt;
@@ -79,6 +81,7 @@
         this.plan = plan;
         this.ports = ports.clone();
         open = new int[ports.length];
+        at = java.util.stream.IntStream.range(0, ports.length).toArray();
         for (int i = 0; i < ports.length; i++) {
             idle.add(new ArrayDeque<>());
         }
@@ -93,6 +96,18 @@
         });
     }
 
+    /** From now on new requests of a router's clients that find no open connection to it go to that other one. */
+    public void move(int router, int to) {
+        loop.execute(() -> {
+            at[router] = to;
+        });
+    }
+
+    /** Connections that are open to a router. */
+    public int open(int router) throws InterruptedException {
+        return loop.submit(() -> open[router]).await().getNow();
+    }
+
     /** When the load began, on the clock of the run. */
     public double startedAt() {
         return startedAt;
@@ -139,7 +154,7 @@
     }
 
     private void ask(Wanted w) {
-        int router = w.planned.router();
+        int router = at[w.planned.router()];
         Connection c = idle.get(router).pollLast();
         while (c != null && !c.channel.isActive()) {
             c = idle.get(router).pollLast();
--- a/lab/src/main/java/stagepier/lab/standin/Fleet.java
+++ b/lab/src/main/java/stagepier/lab/standin/Fleet.java
@@ -183,6 +183,21 @@
         return chosen;
     }
 
+    /** The id under which discovery lists a node now. */
+    public String id(int node) throws InterruptedException {
+        return onLoop(() -> world.nodes().get(node).id());
+    }
+
+    /** The process of a node is ended and started again, cold, and discovery tells of both. */
+    public void restart(int node, double downFor) {
+        world.loop().execute(() -> {
+            CacheNode n = world.nodes().get(node);
+            n.crash();
+            tell(n, scenario.notice(), "removed");
+            world.at(world.clock().now() + downFor, () -> backAgain(n));
+        });
+    }
+
     private void befall(Fault fault, CacheNode node) {
         double now = world.clock().now();
         double over = now + fault.lasts();
--- a/lab/src/test/java/stagepier/lab/ExperimentTest.java
+++ b/lab/src/test/java/stagepier/lab/ExperimentTest.java
@@ -90,7 +90,7 @@
     /** The real router, as the build made it, under one fault of each side. */
     @ParameterizedTest
     @CsvSource({"crash,nodes = [1]", "vanish,nodes = [1]", "drain,nodes = [1]", "mute,part = 1.0",
-        "router_kill,routers = [0]"})
+        "router_kill,routers = [0]", "suspend,nodes = [1]", "router_pause,routers = [0]", "router_upgrade,routers = [0]"})
     void theRealRouterKeepsTheRules(String fault, String whom) throws Exception {
         String scenario = """
                 [fleet]
--- a/lab/src/test/java/stagepier/lab/LedgerTest.java
+++ b/lab/src/test/java/stagepier/lab/LedgerTest.java
@@ -133,6 +133,19 @@
         assertEquals(List.of(Rule.DRAINS), broken());
     }
 
+    /** What discovery says ends no ban; the word of staff at that router does. */
+    @Test
+    void workForANodeThatStaffTookOut() {
+        events.add(new Event.Staff(5, 0, 3, true));
+        events.add(new Event.Told(5.5, 0, 3, true));
+        ranFrom(5.9, 1);
+        assertEquals(List.of(), broken());
+        ranFrom(6.2, 2);
+        events.add(new Event.Staff(7, 0, 3, false));
+        ranFrom(9, 3);
+        assertEquals(List.of(Rule.DRAINS), broken());
+    }
+
     @Test
     void nodesAndAnOriginThatWerePushedOver() {
         events.add(new Event.Fell(5, 3));
