--- a/lab/src/main/java/stagepier/lab/cli/Lab.java
+++ b/lab/src/main/java/stagepier/lab/cli/Lab.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Stream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -20,6 +21,7 @@
 import stagepier.lab.scenario.BadScenarioException;
 import stagepier.lab.scenario.Scenario;
 import stagepier.lab.scenario.ScenarioReader;
+import stagepier.lab.standin.RelayCost;
 
 /** Runs scenarios, and shows and compares what they came to. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Runs scenarios against real routers.")
@@ -76,6 +78,24 @@
         }
     }
 
+    @Command(name = "relay-cost", mixinStandardHelpOptions = true,
+            description = "Measures what the relay between processes adds with no fault set, beside a direct link.")
+    int relayCost(@Option(names = "--round-trips", defaultValue = "5000", description = "of each (${DEFAULT-VALUE})") int trips)
+            throws IOException, InterruptedException, BadScenarioException {
+        if (trips < 100 || trips > 1_000_000) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--round-trips must lie between 100 and 1000000");
+        }
+        RelayCost.Cost cost = RelayCost.measure(ScenarioReader.parse("relay-cost", ""), trips);
+        PrintWriter to = spec.commandLine().getOut();
+        to.printf("%-10s %10s %10s %10s   microseconds a round trip%n", "", "median", "p99", "p99.9");
+        for (var row : List.of(Map.entry("direct", cost.direct()), Map.entry("relayed", cost.relayed()))) {
+            to.printf("%-10s %10d %10d %10d%n", row.getKey(), row.getValue().getValueAtPercentile(50),
+                    row.getValue().getValueAtPercentile(99), row.getValue().getValueAtPercentile(99.9));
+        }
+        to.flush();
+        return 0;
+    }
+
     @Command(name = "list", mixinStandardHelpOptions = true, description = "Lists the scenarios of a folder.")
     int list(@Parameters(arity = "0..1", defaultValue = "lab/scenarios") Path folder) throws IOException {
         PrintWriter to = spec.commandLine().getOut();
--- a/lab/src/main/java/stagepier/lab/fleet/Experiment.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Experiment.java
@@ -86,7 +86,7 @@
     /** Runs it all. {@code watcher} is told about once a second, on a thread of the experiment's. */
     public RunResult run(Consumer<Progress> watcher) throws IOException, InterruptedException {
         fleet = new Fleet(worldLoop, clock, recorder, scenario, randoms);
-        fleet.start();
+        fleet.start(Ports.freeForDatagrams(scenario.routers()));
         for (int r = 0; r < scenario.routers(); r++) {
             RouterProcess router = new RouterProcess(r, command, folder, scenario.hasStaff());
             routers.add(router);
@@ -104,6 +104,7 @@
         clients.start(over::countDown);
         scenario.faults().forEach(f -> script.schedule(() -> befall(f), (long) (f.at() * 1e6), TimeUnit.MICROSECONDS));
         double from = clock.now();
+        fleet.withNemesis(n -> n.starts(from));
         long[] fetchesBefore = {0};
         script.scheduleAtFixedRate(() -> look(clients, from, fetchesBefore, watcher), 1, 1, TimeUnit.SECONDS);
         boolean ended = over.await((long) scenario.demand().seconds() + 60, TimeUnit.SECONDS);
--- a/lab/src/main/java/stagepier/lab/report/RunResult.java
+++ b/lab/src/main/java/stagepier/lab/report/RunResult.java
@@ -44,11 +44,12 @@
     }
 
     /**
-     * Seconds from the first fault until service is back at 95% of what it was before, for three seconds on end; 0
+     * Seconds from the first fault, or from the end of the last one between processes where there is no other, until service is back at 95% of what it was before, for three seconds on end; 0
      * where it never fell below, NaN where it does not come back.
      */
     public double recovery() {
-        double at = scenario.faults().stream().mapToDouble(f -> f.at()).min().orElse(Double.NaN);
+        double at = scenario.faults().stream().mapToDouble(f -> f.at()).min()
+                .orElse(scenario.linkFaults().stream().mapToDouble(f -> f.until()).max().orElse(Double.NaN));
         if (Double.isNaN(at)) {
             return 0;
         }
--- a/lab/src/main/java/stagepier/lab/scenario/Scenario.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Scenario.java
@@ -5,6 +5,7 @@
 import stagepier.lab.model.NodeModel;
 import stagepier.lab.model.OriginModel;
 import stagepier.lab.model.RequestKind;
+import stagepier.lab.nemesis.LinkFault;
 
 /**
  * A whole experiment, as its file says.
@@ -18,10 +19,13 @@
  * @param retries   what clients do when they are refused
  * @param retryMost tries after the first
  * @param value     bytes of a value
+ * @param linkFaults what goes wrong between processes
+ * @param peers     whether routers tell each other anything
  */
 public record Scenario(String name, String about, int nodes, int routers, int zones, int sockets,
         NodeModel.Traits node, OriginModel.Traits origin, double notice, double silentNotice, Arrivals.Demand demand,
-        List<RequestKind> kinds, Retries retries, int retryMost, int value, List<Fault> faults) {
+        List<RequestKind> kinds, Retries retries, int retryMost, int value, List<Fault> faults, List<LinkFault> linkFaults,
+        boolean peers) {
     /** What clients do when they are refused. */
     public enum Retries { NONE, AT_ONCE, WAIT }
 
--- a/lab/src/main/java/stagepier/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/stagepier/lab/scenario/ScenarioReader.java
@@ -4,13 +4,17 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
 import stagepier.lab.model.Arrivals;
 import stagepier.lab.model.NodeModel;
 import stagepier.lab.model.OriginModel;
 import stagepier.lab.model.RequestKind;
+import stagepier.lab.nemesis.Link;
+import stagepier.lab.nemesis.LinkFault;
 
 /** Reads a scenario from TOML; every value has a default, every error its file, line and key. */
 public final class ScenarioReader {
@@ -50,6 +54,7 @@
         int zones = fleet.whole("zones", 1, 1, 16);
         int sockets = fleet.whole("sockets", 512, 128, 4096);
         double notice = fleet.number("notice_s", 1, 0, 60);
+        boolean peers = fleet.flag("peers", false);
         double silentNotice = fleet.number("silent_notice_s", 6, 0, 60);
         fleet.end();
         NodeModel.Traits node = node(root.sub("node"));
@@ -70,9 +75,13 @@
         for (Table t : root.subs("fault")) {
             faults.add(fault(t, nodes, routers, seconds));
         }
+        List<LinkFault> linkFaults = new ArrayList<>();
+        for (Table t : root.subs("link_fault")) {
+            linkFaults.add(linkFault(t, routers, seconds));
+        }
         root.end();
         return new Scenario(name, about, nodes, routers, zones, sockets, node, origin, notice, silentNotice, demand,
-                kinds, retries, retryMost, value, List.copyOf(faults));
+                kinds, retries, retryMost, value, List.copyOf(faults), List.copyOf(linkFaults), peers);
     }
 
     private static NodeModel.Traits node(Table t) {
@@ -127,6 +136,38 @@
         return List.copyOf(kinds);
     }
 
+    /** A fault between processes; for a slow one also what makes it slow is there by default. */
+    static LinkFault linkFault(Table t, int routers, double seconds) {
+        LinkFault.Shape shape = t.choice("shape", LinkFault.Shape.class, null);
+        double at = t.number("at_s", 5, 0, seconds);
+        double lasts = t.number("lasts_s", 5, 0, FOR_EVER);
+        List<Integer> a = t.wholes("a", 0, routers - 1);
+        List<Integer> b = t.wholes("b", 0, routers - 1);
+        List<Integer> via = t.wholes("via", 0, routers - 1);
+        if (a.isEmpty()) {
+            t.error("a", "is missing: the routers of the one side");
+        }
+        if (a.stream().anyMatch(b::contains) || via.stream().anyMatch(r -> a.contains(r) || b.contains(r))) {
+            t.error("a", "must share no router with b or via");
+        }
+        if (shape == LinkFault.Shape.BRIDGE && via.isEmpty()) {
+            t.error("via", "is missing: the routers that hear both sides");
+        }
+        Set<Link> links = EnumSet.noneOf(Link.class);
+        for (String word : t.words("links", List.of("peers", "discovery"))) {
+            switch (word) {
+                case "peers" -> links.add(Link.PEERS);
+                case "discovery" -> links.add(Link.DISCOVERY);
+                default -> t.error("links", "must hold some of peers, discovery");
+            }
+        }
+        LinkFault fault = new LinkFault(shape, at, lasts, a, b, via, links, t.number("part", 0.3, 0, 1),
+                t.number("delay_ms", 200, 0, 60_000) / 1e3, t.number("jitter_ms", 50, 0, 60_000) / 1e3,
+                t.number("period_s", 2, 0.01, 3600));
+        t.end();
+        return fault;
+    }
+
     private static Fault fault(Table t, int nodes, int routers, double seconds) {
         Fault.Kind kind = t.choice("kind", Fault.Kind.class, null);
         double at = t.number("at_s", 5, 0, seconds);
--- a/lab/src/main/java/stagepier/lab/scenario/Table.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Table.java
@@ -133,6 +133,19 @@
         return all;
     }
 
+    List<String> words(String key, List<String> absent) {
+        known.add(key);
+        Object value = table == null ? null : table.get(List.of(key));
+        if (value == null) {
+            return absent;
+        }
+        if (!(value instanceof TomlArray array) || !array.toList().stream().allMatch(String.class::isInstance)) {
+            error(key, "must be an array of texts");
+            return absent;
+        }
+        return array.toList().stream().map(String.class::cast).toList();
+    }
+
     boolean has(String key) {
         return table != null && table.contains(List.of(key));
     }
--- a/lab/src/main/java/stagepier/lab/standin/DiscoveryAgent.java
+++ b/lab/src/main/java/stagepier/lab/standin/DiscoveryAgent.java
@@ -25,6 +25,9 @@
 import java.util.List;
 import java.util.Map;
 import stagepier.lab.ledger.Event;
+import stagepier.lab.nemesis.Link;
+import stagepier.lab.nemesis.Nemesis;
+import stagepier.lab.nemesis.Treatment;
 
 /** One router's agent of discovery, on loopback: the whole list, and a watch that waits for what is newer. */
 final class DiscoveryAgent {
@@ -44,7 +47,10 @@
         }
     }
 
+    private static final double LOOK_AGAIN = 0.01;
+
     private final World world;
+    private final Nemesis nemesis;
     private final int router;
     private final List<Entry> log = new ArrayList<>();
     private final List<Waiting> waiting = new ArrayList<>();
@@ -55,8 +61,9 @@
     private record Waiting(ChannelHandlerContext ctx, int from, double until) {
     }
 
-    DiscoveryAgent(World world, int router) {
+    DiscoveryAgent(World world, Nemesis nemesis, int router) {
         this.world = world;
+        this.nemesis = nemesis;
         this.router = router;
     }
 
@@ -134,8 +141,21 @@
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length)
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         ctx.writeAndFlush(response);
+        List<Entry> news = new ArrayList<>();
+        told.forEach(news::add);
+        toldOnceHeard(news);
+    }
+
+    /** A router has been told of what was written to it once that has come through: nobody can act on what is held up. */
+    private void toldOnceHeard(List<Entry> news) {
         double now = world.clock().now();
-        told.forEach(e -> world.recorder().add(new Event.Told(now, router, e.node(), e.lifecycle().equals("up"))));
+        Treatment t = nemesis.treatment(Link.DISCOVERY, Link.AGENT, router, now);
+        if (t.isSilence()) {
+            world.at(now + LOOK_AGAIN, () -> toldOnceHeard(news));
+            return;
+        }
+        double heard = now + t.delay() + t.jitter();
+        news.forEach(e -> world.recorder().add(new Event.Told(heard, router, e.node(), e.lifecycle().equals("up"))));
     }
 
     void close() {
--- a/lab/src/main/java/stagepier/lab/standin/Fleet.java
+++ b/lab/src/main/java/stagepier/lab/standin/Fleet.java
@@ -17,6 +17,8 @@
 import stagepier.lab.model.OriginModel;
 import stagepier.lab.model.Randoms;
 import stagepier.lab.model.RequestKind;
+import stagepier.lab.nemesis.Link;
+import stagepier.lab.nemesis.Nemesis;
 import stagepier.lab.scenario.Fault;
 import stagepier.lab.scenario.Scenario;
 
@@ -33,15 +35,25 @@
     private final Scenario scenario;
     private final Randoms randoms;
     private final List<DiscoveryAgent> agents = new ArrayList<>();
+    private final Nemesis nemesis;
+    /** Between each router and its agent of discovery; empty where the scenario has no faults between processes. */
+    private final List<StreamRelay> toAgents = new ArrayList<>();
+    /** Null where routers tell each other nothing. */
+    private DatagramRelay peers;
 
     public Fleet(EventLoop loop, LabClock clock, Recorder recorder, Scenario scenario, Randoms randoms) {
         this.scenario = scenario;
         this.randoms = randoms;
+        nemesis = new Nemesis(randoms, scenario.linkFaults());
         world = new World(loop, clock, recorder, scenario, randoms);
     }
 
-    /** Brings up all sockets. Waits; not on the event loop. */
-    public void start() throws InterruptedException {
+    /**
+     * Brings up all sockets. Waits; not on the event loop.
+     *
+     * @param peerPorts where each router is to listen for others, if they tell each other anything
+     */
+    public void start(int[] peerPorts) throws InterruptedException {
         for (int i = 0; i < scenario.nodes(); i++) {
             // Half of the machines are slower, as in a fleet that grew.
             NodeModel.Traits t = scenario.node();
@@ -55,9 +67,18 @@
         }
         prefill();
         for (int r = 0; r < scenario.routers(); r++) {
-            DiscoveryAgent agent = new DiscoveryAgent(world, r);
+            DiscoveryAgent agent = new DiscoveryAgent(world, nemesis, r);
             agent.listen();
             agents.add(agent);
+            if (!scenario.linkFaults().isEmpty()) {
+                StreamRelay relay = new StreamRelay(world, nemesis, Link.DISCOVERY, r, Link.AGENT, agent.port());
+                relay.listen();
+                toAgents.add(relay);
+            }
+        }
+        if (scenario.peers()) {
+            peers = new DatagramRelay(world, nemesis, peerPorts);
+            peers.listen();
         }
         onLoop(() -> {
             for (CacheNode node : world.nodes()) {
@@ -90,7 +111,17 @@
             JsonObject o = new JsonObject();
             o.addProperty("name", "n" + router);
             o.addProperty("listen", "127.0.0.1:" + listenPort);
-            o.addProperty("discovery", "127.0.0.1:" + agents.get(router).port());
+            o.addProperty("discovery", "127.0.0.1:"
+                    + (toAgents.isEmpty() ? agents.get(router).port() : toAgents.get(router).port()));
+            if (peers != null) {
+                o.addProperty("peer_listen", "127.0.0.1:" + peers.port(router));
+                o.addProperty("peers_all", "127.0.0.1:" + peers.toAll(router));
+                JsonArray others = new JsonArray();
+                for (int other = 0; other < scenario.routers(); other++) {
+                    others.add("127.0.0.1:" + peers.door(router, other));
+                }
+                o.add("peers", others);
+            }
             o.addProperty("seed", "%016x".formatted(seed));
             JsonObject limits = new JsonObject();
             limits.addProperty("sockets", scenario.sockets());
@@ -104,6 +135,7 @@
     private JsonObject settings(int router) {
         JsonObject o = new JsonObject();
         o.addProperty("Siblings", scenario.routers());
+        o.addProperty("SlotNo", router);
         o.addProperty("Zone", router % scenario.zones());
         JsonArray classes = new JsonArray();
         for (RequestKind k : scenario.kinds()) {
@@ -145,6 +177,7 @@
         limits.addProperty("MaxRetryAfter", 1.2);
         limits.addProperty("DialTimeout", 0.25);
         limits.addProperty("IdleClose", 60);
+        limits.addProperty("Peers", scenario.peers());
         o.add("Limits", limits);
         NodeModel.Traits t = scenario.node();
         JsonObject rules = new JsonObject();
@@ -157,6 +190,16 @@
         return o;
     }
 
+    /** What lies between processes; on the event loop of the stand-ins. */
+    public void withNemesis(java.util.function.Consumer<Nemesis> what) {
+        world.loop().execute(() -> what.accept(nemesis));
+    }
+
+    /** Datagrams that routers sent, and copies that reached a router. */
+    public List<Long> datagrams() throws InterruptedException {
+        return onLoop(() -> peers == null ? List.of(0L, 0L) : List.of(peers.sent(), peers.delivered()));
+    }
+
     // ---- faults -------------------------------------------------------------------------------------------
     /** Brings about a fault of cache nodes or discovery now, and its end when that is due. */
     public void befall(Fault fault) {
@@ -310,6 +353,10 @@
         onLoop(() -> {
             world.nodes().forEach(CacheNode::close);
             agents.forEach(DiscoveryAgent::close);
+            toAgents.forEach(StreamRelay::close);
+            if (peers != null) {
+                peers.close();
+            }
             return null;
         });
     }
--- a/lab/src/test/java/stagepier/lab/ExperimentTest.java
+++ b/lab/src/test/java/stagepier/lab/ExperimentTest.java
@@ -116,4 +116,41 @@
         assertTrue(result.series().service(8, 10) > 0.9, "well again: " + result.series().service(8, 10));
         assertFalse(result.series().offered() < 900);
     }
+
+    /** Seven routers, of which three are apart from the rest, and from discovery, while a node drains. */
+    @ParameterizedTest
+    @CsvSource({"partition", "one_way", "flap"})
+    void routersThatHearNothingKeepTheRules(String shape) throws Exception {
+        RunResult result = run("""
+                [fleet]
+                nodes = 6
+                routers = 7
+                notice_s = 0.3
+                peers = true
+                [load]
+                rate = 150
+                seconds = 9
+                router_skew = 0
+                [[fault]]
+                kind = "drain"
+                at_s = 2.5
+                lasts_s = 4
+                nodes = [1]
+                [[link_fault]]
+                shape = "%s"
+                a = [0, 1, 2]
+                at_s = 2
+                lasts_s = 3
+                """.formatted(shape), RouterProcess.command(Path.of("../router/target/stagepier.jar").toAbsolutePath()));
+        assertEquals(List.of(), result.breaches());
+        long sent = result.counters().stream().mapToLong(c -> c.get("peer_messages_sent")).sum();
+        long here = result.counters().get(0).get("peer_messages_heard");
+        long there = result.counters().get(6).get("peer_messages_heard");
+        assertTrue(here > sent / 7, "it heard the others before and after: " + here + " of " + sent);
+        // Who is not heard hears all the same, one way; a partition silences both sides.
+        assertTrue(shape.equals("one_way") ? there < here : Math.max(here, there) < sent * 0.85,
+                here + " and " + there + " of " + sent);
+        assertEquals(0, result.counters().stream().mapToLong(c -> c.get("peer_messages_strange")).sum());
+        assertTrue(result.series().service(7, 9) > 0.9, "well again: " + result.series().service(7, 9));
+    }
 }
