Break off a large value that stopped for good once its request's time is up

Ruled out: the backstop for requests that the module leaves open, which answers 10 ms after their time. Change: past its time a value that flows is given four of the longest rests that its server has made, a quarter second at the least.

--- a/router/src/main/java/stagepier/server/Execution.java
+++ b/router/src/main/java/stagepier/server/Execution.java
@@ -86,6 +86,11 @@
         return timedOut;
     }
 
+    /** The time that its request had is up. */
+    boolean isPastItsTime() {
+        return pools.now() >= startedAt + timeout;
+    }
+
     boolean isProbe() {
         return exchange == null;
     }
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -36,6 +36,8 @@
     /** The large value that is being moved on, or null. */
     private ValueFlow flow;
     private boolean goingOn;
+    /** The longest rest between two pieces of the value that flows, in seconds. */
+    private double longestRest;
 
     ServerLink(ServerPool pool) {
         this.pool = pool;
@@ -252,6 +254,7 @@
                 goOn();
             }
         });
+        longestRest = 0;
         pool.pools().flowBegins();
         first.begun(head, flow);
     }
@@ -319,6 +322,7 @@
 
     @Override
     protected void onInput(RingBuffer bytes) throws MalformedException {
+        longestRest = Math.max(longestRest, isFlowing() && !isHeldUp() ? pool.pools().now() - bytesAt : 0);
         bytesAt = pool.pools().now();
         passedBy = 0;
         heardAt = isFlowing() ? bytesAt : heardAt;
@@ -369,8 +373,18 @@
         }
     }
 
+    /**
+     * For how long nothing may come in the middle of an answer. Guards against a value that stops for good once the time of who
+     * waits for it is up: a server that writes in pieces is given a few of its own rests, one that wrote without a rest none.
+     */
     private double stallMost() {
-        return isFlowing() ? ServerPools.FLOW_STALL_MOST : pool.pools().stallMost();
+        double usual = pool.pools().stallMost();
+        Execution first = sent.peek();
+        if (!isFlowing()) {
+            return usual;
+        }
+        return first != null && first.isPastItsTime() ? Math.min(ServerPools.FLOW_STALL_MOST,
+                Math.max(usual, ServerPools.FLOW_RESTS * longestRest)) : ServerPools.FLOW_STALL_MOST;
     }
 
     /** Guards against an answer that never becomes whole: all behind it would wait until their time is up. */
--- a/router/src/test/java/stagepier/app/LargeValueTest.java
+++ b/router/src/test/java/stagepier/app/LargeValueTest.java
@@ -207,6 +207,23 @@
         }
     }
 
+    /** Guards against a client that waits past its time for a server that stopped for good, with neither answer nor end. */
+    @Test
+    void aValueThatStopsForGoodIsBrokenOffWhenItsTimeIsUp() throws Exception {
+        start();
+        long from = System.nanoTime();
+        Socket client = ask("c");
+        Socket link = accept();
+        line(link.getInputStream());
+        Rehearsal.write(link, "VA 100000 Oc h1\r\n");
+        link.getOutputStream().write(VALUE, 0, 70_000);
+        InputStream in = client.getInputStream();
+        assertEquals("VA 100000 Oc", line(in));
+        assertTrue(in.readAllBytes().length <= 70_000, "all that the server gave, and the end");
+        double took = (System.nanoTime() - from) / 1e9;
+        assertTrue(took < 1.9 + 0.5, "the end came after " + took + " s");
+    }
+
     /** Guards against bytes behind a large value that are served to its client as the answer to what it asks next. */
     @Test
     void whatComesBehindALargeValueEndsTheLinkAndTheNextRequestGoesElsewhere() throws Exception {
