--- a/lab/src/main/java/stagepier/lab/fleet/Experiment.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Experiment.java
@@ -104,7 +104,7 @@
         List<Double> cpuBefore = routers.stream().map(RouterProcess::cpuSeconds).toList();
         CountDownLatch over = new CountDownLatch(1);
         clients.start(over::countDown);
-        scenario.faults().forEach(f -> script.schedule(() -> befall(f), (long) (f.at() * 1e6), TimeUnit.MICROSECONDS));
+        scenario.faults().forEach(f -> later(f.at(), () -> befall(f)));
         double from = clock.now();
         fleet.withNemesis(n -> n.starts(from));
         long[] fetchesBefore = {0};
@@ -189,7 +189,7 @@
                 case ROUTER_KILL -> {
                     recorder.add(new Event.Router(clock.now(), r, false));
                     router.kill();
-                    script.schedule(() -> startAgain(r), (long) (fault.lasts() * 1e6), TimeUnit.MICROSECONDS);
+                    later(fault.lasts(), () -> startAgain(r));
                 }
                 default -> {
                     // Clients still come for a while after the word; what it takes then it has to answer.
