--- /dev/null
+++ b/router/src/main/java/stagepier/tasks/package-info.java
@@ -0,0 +1,2 @@
+/** Time and tasks for what runs beside the event loop: threads in service, one task at a time in tests. */
+package stagepier.tasks;
