--- /dev/null
+++ b/router/src/test/java/stagepier/fleet/VirtualWorldTest.java
@@ -0,0 +1,76 @@
+package stagepier.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class VirtualWorldTest {
+    private static Duration ms(long n) {
+        return Duration.ofMillis(n);
+    }
+
+    /** Three that call each other at their own pace; what is heard, when, and what was lost. */
+    private static List<String> history(long seed) {
+        List<String> lines = new ArrayList<>();
+        try (VirtualWorld world = new VirtualWorld(seed)) {
+            MemoryNet net = new MemoryNet(world);
+            net.loss(0.1);
+            List<VirtualWorld.Node> nodes = new ArrayList<>();
+            for (String name : List.of("a", "b", "c")) {
+                VirtualWorld.Node node = world.node(name, Duration.ZERO);
+                nodes.add(node);
+                Calls calls = net.calls(node);
+                calls.answer("test", (from, call) -> Message.of("test.heard", name + call.body()));
+                calls.start();
+                node.start("caller", () -> {
+                    for (int i = 0; ; i++) {
+                        for (String other : List.of("a", "b", "c")) {
+                            String said;
+                            try {
+                                said = calls.call(other, Message.of("test.say", i), ms(50)).body().toString();
+                            } catch (Calls.SilentException e) {
+                                said = "silent";
+                            }
+                            lines.add(world.seconds() + " " + name + " " + other + " " + said);
+                        }
+                        node.sleep(ms(100));
+                    }
+                });
+            }
+            world.after(ms(1000), () -> net.cut("a", "b", true));
+            world.after(ms(2000), nodes.get(2)::kill);
+            world.after(ms(3000), () -> nodes.get(0).standStill(ms(4000)));
+            world.run(ms(10_000));
+        }
+        return lines;
+    }
+
+    @Test
+    void theSameSeedGivesTheSameHistoryAndAnotherSeedAnother() {
+        List<String> once = history(5);
+        assertTrue(once.size() > 100, () -> "only " + once.size());
+        assertEquals(once, history(5));
+        assertNotEquals(once, history(6));
+    }
+
+    @Test
+    void aCutIsOneWayADeadOneIsSilentAndOneThatStandsStillGoesOn() {
+        List<String> lines = history(7);
+        assertTrue(lines.stream().noneMatch(l -> time(l) > 1.1 && l.contains(" a b \"b")), "a's calls do not reach b");
+        assertTrue(lines.stream().noneMatch(l -> time(l) > 1.1 && l.contains(" b a \"a")), "a's replies do not reach b");
+        assertTrue(lines.stream().noneMatch(l -> time(l) > 2 && l.contains(" c ") && !l.contains("silent")), "c is dead");
+        assertTrue(lines.stream().noneMatch(l -> time(l) > 3.01 && time(l) < 7 && l.contains(" a c ")), "a stands still");
+        assertTrue(lines.stream().anyMatch(l -> time(l) > 7 && l.contains(" a c ")), "a goes on");
+    }
+
+    private static double time(String line) {
+        return Double.parseDouble(line.substring(0, line.indexOf(' ')));
+    }
+}
