Let the list's voluntary changes be held: additions, weights, zones and addresses

Need: the freeze calendar has to keep a router from taking up a change of topology, and must never keep back what a rule needs.

Change: HostGroup asks an Admission, where one is set, about each entry of a server that is up; drains, removals and restarts of a server's process are never asked about and overtake what is held. A process begins with its first list as it is.

--- a/router/src/main/java/stagepier/discovery/HostGroup.java
+++ b/router/src/main/java/stagepier/discovery/HostGroup.java
@@ -46,6 +46,8 @@
     private final Set<String> everListed = new LinkedHashSet<>();
     private final Map<Long, Host> hosts = new LinkedHashMap<>();
     private long generation = -1;
+    /** Null where nothing is ever held. */
+    private Admission admission;
 
     public HostGroup(SettingsParser.Names names) {
         this.names = names;
@@ -78,6 +80,9 @@
             throw new IllegalArgumentException("not a host group: " + e.getMessage(), e);
         }
         Map<Long, Host> before = new LinkedHashMap<>(hosts);
+        if (admission != null && generation >= 0) {
+            told = admitted(told, complete);
+        }
         if (complete) {
             hosts.clear();
         }
@@ -95,6 +100,49 @@
                 complete ? List.copyOf(before.values()) : List.of());
     }
 
+    /** Before the first list: from then on voluntary changes are asked about. The first list is what a process begins with. */
+    public void holdBy(Admission admits) {
+        admission = admits;
+    }
+
+    /** The entries as they count: without servers whose addition is held, others as before where a change of theirs is. */
+    private List<Host> admitted(List<Host> told, boolean complete) {
+        List<Host> counts = new ArrayList<>();
+        Set<String> named = new LinkedHashSet<>();
+        for (Host host : told) {
+            named.add(host.name());
+            Host old = hosts.get(host.member().id());
+            if (host.member().state() != Api.MemberState.READY) {
+                admission.overtaken(host.name());
+                counts.add(host);
+            } else if (admission.admits(old, host)) {
+                counts.add(host);
+            } else if (old != null && old.member().state() == Api.MemberState.READY) {
+                counts.add(startedAnew(old, host.member().startedAt()));
+            } else if (old != null) {
+                // It drained, and goes on counting so until it may be taken up again.
+                counts.add(old);
+            }
+        }
+        if (complete) {
+            everListed.stream().filter(name -> !named.contains(name)).forEach(admission::overtaken);
+        }
+        everListed.addAll(named);
+        return counts;
+    }
+
+    private static Host startedAnew(Host host, double startedAt) {
+        Api.Member m = host.member();
+        return new Host(host.name(), new Api.Member(m.id(), m.zone(), m.cell(), m.kind(), m.state(), m.weight(), startedAt),
+                host.address());
+    }
+
+    /** Takes up an entry that was held. */
+    public Change admit(Host host) {
+        hosts.put(host.member().id(), host);
+        return new Change(false, List.of(counted(host)), List.of());
+    }
+
     private void remember(String name) {
         everListed.remove(name);
         everListed.add(name);
