--- a/router/src/main/java/stagepier/HashRing.java
+++ b/router/src/main/java/stagepier/HashRing.java
@@ -4,19 +4,18 @@
 import java.util.BitSet;
 
 /**
- * Consistent hash ring of servers, each known by a slot of 0 to 65,535. In one sorted array: 48 bits of a point
- * are its place, 16 its server's slot. The same members and weights make the same ring in any order, anywhere.
+ * Consistent hash ring of servers, each known by a slot of 0 to 65,535. In one sorted array: 48 bits of a
+ * point are its place, 16 its slot. The same members and weights make the same ring, added in any order.
  */
 public final class HashRing {
     /** Virtual nodes of a server of weight 1: arcs then differ by about a tenth. */
     private static final int VIRTUAL_NODES = 100;
-    private static final double WEIGHT_MOST = 8;
     private static final long SLOT_MASK = 0xffff;
     private static final long GOLDEN_GAMMA = 0x9e3779b97f4a7c15L;
     private long[] points = {};
 
     public static int virtualNodes(double weight) {
-        return (int) Math.max(1, Math.rint(VIRTUAL_NODES * Math.min(weight, WEIGHT_MOST)));
+        return (int) Math.max(1, Math.rint(VIRTUAL_NODES * Math.min(weight, 8)));
     }
 
     public void add(int slot, long server, int virtualNodes) {
@@ -63,8 +62,7 @@
         /** Slot of the next server not met yet, or -1 after the last. */
         public int next() {
             while (left-- > 0) {
-                at = at == points.length ? 0 : at;
-                int slot = (int) (points[at++] & SLOT_MASK);
+                int slot = (int) (points[at++ % points.length] & SLOT_MASK);
                 if (!met.get(slot)) {
                     met.set(slot);
                     return slot;
@@ -81,8 +79,8 @@
         return b ^ b >>> 31;
     }
 
-    /** A hash as a fraction of 1. */
-    static double unit(long hash) {
-        return (hash >>> 11) * 0x1.0p-53;
+    /** The finalizer's result as a fraction of 1. */
+    static double fraction(long z) {
+        return (mix(z) >>> 11) * 0x1.0p-53;
     }
 }
--- /dev/null
+++ b/router/src/main/java/stagepier/TenantShares.java
@@ -0,0 +1,30 @@
+package stagepier;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Tells which requests are beyond their tenant's share. */
+final class TenantShares {
+    private final List<Api.Tenant> tenants;
+    private final double sumOfShares;
+    private final List<FadingCount> calls;
+    private final FadingCount allCalls;
+
+    TenantShares(List<Api.Tenant> tenants, double fades) {
+        this.tenants = tenants;
+        sumOfShares = tenants.stream().mapToDouble(Api.Tenant::share).sum();
+        calls = tenants.stream().map(tenant -> new FadingCount(fades)).toList();
+        allCalls = new FadingCount(fades);
+    }
+
+    /** By chance, as often as the tenant's part of requests exceeds its share. */
+    boolean exceeds(double now, int tenant, SplittableRandom random) {
+        if (tenant < 0 || tenant >= calls.size() || sumOfShares <= 0) {
+            return false;
+        }
+        calls.get(tenant).add(now, 1);
+        allCalls.add(now, 1);
+        double due = allCalls.at(now) * tenants.get(tenant).share() / sumOfShares;
+        return random.nextDouble() * calls.get(tenant).at(now) > due + Math.sqrt(due);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/stagepier/WarmUp.java
@@ -0,0 +1,36 @@
+package stagepier;
+
+/** Warm-up of a just-started server, and the budget of sends that keeps bursts off it. */
+final class WarmUp {
+    private final Api.Protection rules;
+    final double startedAt;
+    private double tokens;
+    private double tokensAt;
+
+    /** A random first token: by chance, all balancers together then send what their budgets add up to. */
+    WarmUp(Api.Protection rules, double startedAt, double now, double chance) {
+        this.rules = rules;
+        this.startedAt = startedAt;
+        tokens = chance;
+        tokensAt = now;
+    }
+
+    /** Part of its capacity that the server has at the least; 1 when it is warm. */
+    double share(double now) {
+        if (startedAt == 0 || rules.warmUp() <= 0 || now - startedAt >= rules.warmUp()) {
+            return 1;
+        }
+        double age = Math.max(0, now - startedAt);
+        return Math.min(1, rules.coldShare() + (1 - rules.coldShare()) * age / rules.warmUp());
+    }
+
+    boolean affords(double now, double rate) {
+        tokens = Math.min(Math.max(1, rate * rules.overloadSpan() / 2), tokens + (now - tokensAt) * rate);
+        tokensAt = now;
+        return tokens >= 1;
+    }
+
+    void spend() {
+        tokens -= 1;
+    }
+}
--- a/router/src/test/java/stagepier/BulkheadTest.java
+++ b/router/src/test/java/stagepier/BulkheadTest.java
@@ -12,9 +12,9 @@
 
     @Test
     void capNeverFallsBelowTheFloorAndGrowsWithUsualConcurrency() {
-        assertEquals(FLOOR, Brain.Bulkhead.cap(0));
-        assertEquals(15, Brain.Bulkhead.cap(4.2));
-        assertEquals(183, Brain.Bulkhead.cap(126));
+        assertEquals(FLOOR, Bulkhead.cap(0));
+        assertEquals(15, Bulkhead.cap(4.2));
+        assertEquals(183, Bulkhead.cap(126));
     }
 
     /** Keys of one owner: a single one asked for so often would be spread for its heat. */
--- a/router/src/test/java/stagepier/CircuitBreakerTest.java
+++ b/router/src/test/java/stagepier/CircuitBreakerTest.java
@@ -14,7 +14,7 @@
 
     @Test
     void opensOnRepeatedFailuresAndFadesOldOnes() {
-        Brain.CircuitBreaker breaker = new Brain.CircuitBreaker();
+        CircuitBreaker breaker = new CircuitBreaker();
         assertFalse(breaker.record(0, 1, 0, 3, OPEN_AT, FADES));
         assertFalse(breaker.record(100, 2, 0, 3, OPEN_AT, FADES), "the first failure has faded");
         assertTrue(breaker.record(100.1, 3, 0, 3, OPEN_AT, FADES));
@@ -22,7 +22,7 @@
 
     @Test
     void successesTakeEvidenceAwayButSaveUpNoCredit() {
-        Brain.CircuitBreaker breaker = new Brain.CircuitBreaker();
+        CircuitBreaker breaker = new CircuitBreaker();
         for (int i = 0; i < 50; i++) {
             breaker.record(0, i, 0, -2, OPEN_AT, FADES);
         }
@@ -51,7 +51,7 @@
 
     @Test
     void oneTrialPassesAfterTheDeadTimeAndItsOutcomeDecides() {
-        Brain.CircuitBreaker breaker = new Brain.CircuitBreaker();
+        CircuitBreaker breaker = new CircuitBreaker();
         breaker.open(0, 1, 1);
         assertFalse(breaker.allows(0.9));
         assertTrue(breaker.allows(1.1));
@@ -70,7 +70,7 @@
 
     @Test
     void aTrialThatSaysNothingLeavesTheNextOneFree() {
-        Brain.CircuitBreaker breaker = new Brain.CircuitBreaker();
+        CircuitBreaker breaker = new CircuitBreaker();
         breaker.open(0, 1, 1);
         breaker.onSend(2, 8, 0);
         assertFalse(breaker.record(2.1, 8, 0, 0, OPEN_AT, FADES));
