--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -15,9 +15,8 @@
  */
 public final class Brain implements Events {
     // ---- constants: dimensionless, or in parts of what the settings say; times in shortest deadlines ------
-    /** Ring servers asked for one send: beyond these a copy of the key is as good as nowhere. */
+    /** Ring servers asked for one send; part that a weight must change by, as noise must not move keys. */
     private static final int WALK_LIMIT = 16;
-    /** A weight must change by this part before virtual nodes follow: noise must not move keys. */
     private static final double REWEIGH_AT = 0.25;
     /** Log odds that open a circuit, and calls that raise them: a busy server fails by chance more often. */
     private static final double OPEN_AT = 4;
@@ -25,12 +24,12 @@
     /** First dead time of a circuit, and its jitter to either side. */
     private static final double DEAD_TIME = 2;
     private static final double JITTER = 0.3;
-    /** Time constants. Popularity drifts, but chance needs averaging. */
-    static final double EVIDENCE_FADES = 12;
-    static final double FETCH_FADES = 4;
+    /** Time constants. A jam builds up sooner than usual concurrency fades; popularity needs averaging. */
+    private static final double CONCURRENCY_FADES = 10;
+    private static final double EVIDENCE_FADES = 12;
+    private static final double FETCH_FADES = 4;
     private static final double POPULARITY_FADES = 40;
     private static final double HINT_FADES = 8;
-    /** A gate without news opens within this time. */
     private static final double GATE_OPENS = 12;
     /** A key is hot from this part of a server's fair share of all requests. */
     private static final double HOT_SHARE = 0.3;
@@ -40,18 +39,16 @@
     private static final double CROWD_RAMP = 0.35;
     /** While no more than this part of requests meets a crowd, it is local, and its keys are spilled. */
     private static final double CROWDED_FEW = 0.06;
-    /** By own answers alone: they are few and vary, and a server that is only slow must not cost its keys. */
     private static final double CROWDED_FEW_THROUGH = 0.5;
+    /** Weight of a new answer. Own ones alone are few and vary; of all servers, ten tell a common jam. */
     private static final double LAG_GAIN = 0.4;
     private static final double LAG_GAIN_THROUGH = 0.2;
-    /** For the answers of all servers together: some ten tell a jam that all are in. */
     private static final double COMMON_GAIN = 0.1;
     /** What is beyond a tenant's share gives way this many times sooner than the rest. */
     private static final double OVER_SHARE_FIRST = 4;
-    /** Parts of the stated overload, and of the stated least capacity, that a cold server is offered. */
+    /** Parts of the stated overload and least capacity that a cold server is offered; spans measured. */
     private static final double COLD_BUDGET = 0.6;
     private static final double COLD_SHARE = 1.4;
-    /** Own send rates are measured over this many overload spans. */
     private static final double RATE_SPANS = 4;
     /** Further tries allowed for each request, and how many may be saved up. */
     private static final double RETRY_RATIO = 0.1;
@@ -64,8 +61,6 @@
     private static final double RETRY_AFTER_SPREAD = 0.2;
     /** Part of attempts without a connection from which connections are scarce. */
     private static final double SCARCE = 0.02;
-    /** Attempts of one request at the most, whatever the settings say: each is a bit. */
-    private static final int MOST_ATTEMPTS = 16;
     /** Timers of the list and of the peers; all others carry a request's id, which is not negative. */
     private static final long WATCH_TOKEN = -1;
     private static final long TELL_TOKEN = -2;
@@ -75,12 +70,12 @@
     /** So many others with an open circuit make a server suspect here, too: no single one is believed. */
     private static final int SUSPECTED_BY = 3;
 
-    // ---- state --------------------------------------------------------------------------------------------
     private final Settings settings;
     private final Host host;
     private final SplittableRandom random;
-    private final int maxAttempts;
     private final double deadline;
+    /** Time constant of evidence. */
+    private final double memory;
     private final HashRing ring = new HashRing();
     private final Map<Long, Server> servers = new HashMap<>();
     private final List<Server> slots = new ArrayList<>();
@@ -90,13 +85,14 @@
     private final FetchGate fetches = new FetchGate();
     private double missShare = 1;
     /** Of calls to cache servers, apart for keys expected to hit: misses wait for the origin. */
-    private final FailureRate missFailures;
-    private final FailureRate hitFailures;
+    private final FailureRate missFailures = new FailureRate();
+    private final FailureRate hitFailures = new FailureRate();
     private final KeyTable keys = new KeyTable();
-    private final FailureRate fetchFaults;
-    private final FailureRate connects;
-    private final FadingCount requests;
-    private final FadingCount warmSends;
+    private final FailureRate fetchFaults = new FailureRate();
+    private final FailureRate connects = new FailureRate();
+    private final FadingCount requests = new FadingCount();
+    private final FadingCount warmSends = new FadingCount();
+    private final double warmFades;
     private final TenantShares tenants;
     private Server origin;
     private double referenceWeight;
@@ -105,7 +101,7 @@
     private double weighedAt = Double.NEGATIVE_INFINITY;
     private final double[] nominalWeight = new double[256];
     private final KindSpeeds speeds = new KindSpeeds();
-    private final Bulkhead sentOut;
+    private final Bulkhead sentOut = new Bulkhead();
     private double retryTokens = RETRY_SAVINGS / 2;
     private double startedAt = Double.NaN;
     private boolean tellsLookups;
@@ -128,21 +124,14 @@
         this.settings = settings;
         this.host = host;
         random = new SplittableRandom(seed);
-        maxAttempts = Math.max(1, Math.min(MOST_ATTEMPTS, settings.limits().maxAttempts()));
         deadline = settings.classes().stream().mapToDouble(RequestClass::deadline).min().getAsDouble();
+        warmFades = RATE_SPANS * Math.max(settings.protection().overloadSpan(), deadline);
+        memory = EVIDENCE_FADES * deadline;
         usualAim = settings.classes().get(0).aim();
         ownAnswersOnly = settings.fetching() == Fetching.THROUGH && settings.weights() != WeightMeaning.LIVE;
-        tenants = new TenantShares(settings.tenants(), EVIDENCE_FADES * deadline);
-        missFailures = new FailureRate(EVIDENCE_FADES * deadline);
-        hitFailures = new FailureRate(EVIDENCE_FADES * deadline);
-        connects = new FailureRate(EVIDENCE_FADES * deadline);
-        fetchFaults = new FailureRate(FETCH_FADES * deadline);
-        requests = new FadingCount(POPULARITY_FADES * deadline);
-        sentOut = new Bulkhead(deadline);
-        warmSends = new FadingCount(RATE_SPANS * Math.max(settings.protection().overloadSpan(), deadline));
+        tenants = new TenantShares(settings.tenants());
     }
 
-    // ---- the list of servers ------------------------------------------------------------------------------
     @Override
     public void onMembers(double now, boolean complete, List<Member> members) {
         if (Double.isNaN(startedAt)) {
@@ -154,7 +143,12 @@
                 host.setTimer(TELLS_EVERY * deadline * random.nextDouble(), TELL_TOKEN);
             }
         }
-        referenceWeight = referenceWeight == 0 ? referenceWeight(members) : referenceWeight;
+        if (referenceWeight == 0) {
+            // A power of two near the mean weight: balancers that start from different lists agree on it.
+            double sum = members.stream().mapToDouble(Member::weight).reduce(0, Double::sum);
+            double mean = sum / members.size();
+            referenceWeight = sum > 0 ? Math.pow(2, Math.rint(Math.log(mean) / Math.log(2))) : 0;
+        }
         servers.values().forEach(s -> s.listed = false);
         members.forEach(m -> learn(now, m));
         if (complete) {
@@ -170,12 +164,6 @@
         }
     }
 
-    /** A power of two near the mean weight: balancers that start from different lists agree on it. */
-    private static double referenceWeight(List<Member> members) {
-        double sum = members.stream().mapToDouble(Member::weight).reduce(0, Double::sum);
-        return sum > 0 ? Math.pow(2, Math.rint(Math.log(sum / members.size()) / Math.log(2))) : 0;
-    }
-
     private void learn(double now, Member m) {
         if (m.state() != MemberState.READY) {
             // Draining or gone: nothing new from this moment on, well inside the stated grace.
@@ -186,7 +174,8 @@
         }
         Server s = servers.computeIfAbsent(m.id(), this::admit);
         s.listed = true;
-        s.member = m;
+        s.zone = m.zone();
+        s.cell = m.cell();
         if (m.startedAt() != s.warmUp.startedAt) {
             // A new process: what the old one did is no evidence against it.
             s.breaker = new CircuitBreaker();
@@ -199,13 +188,13 @@
         }
         // A live weight says how busy a server was, not how large it is: it must not move keys.
         s.kind = m.kind() & 0xff;
-        s.size = settings.weights() == WeightMeaning.SIZE && m.weight() > 0 && referenceWeight > 0
-                ? m.weight() / referenceWeight : 1;
+        boolean told = settings.weights() == WeightMeaning.SIZE && m.weight() > 0;
+        s.size = told ? m.weight() / referenceWeight : 1;
         if (settings.weights() == WeightMeaning.LIVE && m.weight() > 0) {
             nominalWeight[s.kind] = Math.max(nominalWeight[s.kind], m.weight());
             // One request a core is work, what is beyond waits.
             double waiting = nominalWeight[s.kind] / m.weight() - 2;
-            s.crowd.judge(now, waiting * unhurried() / usualAim);
+            s.crowd.judge(now, waiting * unhurried() / usualAim, deadline);
         }
         place(s, REWEIGH_AT);
     }
@@ -213,23 +202,21 @@
     /** Gives a server its part of the ring, unless what it has is that but for a small part. */
     private void place(Server s, double butFor) {
         double weight = s.size * speeds.of(s.kind);
-        if (Math.abs(weight - s.weight) <= butFor * s.weight) {
-            return;
+        if (Math.abs(weight - s.weight) > butFor * s.weight) {
+            leaveRing(s);
+            s.ready = true;
+            s.weight = weight;
+            totalWeight += weight;
+            ring.add(s.slot, s.id, HashRing.virtualNodes(weight));
         }
-        leaveRing(s);
-        s.ready = true;
-        s.weight = weight;
-        totalWeight += weight;
-        ring.add(s.slot, s.id, HashRing.virtualNodes(weight));
     }
 
     private Server admit(long id) {
-        int slot = slots.indexOf(null);
-        if (slot < 0) {
-            slot = slots.size();
+        if (!slots.contains(null)) {
             slots.add(null);
         }
-        slots.set(slot, new Server(id, slot, settings.protection(), deadline));
+        int slot = slots.indexOf(null);
+        slots.set(slot, new Server(id, slot, settings.protection()));
         return slots.get(slot);
     }
 
@@ -255,21 +242,20 @@
         }
     }
 
-    // ---- requests -----------------------------------------------------------------------------------------
     @Override
     public void onRequest(double now, Request request) {
         RequestClass rules = settings.classes().get(request.classIndex());
         // Requests without a key have no owner: a random point spreads them evenly.
         long point = request.key() == 0 ? random.nextLong() : HashRing.mix(request.key());
-        Pending p = new Pending(request, rules, now, point, maxAttempts);
-        requests.add(now, 1);
+        Pending p = new Pending(request, rules, now, point, settings.limits().maxAttempts());
+        requests.add(now, 1, POPULARITY_FADES * deadline);
         if (request.costHint() > 0) {
             usualWork += (request.costHint() - usualWork) / Math.min(++hints, 1 / Latency.GAIN);
         }
         usualAim += Latency.GAIN * (rules.aim() - usualAim);
-        p.overShare = tenants.exceeds(now, request.tenant(), random);
+        p.overShare = tenants.exceeds(now, request.tenant(), memory, random);
         fetches.pass(now, GATE_OPENS * deadline);
-        p.heat = request.key() == 0 ? 0 : keys.count(now, request.key(), requests.fades);
+        p.heat = request.key() == 0 ? 0 : keys.count(now, request.key(), POPULARITY_FADES * deadline);
         open.put(request.id(), p);
         retryTokens = Math.min(RETRY_SAVINGS, retryTokens + RETRY_RATIO);
         if (request.budget() <= 0) {
@@ -281,10 +267,9 @@
         }
     }
 
-    /** The ordinary path: the ring owner, or the next ring server that is not turned away. */
     private void sendOnRing(double now, Pending p) {
         Server s = pick(now, p);
-        p.expectsHit = s != null && keys.holds(now, p.request.key(), s, EVIDENCE_FADES * deadline);
+        p.expectsHit = s != null && keys.holds(now, p.request.key(), s, memory);
         boolean fetched = settings.fetching() == Fetching.THROUGH && !p.expectsHit;
         send(now, p, s == null || fetched && !mayFetch(p) ? null : s);
     }
@@ -302,20 +287,13 @@
     }
 
     private Server pick(double now, Pending p) {
-        int skip = spread(now, p);
-        Server s = skip > 0 ? pick(now, p, skip) : null;
-        return s != null ? s : pick(now, p, 0);
-    }
-
-    /** Guards against a key that is more than one server can bear: ring servers to pass over. */
-    private int spread(double now, Pending p) {
-        if (p.heat <= 1 || servers.size() < 2) {
-            return 0;
-        }
-        double bearable = HOT_SHARE * requests.at(now) / servers.size();
+        // Guards against a key that is more than one server can bear: ring servers are passed over.
+        double bearable = HOT_SHARE * requests.at(now, POPULARITY_FADES * deadline) / servers.size();
         // One deviation off the count: where calls are rare, a key asked for twice is not yet a crowd.
         int copies = (int) Math.min(COPIES_MOST, Math.ceil((p.heat - Math.sqrt(p.heat)) / bearable));
-        return copies > 1 ? random.nextInt(copies) : 0;
+        int skip = copies > 1 && servers.size() > 1 ? random.nextInt(copies) : 0;
+        Server s = skip > 0 ? pick(now, p, skip) : null;
+        return s != null ? s : pick(now, p, 0);
     }
 
     private Server pick(double now, Pending p, int skip) {
@@ -328,14 +306,11 @@
         HashRing.Walk walk = ring.from(p.point);
         for (int slot = walk.next(); slot >= 0 && asked < WALK_LIMIT; slot = walk.next()) {
             Server s = slots.get(slot);
-            asked++;
-            if (asked <= 0 || p.tried(s)) {
+            if (++asked <= 0 || p.tried(s)) {
                 continue;
             }
             if (crowded(now, p, s)) {
-                if (turned++ == 0) {
-                    crowdedShare += Latency.GAIN * (1 - crowdedShare);
-                }
+                crowdedShare += turned++ == 0 ? Latency.GAIN * (1 - crowdedShare) : 0;
                 double few = ownAnswersOnly ? CROWDED_FEW_THROUGH : CROWDED_FEW;
                 if (crowdedShare > few || fetches.admitted < COPY_WHILE_ADMITTED) {
                     // Guards against turning away whose owner is only busy, for a crowd at the next one.
@@ -349,28 +324,23 @@
                     || s.bulkhead.full(due(sentOut.usual, s)) || !affords(now, s, share)) {
                 continue;
             }
-            // Busy by chance: the next may have no wait; no more are asked, for a key on many misses on many.
+            // Whoever is busy by chance is passed over, but few are asked: a key on many misses on many.
             double busyFrom = Bulkhead.busyFrom(due(sentOut.usual + elsewhere, s));
             if (share < 1 && HashRing.fraction(p.point ^ s.id) >= share * COLD_SHARE) {
-                boolean idles = p.out == 0 && s.bulkhead.inFlight < busyFrom;
-                spare = spare == null && idles ? s : spare;
+                spare = spare == null && p.out == 0 && s.bulkhead.inFlight < busyFrom ? s : spare;
                 continue;
             }
             double load = (s.bulkhead.inFlight + s.elsewhere) / busyFrom;
-            if (load >= 1) {
-                busy = busy == null || elsewhere > 0 && load < least ? s : busy;
-                least = Math.min(load, least);
-                if (++busies < (fetches.admitted < COPY_WHILE_ADMITTED ? 1 : 2)) {
-                    continue;
-                }
-            } else {
-                busy = s;
+            boolean waits = load >= 1;
+            busy = !waits || busy == null || elsewhere > 0 && load < least ? s : busy;
+            least = Math.min(load, least);
+            if (!waits || ++busies >= (fetches.admitted < COPY_WHILE_ADMITTED ? 1 : 2)) {
+                break;
             }
-            break;
         }
         // Whoever met no crowd counts, sent to a busy server or not: or few crowded servers look like many.
         crowdedShare -= Latency.GAIN * (busy != null && turned == 0 ? crowdedShare : 0);
-        // Guards against refusing while cold servers idle: they get what no warm one takes, on budget.
+        // Guards against refusing while cold servers idle: they get what no warm one takes.
         return busy == null ? spare : busy;
     }
 
@@ -384,10 +354,9 @@
         double recent = Math.exp((s.lagAt - now) / (HINT_FADES * deadline));
         double wait = (s.lag - common) * recent + common - unhurried();
         double first = p.overShare ? OVER_SHARE_FIRST : 1;
-        double from = through ? CROWD_FROM_THROUGH : Crowd.FROM;
-        double own = 1 - (first * wait / p.rules.aim() - from) / CROWD_RAMP;
-        double told = Math.pow(s.crowd.admitted(now), first);
-        double admitted = Math.max(Crowd.LEAST, Math.min(own, told));
+        double over = first * wait / p.rules.aim() - (through ? CROWD_FROM_THROUGH : Crowd.FROM);
+        double told = Math.pow(s.crowd.admitted(now, deadline), first);
+        double admitted = Math.max(Crowd.LEAST, Math.min(1 - over / CROWD_RAMP, told));
         return tells && admitted < 1 && HashRing.fraction(p.point + s.id) >= admitted;
     }
 
@@ -398,22 +367,17 @@
 
     /** Guards against pushing a cold server over: whatever goes there keeps to a budget. */
     private boolean affords(double now, Server s, double share) {
-        double perWeight = warmSends.rate(now, startedAt) / Math.max(warmWeight(now), s.weight);
-        double rate = COLD_BUDGET * settings.protection().overloadFactor() * share * perWeight * s.weight;
-        return share >= 1 || s.warmUp.affords(now, rate);
-    }
-
-    /** Of the warm ones, who share what they are sent: else a half cold fleet seems to be asked for less. */
-    private double warmWeight(double now) {
         if (now >= weighedAt + TELLS_EVERY * deadline) {
+            // The warm ones share what they are sent: else a half cold fleet seems to be asked for less.
             weighedAt = now;
-            warmWeight = servers.values().stream().mapToDouble(s ->
-                    s.warmUp.share(now) < 1 ? 0 : s.weight).sum();
+            warmWeight = servers.values().stream()
+                    .mapToDouble(x -> x.warmUp.share(now) < 1 ? 0 : x.weight).sum();
         }
-        return warmWeight;
+        double perWeight = warmSends.rate(now, startedAt, warmFades) / Math.max(warmWeight, s.weight);
+        double rate = COLD_BUDGET * settings.protection().overloadFactor() * share * perWeight * s.weight;
+        return share >= 1 || s.warmUp.affords(now, rate);
     }
 
-    /** A server's part of what goes to all. */
     private double due(double all, Server s) {
         return totalWeight > 0 ? all * s.weight / totalWeight : 0;
     }
@@ -425,30 +389,24 @@
         }
         s.breaker.onSend(now, p.request.id(), p.attempts);
         if (s != origin) {
-            sentOut.add(now, 1);
+            sentOut.add(now, 1, CONCURRENCY_FADES * deadline);
             if (s.warmUp.share(now) >= 1) {
-                warmSends.add(now, 1);
+                warmSends.add(now, 1, warmFades);
             } else {
                 s.warmUp.spend();
             }
         }
-        s.sends.add(now, 1);
-        s.bulkhead.add(now, 1);
+        s.sends.add(now, 1, memory);
+        s.bulkhead.add(now, 1, CONCURRENCY_FADES * deadline);
         p.onSend(now, s);
         host.send(p.request.id(), s.id, p.deadlineAt - now);
-        if (s != origin && p.attempts == 1 && mayCopy(p)) {
+        boolean mayCopy = settings.limits().concurrentAttempts() && p.rules.repeat() == Repeat.SAFE
+                && !p.rules.streamed() && p.on.length > 1 && cacheLatency.seen >= FailureRate.BELIEF;
+        if (mayCopy && s != origin && p.attempts == 1 && cacheLatency.late() < COPY_BEFORE * p.rules.aim()) {
             host.setTimer(cacheLatency.late(), p.request.id());
         }
     }
 
-    /** Second copies: only where the host allows them, the class is safe, and some experience says when. */
-    private boolean mayCopy(Pending p) {
-        return settings.limits().concurrentAttempts() && p.rules.repeat() == Repeat.SAFE
-                && !p.rules.streamed() && maxAttempts > 1 && cacheLatency.seen >= FailureRate.BELIEF
-                && cacheLatency.late() < COPY_BEFORE * p.rules.aim();
-    }
-
-    // ---- outcomes -----------------------------------------------------------------------------------------
     @Override
     public void onOutcome(double now, long request, int attempt, long server, Outcome outcome, double elapsed,
             boolean finished, Lookup lookup, float[] report) {
@@ -457,15 +415,14 @@
         if (s != null) {
             account(now, s, p, request, attempt, outcome, elapsed, lookup);
         }
-        if (p == null) {
-            return;
-        }
-        p.onOutcome(attempt, outcome);
-        if (finished) {
-            dropLosers(now, p);
-            open.remove(request);
-        } else if (p.out == 0 || outcome == Outcome.MISS) {
-            proceed(now, p, outcome);
+        if (p != null) {
+            p.onOutcome(attempt, outcome);
+            if (finished) {
+                dropLosers(now, p);
+                open.remove(request);
+            } else if (p.out == 0 || outcome == Outcome.MISS) {
+                proceed(now, p, outcome);
+            }
         }
     }
 
@@ -500,24 +457,27 @@
 
     /** Guards against few bad servers shutting the gate: what fails at one alone is not the origin's. */
     private double originsPart(double now, Server s, boolean inTime) {
-        fetchFaults.add(now, !inTime);
-        s.fetches.add(now, !inTime);
-        double elsewhere = fetchFaults.without(s.fetches, now);
-        double here = (s.fetches.failures.at(now) + elsewhere) / (s.fetches.ends.at(now) + 1);
-        return Math.max(0, 1 - hitFailures.at(now) / missFailures.at(now)) * Math.min(1, elsewhere / here);
+        double fades = FETCH_FADES * deadline;
+        fetchFaults.add(now, !inTime, fades);
+        s.fetches.add(now, !inTime, fades);
+        double elsewhere = fetchFaults.without(s.fetches, now, fades);
+        double here = (s.fetches.failures.at(now, fades) + elsewhere) / (s.fetches.ends.at(now, fades) + 1);
+        return Math.max(0, 1 - hitFailures.at(now, memory) / missFailures.at(now, memory))
+                * Math.min(1, elsewhere / here);
     }
 
     /** Guards against servers whose connections are all held idle: while some fail, those are given back. */
     private void shareConnections(double now, Server s, Outcome outcome) {
-        connects.ends.add(now, 1);
+        connects.ends.add(now, 1, memory);
         if (outcome == Outcome.CONNECT_FAILED) {
             s.unreachedAt = now;
             return;
         }
         // One that answers its first trial had no connection left; one that is gone tells nothing of others.
-        connects.failures.add(now, now - s.unreachedAt < DEAD_TIME * (1 + JITTER) * deadline ? 1 : 0);
+        connects.failures.add(now, now - s.unreachedAt < DEAD_TIME * (1 + JITTER) * deadline ? 1 : 0, memory);
         s.unreachedAt = Double.NEGATIVE_INFINITY;
-        if (s.bulkhead.inFlight == 0 && connects.failures.at(now) > SCARCE * connects.ends.at(now)) {
+        boolean scarce = connects.failures.at(now, memory) > SCARCE * connects.ends.at(now, memory);
+        if (s.bulkhead.inFlight == 0 && scarce) {
             host.closeIdle(s.id);
         }
     }
@@ -529,10 +489,10 @@
         // In through mode a slow origin looks like slow caches: misses say nothing of a server's crowd.
         boolean fetched = settings.fetching() == Fetching.THROUGH
                 && (lookup == Lookup.MISS || tellsLookups && outcome == Outcome.TIMEOUT && !expectsHit);
-        s.bulkhead.add(now, -1);
+        s.bulkhead.add(now, -1, CONCURRENCY_FADES * deadline);
         Latency latency = s == origin ? originLatency : cacheLatency;
         if (s != origin) {
-            sentOut.add(now, -1);
+            sentOut.add(now, -1, CONCURRENCY_FADES * deadline);
         }
         if (outcome == Outcome.OK) {
             latency.add(elapsed);
@@ -542,14 +502,13 @@
             }
         }
         // 'Full' says that the wait would have been past any patience; a single one among answers does not.
-        double wait = outcome == Outcome.FULL ? deadline : elapsed;
-        boolean tellsWait = outcome == Outcome.OK || outcome == Outcome.TIMEOUT
-                || outcome == Outcome.FULL && s.saidFull;
-        s.saidFull = outcome == Outcome.FULL;
+        boolean full = outcome == Outcome.FULL;
+        double wait = full ? deadline : elapsed;
+        boolean tellsWait = full && s.saidFull || outcome == Outcome.OK || outcome == Outcome.TIMEOUT;
+        s.saidFull = full;
         if (s != origin && !fetched && tellsWait) {
             double gain = ownAnswersOnly ? LAG_GAIN_THROUGH : LAG_GAIN;
-            s.lag = (now - s.lagAt > HINT_FADES * deadline ? latency.mean : s.lag) * (1 - gain)
-                    + gain * wait;
+            s.lag = (now - s.lagAt > HINT_FADES * deadline ? latency.mean : s.lag) * (1 - gain) + gain * wait;
             double before = Double.isNaN(commonLag) ? latency.typical : commonLag;
             commonLag = before + COMMON_GAIN * (Latency.log(wait) - before);
             s.lagAt = now;
@@ -568,13 +527,13 @@
             boolean expectsHit) {
         Latency latency = s == origin ? originLatency : cacheLatency;
         FailureRate common = expectsHit ? hitFailures : missFailures;
-        double commonRate = s == origin ? 1 : common.at(now);
+        double commonRate = s == origin ? 1 : common.at(now, memory);
         double evidence = CircuitBreaker.evidence(outcome, elapsed, latency.late(), commonRate);
         if (evidence != 0 && s != origin) {
-            common.add(now, evidence > 0);
+            common.add(now, evidence > 0, memory);
         }
-        double openAt = OPEN_AT + Math.log1p(s.sends.rate(now, startedAt) * CHANCE_SPAN * deadline);
-        if (s.breaker.record(now, request, attempt, evidence, openAt, EVIDENCE_FADES * deadline)) {
+        double openAt = OPEN_AT + Math.log1p(s.sends.rate(now, startedAt, memory) * CHANCE_SPAN * deadline);
+        if (s.breaker.record(now, request, attempt, evidence, openAt, memory)) {
             s.breaker.open(now, DEAD_TIME * deadline, 1 + JITTER * (2 * random.nextDouble() - 1));
         }
     }
@@ -596,7 +555,7 @@
     /** The one place that decides whether a request may be sent to a server, and whether once more. */
     private boolean maySend(double now, Pending p, Server s) {
         boolean atOnce = p.out == 0 || settings.limits().concurrentAttempts();
-        return s.ready && p.attempts < maxAttempts && now < p.deadlineAt && atOnce
+        return s.ready && p.attempts < p.on.length && now < p.deadlineAt && atOnce
                 && p.mayRepeat(now, settings.tick(), s);
     }
 
--- a/router/src/main/java/stagepier/CircuitBreaker.java
+++ b/router/src/main/java/stagepier/CircuitBreaker.java
@@ -18,9 +18,9 @@
     private double openUntil;
     private double closedAt = Double.NEGATIVE_INFINITY;
     private int openings;
-    private boolean trialOut;
     private long trialRequest;
-    private int trialAttempt;
+    /** -1 while no trial is out. */
+    private int trialAttempt = -1;
 
     /** What one outcome says; a server that only fails is opened also when all others fail. */
     static double evidence(Outcome outcome, double elapsed, double late, double rateOfAll) {
@@ -39,14 +39,12 @@
         };
     }
 
-    /** Closed, or dead time over and no trial out. */
     boolean allows(double now) {
-        return !isOpen || now >= openUntil && !trialOut;
+        return !isOpen || now >= openUntil && trialAttempt < 0;
     }
 
     void onSend(double now, long request, int attempt) {
         if (isOpen) {
-            trialOut = true;
             trialRequest = request;
             trialAttempt = attempt;
         }
@@ -55,10 +53,10 @@
     /** Returns whether the circuit has to open, anew or again. */
     boolean record(double now, long request, int attempt, double weight, double openAt, double fades) {
         if (isOpen) {
-            if (!trialOut || request != trialRequest || attempt != trialAttempt) {
+            if (request != trialRequest || attempt != trialAttempt) {
                 return false;
             }
-            trialOut = false;
+            trialAttempt = -1;
             if (weight < 0) {
                 isOpen = false;
                 evidence = 0;
--- a/router/src/main/java/stagepier/FailureRate.java
+++ b/router/src/main/java/stagepier/FailureRate.java
@@ -5,26 +5,22 @@
     static final double USUAL = 0.01;
     /** Ends that the belief in the usual rate counts for. */
     static final int BELIEF = 20;
-    final FadingCount ends;
-    final FadingCount failures;
+    final FadingCount ends = new FadingCount();
+    final FadingCount failures = new FadingCount();
 
-    FailureRate(double fades) {
-        ends = new FadingCount(fades);
-        failures = new FadingCount(fades);
+    void add(double now, boolean failed, double fades) {
+        ends.add(now, 1, fades);
+        failures.add(now, failed ? 1 : 0, fades);
     }
 
-    void add(double now, boolean failed) {
-        ends.add(now, 1);
-        failures.add(now, failed ? 1 : 0);
+    double at(double now, double fades) {
+        return rate(failures.at(now, fades), ends.at(now, fades));
     }
 
-    double at(double now) {
-        return rate(failures.at(now), ends.at(now));
-    }
-
-    /** The rate without a part of what is counted here. */
-    double without(FailureRate part, double now) {
-        return rate(failures.at(now) - part.failures.at(now), ends.at(now) - part.ends.at(now));
+    /** The rate of all that is counted here but not in a part of it. */
+    double without(FailureRate part, double now, double fades) {
+        return rate(failures.at(now, fades) - part.failures.at(now, fades),
+                ends.at(now, fades) - part.ends.at(now, fades));
     }
 
     private static double rate(double failures, double ends) {
--- a/router/src/main/java/stagepier/HashRing.java
+++ b/router/src/main/java/stagepier/HashRing.java
@@ -25,8 +25,6 @@
         for (int i = 0; i < virtualNodes; i++) {
             more[old + i] = mix(seed + i * GOLDEN_GAMMA) & ~SLOT_MASK | slot;
         }
-        // Two sorted runs are merged, which is less work than to sort the whole of a large ring.
-        Arrays.sort(more, old, more.length);
         Arrays.sort(more);
         points = more;
     }
@@ -42,27 +40,25 @@
 
     /** All servers in ring order, the owner of the hash first. */
     public Walk from(long hash) {
-        return new Walk(points, hash);
+        return new Walk(hash);
     }
 
     /** One way round a ring as it was when the walk began. */
-    public static final class Walk {
-        private final long[] points;
+    public final class Walk {
+        private final long[] ring = points;
         private final BitSet met = new BitSet();
         private int at;
-        private int left;
+        private int left = ring.length;
 
-        private Walk(long[] points, long hash) {
-            this.points = points;
-            left = points.length;
-            int i = Arrays.binarySearch(points, hash & ~SLOT_MASK);
+        private Walk(long hash) {
+            int i = Arrays.binarySearch(ring, hash & ~SLOT_MASK);
             at = i < 0 ? -i - 1 : i;
         }
 
         /** Slot of the next server not met yet, or -1 after the last. */
         public int next() {
             while (left-- > 0) {
-                int slot = (int) (points[at++ % points.length] & SLOT_MASK);
+                int slot = (int) (ring[at++ % ring.length] & SLOT_MASK);
                 if (!met.get(slot)) {
                     met.set(slot);
                     return slot;
--- a/router/src/main/java/stagepier/KindSpeeds.java
+++ b/router/src/main/java/stagepier/KindSpeeds.java
@@ -7,7 +7,7 @@
     private static final double GAIN = 1.0 / 256;
     private static final double SLOWEST = 0.4;
     private static final double CHANGES = 0.15;
-    /** By kind: speed that it counts for, in parts of the fastest; mean log answer time; answers. */
+    /** By kind: in parts of the fastest, 0 for 1; mean log answer time; answers. */
     private final double[] speed = new double[256];
     private final double[] typical = new double[256];
     private final int[] answers = new int[256];
--- a/router/src/main/java/stagepier/Latency.java
+++ b/router/src/main/java/stagepier/Latency.java
@@ -2,11 +2,9 @@
 
 /** Running mean and mean deviation of answer times. */
 final class Latency {
-    /** Weight of a new answer at the least. */
+    /** Weight of a new answer; answers that tell the least time; deviations after which it is late. */
     static final double GAIN = 1.0 / 64;
-    /** Answers after which their mean time is taken for what an answer needs that waits for nothing. */
     private static final int TRUSTED = 8;
-    /** Deviations above the mean after which a further try is worth more than waiting. */
     private static final double LATE_DEVIATIONS = 4;
     double mean;
     private double deviation;
--- a/router/src/main/java/stagepier/Server.java
+++ b/router/src/main/java/stagepier/Server.java
@@ -5,13 +5,13 @@
     final long id;
     final int slot;
     CircuitBreaker breaker = new CircuitBreaker();
-    final Bulkhead bulkhead;
+    final Bulkhead bulkhead = new Bulkhead();
     WarmUp warmUp;
-    final Crowd crowd;
-    final FadingCount sends;
-    final FailureRate fetches;
-    /** Its last entry in the list. */
-    Api.Member member;
+    final Crowd crowd = new Crowd();
+    final FadingCount sends = new FadingCount();
+    final FailureRate fetches = new FailureRate();
+    int zone;
+    int cell;
     int kind;
     double size;
     /** Its part of the ring; 0 while it has none. */
@@ -23,18 +23,13 @@
     int openElsewhere;
     /** When it could not be reached, until it answers. */
     double unreachedAt = Double.NEGATIVE_INFINITY;
-    /** Running mean of its answer times. */
     double lag;
     double lagAt = Double.NEGATIVE_INFINITY;
     boolean saidFull;
 
-    Server(long id, int slot, Api.Protection protection, double shortestDeadline) {
+    Server(long id, int slot, Api.Protection protection) {
         this.id = id;
         this.slot = slot;
-        bulkhead = new Bulkhead(shortestDeadline);
         warmUp = new WarmUp(protection, 0, 0, 0);
-        crowd = new Crowd(shortestDeadline);
-        sends = new FadingCount(Brain.EVIDENCE_FADES * shortestDeadline);
-        fetches = new FailureRate(Brain.FETCH_FADES * shortestDeadline);
     }
 }
--- a/router/src/main/java/stagepier/WarmUp.java
+++ b/router/src/main/java/stagepier/WarmUp.java
@@ -15,7 +15,7 @@
         tokensAt = now;
     }
 
-    /** Part of its capacity that the server has at the least; 1 when it is warm. */
+    /** Part of its capacity that it has at the least. */
     double share(double now) {
         if (startedAt == 0 || rules.warmUp() <= 0 || now - startedAt >= rules.warmUp()) {
             return 1;
