Read fleet.toml strictly, each refusal one line with file, line and key

Need: the routers of a fleet have to be told of each other, and a slip in that file may split a fleet.

Change: FleetConfigReader over the TOML library in use; unknown keys, wrong types, addresses not in figures, doubled addresses and a router that is no member are refused. An example file with every key stands in deploy.

--- /dev/null
+++ b/router/src/test/java/stagepier/fleet/FleetConfigReaderTest.java
@@ -0,0 +1,135 @@
+package stagepier.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+@Timeout(20)
+class FleetConfigReaderTest {
+    @TempDir
+    Path folder;
+
+    record Bad(int line, String key, String wrong, String text) {
+        @Override
+        public String toString() {
+            return key + ": " + wrong;
+        }
+    }
+
+    static List<Bad> bad() throws IOException {
+        try (InputStream in = FleetConfigReaderTest.class.getResourceAsStream("bad-fleet.txt")) {
+            String all = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+            List<Bad> cases = Arrays.stream(all.split("(?m)^### ")).skip(1).map(c -> {
+                String[] head = c.substring(0, c.indexOf('\n')).split(" \\| ", 3);
+                return new Bad(Integer.parseInt(head[0]), head[1], head[2], c.substring(c.indexOf('\n') + 1));
+            }).toList();
+            assertTrue(cases.size() >= 40, "only " + cases.size() + " bad files are kept");
+            return cases;
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("bad")
+    void tellsFileLineAndKeyInOneLine(Bad bad) throws IOException {
+        Path file = Files.writeString(folder.resolve("fleet.toml"), bad.text());
+        String told = assertThrows(BadFleetException.class, () -> FleetConfigReader.read(file, "a")).getMessage();
+        String expected = file + ": line " + bad.line() + ": key " + bad.key() + ": " + bad.wrong();
+        assertTrue(told.startsWith(expected), () -> told + "\n instead of\n" + expected);
+        assertFalse(told.contains("\n"));
+        if (!bad.wrong().startsWith("is no TOML")) {
+            assertEquals(expected, told);
+        }
+    }
+
+    @Test
+    void tellsWhatIsNoTextOrTooMuch() throws IOException {
+        Path file = folder.resolve("fleet.toml");
+        assertTold(file, "line 1: key -: cannot be read");
+        Files.write(file, new byte[] {(byte) 0xff, (byte) 0xfe, 'a'});
+        assertTold(file, "line 1: key -: is not in UTF-8");
+        Files.writeString(file, "#".repeat((int) FleetConfigReader.LARGEST_FILE + 1));
+        assertTold(file, "line 1: key -: is larger than 262144 bytes");
+        Files.writeString(file, fleetOf(FleetConfigReader.MOST_MEMBERS + 1));
+        assertTold(file, "line 1: key members: names 1001 routers; at most 1000");
+    }
+
+    private static void assertTold(Path file, String told) {
+        assertEquals(file + ": " + told, assertThrows(BadFleetException.class, () -> FleetConfigReader.read(file, "r-1")).getMessage());
+    }
+
+    private static String fleetOf(int members) {
+        StringBuilder text = new StringBuilder("[members]\n");
+        for (int i = 1; i <= members; i++) {
+            text.append("r-").append(i).append(" = \"10.0.0.1:").append(i).append("\"\n");
+        }
+        return text.toString();
+    }
+
+    static Stream<String> good() {
+        return Stream.of("[members]\na = \"127.0.0.1:1\"\n", "members.a = \"255.254.1.2:65535\"\n".replace("255.", "126."),
+                "[fleet]\n[members]\n\"a\" = '10.0.0.1:7400' # the first\nb-2 = \"10.0.0.1:7401\"\n",
+                "members = { a = \"10.0.0.1:7400\" }\nfleet = { lease_ms = 60_000, skew_ms = 0 }\n");
+    }
+
+    @ParameterizedTest
+    @MethodSource("good")
+    void takesWhatIsGood(String text) throws IOException, BadFleetException {
+        FleetConfig config = FleetConfigReader.read(Files.writeString(folder.resolve("fleet.toml"), text), "a");
+        assertEquals("a", config.self());
+        assertTrue(config.members().containsKey("a"));
+    }
+
+    @Test
+    void readsEveryKey() throws IOException, BadFleetException {
+        Path file = Files.writeString(folder.resolve("fleet.toml"), """
+                [fleet]
+                lease_ms = 1000
+                skew_ms = 10000
+                calendar = "calendar.toml"
+                candidate = "/etc/stagepier/candidate.toml"
+                [members]
+                b = "10.0.0.2:7400"
+                a = "10.0.0.1:7400"
+                c = "10.0.0.3:7400"
+                """);
+        FleetConfig config = FleetConfigReader.read(file, "b");
+        assertEquals(List.of("a", "b", "c"), List.copyOf(config.members().keySet()));
+        assertEquals(new InetSocketAddress("10.0.0.2", 7400), config.members().get("b"));
+        assertEquals(Duration.ofSeconds(1), config.lease());
+        assertEquals(Duration.ofSeconds(10), config.skew());
+        assertEquals(folder.resolve("calendar.toml"), config.calendar());
+        assertEquals(Path.of("/etc/stagepier/candidate.toml"), config.candidate());
+        assertEquals(2, config.majority());
+        assertEquals(16, config.hash().length());
+    }
+
+    @Test
+    void hasDefaultsAndTakesTheLargestFleetAndTheExample() throws IOException, BadFleetException {
+        Path file = Files.writeString(folder.resolve("fleet.toml"), fleetOf(FleetConfigReader.MOST_MEMBERS));
+        FleetConfig config = FleetConfigReader.read(file, "r-1000");
+        assertEquals(Duration.ofSeconds(5), config.lease());
+        assertEquals(Duration.ofSeconds(2), config.skew());
+        assertNull(config.calendar());
+        assertNull(config.candidate());
+        assertEquals(501, config.majority());
+        assertEquals(3, FleetConfigReader.read(Path.of("..", "deploy", "fleet.toml"), "router-02").members().size());
+    }
+}
