Read fleet.toml in the form that was set down: member tables, and an address to listen on

Cause: the form was written down while the reader was built on one of its own.

Change: [[member]] with name and address, listen at the top; the hash covers names, lease and skew and leaves addresses out.

--- a/router/src/main/java/stagepier/fleet/FleetConfigReader.java
+++ b/router/src/main/java/stagepier/fleet/FleetConfigReader.java
@@ -12,16 +12,18 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.tomlj.Toml;
+import org.tomlj.TomlArray;
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
@@ -34,8 +36,8 @@
     private static final Pattern NAME = Pattern.compile("[a-z0-9](?:[a-z0-9-]{0,30}[a-z0-9])?");
     private static final Pattern FIGURES = Pattern.compile(
             "([0-9]{1,3})\\.([0-9]{1,3})\\.([0-9]{1,3})\\.([0-9]{1,3}):([0-9]{1,5})");
-    private static final List<String> TABLES = List.of("fleet", "members");
-    private static final List<String> KEYS = List.of("lease_ms", "skew_ms", "calendar", "candidate");
+    private static final List<String> KEYS = List.of("listen", "lease_ms", "skew_ms", "calendar", "candidate", "member");
+    private static final List<String> MEMBER_KEYS = List.of("name", "address");
 
     private final Path file;
     private TomlParseResult toml;
@@ -59,18 +61,18 @@
             TomlParseError first = toml.errors().get(0);
             throw new BadFleetException(file, first.position().line(), "-", "is no TOML: " + first.getMessage());
         }
-        known(toml, List.of(), TABLES);
-        TomlTable fleet = table("fleet");
-        if (fleet != null) {
-            known(fleet, List.of("fleet"), KEYS);
-        }
-        Duration lease = millis("lease_ms", 5_000, 1_000, 60_000);
+        known(toml, "", KEYS);
+        Duration lease = millis("lease_ms", 3_000, 1_000, 60_000);
         Duration skew = millis("skew_ms", 2_000, 0, 10_000);
+        InetSocketAddress listen = toml.contains(List.of("listen")) ? address(toml, "", "listen") : null;
+        Path calendar = path("calendar");
+        Path candidate = path("candidate");
         SortedMap<String, InetSocketAddress> members = members();
         if (!members.containsKey(self)) {
-            throw bad(List.of("members"), "has no member '" + self + "', which is this router's name");
+            throw bad(toml, "", "member", "none has the name '" + self + "', which is this router's");
         }
-        return new FleetConfig(file, hash(text), self, members, path("calendar"), lease, skew, path("candidate"));
+        return new FleetConfig(file, hash(members.keySet(), lease, skew), self, listen == null ? members.get(self) : listen, members,
+                calendar, lease, skew, candidate);
     }
 
     private String text() throws BadFleetException {
@@ -87,56 +89,60 @@
     }
 
     private SortedMap<String, InetSocketAddress> members() throws BadFleetException {
-        TomlTable table = table("members");
-        if (table == null) {
-            throw bad(List.of("members"), "is missing");
+        Object value = toml.get(List.of("member"));
+        if (value == null) {
+            throw bad(toml, "", "member", "is missing: no router is named");
         }
-        if (table.isEmpty()) {
-            throw bad(List.of("members"), "names no router");
+        if (!(value instanceof TomlArray array) || array.isEmpty()
+                || !array.toList().stream().allMatch(TomlTable.class::isInstance)) {
+            throw bad(toml, "", "member", "must be tables, each under [[member]]");
         }
-        if (table.size() > MOST_MEMBERS) {
-            throw bad(List.of("members"), "names " + table.size() + " routers; at most " + MOST_MEMBERS);
+        if (array.size() > MOST_MEMBERS) {
+            throw bad(toml, "", "member", array.size() + " routers are named; at most " + MOST_MEMBERS);
         }
         SortedMap<String, InetSocketAddress> members = new TreeMap<>();
         Map<InetSocketAddress, String> names = new HashMap<>();
-        for (String name : table.keySet()) {
-            List<String> at = List.of("members", name);
+        for (int i = 0; i < array.size(); i++) {
+            TomlTable table = array.getTable(i);
+            String at = "member[" + i + "].";
+            known(table, at, MEMBER_KEYS);
+            String name = string(table, at, "name");
             if (!NAME.matcher(name).matches()) {
-                throw bad(at, "a name is 1 to 32 lower-case letters, digits and dashes, with no dash at either end");
+                throw bad(table, at, "name", "must be 1 to 32 lower-case letters, digits and dashes, with no dash at either end");
             }
-            if (!(table.get(List.of(name)) instanceof String value)) {
-                throw bad(at, "must be a text such as \"10.0.0.1:7400\"");
+            InetSocketAddress address = address(table, at, "address");
+            if (members.putIfAbsent(name, address) != null) {
+                throw bad(table, at, "name", "'" + name + "' is named before");
             }
-            InetSocketAddress address = address(at, value);
             String other = names.putIfAbsent(address, name);
             if (other != null) {
-                throw bad(at, "has the address of " + other);
+                throw bad(table, at, "address", "is that of " + other);
             }
-            members.put(name, address);
         }
         return members;
     }
 
     /** Figures only: a look-up would block, and may give two routers two answers. */
-    private InetSocketAddress address(List<String> at, String value) throws BadFleetException {
+    private InetSocketAddress address(TomlTable table, String at, String key) throws BadFleetException {
+        String value = string(table, at, key);
         Matcher figures = FIGURES.matcher(value);
         if (!figures.matches()) {
-            throw bad(at, "'" + value + "' is no IPv4 address in figures with a port");
+            throw bad(table, at, key, "'" + value + "' is no IPv4 address in figures with a port");
         }
         byte[] bytes = new byte[4];
         for (int i = 0; i < 4; i++) {
             int figure = Integer.parseInt(figures.group(i + 1));
             if (figure > 255 || figures.group(i + 1).length() > 1 && figures.group(i + 1).startsWith("0")) {
-                throw bad(at, "'" + value + "' is no IPv4 address in figures with a port");
+                throw bad(table, at, key, "'" + value + "' is no IPv4 address in figures with a port");
             }
             bytes[i] = (byte) figure;
         }
         int port = Integer.parseInt(figures.group(5));
         if (port < 1 || port > 65_535) {
-            throw bad(at, "port " + port + " does not lie between 1 and 65535");
+            throw bad(table, at, key, "port " + port + " does not lie between 1 and 65535");
         }
         if (bytes[0] == 0 || (bytes[0] & 0xe0) == 0xe0) {
-            throw bad(at, "'" + value + "' is no address of one machine");
+            throw bad(table, at, key, "'" + value + "' is no address of one machine");
         }
         try {
             return new InetSocketAddress(InetAddress.getByAddress(bytes), port);
@@ -146,64 +152,61 @@
     }
 
     private Duration millis(String key, long absent, long least, long most) throws BadFleetException {
-        List<String> at = List.of("fleet", key);
-        Object value = toml.get(at);
+        Object value = toml.get(List.of(key));
         if (value == null) {
             return Duration.ofMillis(absent);
         }
         if (!(value instanceof Long n)) {
-            throw bad(at, "must be a whole number of milliseconds");
+            throw bad(toml, "", key, "must be a whole number of milliseconds");
         }
         if (n < least || n > most) {
-            throw bad(at, n + " does not lie between " + least + " and " + most);
+            throw bad(toml, "", key, n + " does not lie between " + least + " and " + most);
         }
         return Duration.ofMillis(n);
     }
 
     /** Beside the file itself where it is not absolute; null where the key is absent. */
     private Path path(String key) throws BadFleetException {
-        List<String> at = List.of("fleet", key);
-        Object value = toml.get(at);
-        if (value == null) {
+        if (!toml.contains(List.of(key))) {
             return null;
         }
-        if (!(value instanceof String name)) {
-            throw bad(at, "must be a text: the name of a file");
-        }
+        String name = string(toml, "", key);
         if (name.isBlank()) {
-            throw bad(at, "names no file");
+            throw bad(toml, "", key, "names no file");
         }
         try {
             return file.resolveSibling(name);
         } catch (InvalidPathException e) {
-            throw bad(at, "is no name of a file");
+            throw bad(toml, "", key, "is no name of a file");
         }
     }
 
-    private TomlTable table(String name) throws BadFleetException {
-        Object value = toml.get(List.of(name));
-        if (value != null && !(value instanceof TomlTable)) {
-            throw bad(List.of(name), "must be a table");
+    private String string(TomlTable table, String at, String key) throws BadFleetException {
+        Object value = table.get(List.of(key));
+        if (!(value instanceof String text)) {
+            throw bad(table, at, key, value == null ? "is missing" : "must be a text");
         }
-        return (TomlTable) value;
+        return text;
     }
 
-    private void known(TomlTable table, List<String> at, List<String> keys) throws BadFleetException {
+    private void known(TomlTable table, String at, List<String> keys) throws BadFleetException {
         for (String key : table.keySet()) {
             if (!keys.contains(key)) {
-                List<String> path = new ArrayList<>(at);
-                path.add(key);
-                throw bad(path, "is unknown; known here: " + String.join(", ", keys));
+                throw bad(table, at, key, "is unknown; known here: " + String.join(", ", keys));
             }
         }
     }
 
-    private BadFleetException bad(List<String> at, String wrong) {
-        TomlPosition position = toml.inputPositionOf(at);
-        return new BadFleetException(file, position == null ? 1 : position.line(), Toml.joinKeyPath(at), wrong);
+    /** Where the key is absent, the line is that of the table's first key, or the first of the file. */
+    private BadFleetException bad(TomlTable table, String at, String key, String wrong) {
+        Stream<String> keys = table.contains(List.of(key)) ? Stream.of(key) : table == toml ? Stream.empty() : table.keySet().stream();
+        int line = keys.map(k -> table.inputPositionOf(List.of(k))).mapToInt(TomlPosition::line).min().orElse(1);
+        return new BadFleetException(file, line, at + Toml.joinKeyPath(List.of(key)), wrong);
     }
 
-    private static String hash(String text) {
+    /** Of what has to be the same at all routers. */
+    private static String hash(Set<String> names, Duration lease, Duration skew) {
+        String text = String.join(",", names) + ";" + lease.toMillis() + ";" + skew.toMillis();
         try {
             byte[] sum = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
             return HexFormat.of().formatHex(sum, 0, 8);
