--- /dev/null
+++ b/router/src/main/java/stagepier/freeze/Fanout.java
@@ -0,0 +1,153 @@
+package stagepier.freeze;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import stagepier.fleet.Calls;
+import stagepier.fleet.Message;
+import stagepier.tasks.Box;
+import stagepier.tasks.Tasks;
+
+/**
+ * Asks many routers at once: a few tasks make the calls, so that one that is silent keeps no other one waiting. Those that answered
+ * last time are asked first.
+ */
+final class Fanout {
+    private static final int WORKERS_MOST = 16;
+    private static final Duration IDLE = Duration.ofHours(1);
+
+    private record Errand(String to, Message message, long until, Box<Answer> back) {
+    }
+
+    /** @param reply null where none came, or one that makes no sense */
+    private record Answer(String from, Reply reply) {
+    }
+
+    private final Tasks tasks;
+    private final Calls calls;
+    private final Collection<String> others;
+    private final Map<String, Boolean> silent = new ConcurrentHashMap<>();
+    /** Tasks that have nothing to do, each by what wakes it; what is to be done lies in {@code errands}. */
+    private final ConcurrentLinkedQueue<Box<Boolean>> idle = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<Errand> errands = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger waiting = new AtomicInteger();
+    private final int most;
+
+    Fanout(Tasks tasks, Calls calls, Collection<String> others) {
+        this.tasks = tasks;
+        this.calls = calls;
+        this.others = others;
+        most = Math.max(16, others.size() * 8);
+    }
+
+    void start() {
+        for (int i = 0; i < Math.min(WORKERS_MOST, others.size()); i++) {
+            Box<Boolean> wake = tasks.box(1);
+            tasks.start("calendar-call-" + i, () -> work(wake));
+        }
+    }
+
+    private void work(Box<Boolean> wake) throws InterruptedException {
+        while (true) {
+            Errand errand = errands.poll();
+            if (errand == null) {
+                idle.add(wake);
+                // Sent between the look and the word that this one is idle.
+                errand = errands.poll();
+                if (errand == null) {
+                    wake.take(IDLE);
+                }
+                idle.remove(wake);
+            }
+            if (errand != null) {
+                waiting.decrementAndGet();
+                errand.back().put(new Answer(errand.to(), ask(errand)));
+            }
+        }
+    }
+
+    private boolean send(Errand errand) {
+        if (waiting.get() >= most) {
+            return false;
+        }
+        waiting.incrementAndGet();
+        errands.add(errand);
+        Box<Boolean> one = idle.poll();
+        if (one != null) {
+            one.put(true);
+        }
+        return true;
+    }
+
+    private Reply ask(Errand errand) throws InterruptedException {
+        long left = errand.until() - tasks.nanoTime();
+        if (left <= 0) {
+            return null;
+        }
+        try {
+            Reply reply = calls.call(errand.to(), errand.message(), Duration.ofNanos(left)).read(Reply.class);
+            silent.remove(errand.to());
+            return reply.whole() ? reply : null;
+        } catch (Calls.SilentException | Message.MalformedException e) {
+            silent.put(errand.to(), true);
+            return null;
+        }
+    }
+
+    /**
+     * Asks all others.
+     *
+     * @param call   what each is asked
+     * @param most   by then the round is over
+     * @param enough looked at after each reply: the round is over where it holds
+     * @param tally  takes the replies
+     */
+    void ask(Function<String, Message> call, Duration most, Tally tally, Predicate<Tally> enough) throws InterruptedException {
+        ask(order(), call, most, tally, enough);
+    }
+
+    /** Asks only some. */
+    void ask(List<String> whom, Function<String, Message> call, Duration most, Tally tally, Predicate<Tally> enough)
+            throws InterruptedException {
+        long until = tasks.nanoTime() + most.toNanos();
+        Box<Answer> back = tasks.box(Math.max(1, whom.size()));
+        int open = 0;
+        for (String name : whom) {
+            open += send(new Errand(name, call.apply(name), until, back)) ? 1 : 0;
+        }
+        while (open > 0 && !enough.test(tally)) {
+            Answer answer = back.take(Duration.ofNanos(Math.max(0, until - tasks.nanoTime())));
+            if (answer == null && tasks.nanoTime() >= until) {
+                return;
+            }
+            if (answer != null) {
+                open--;
+                if (answer.reply() != null) {
+                    tally.add(answer.from(), answer.reply());
+                }
+            }
+        }
+    }
+
+    /** Tells all others, and waits for nobody. */
+    void tell(Function<String, Message> call, Duration most) {
+        long until = tasks.nanoTime() + most.toNanos();
+        Box<Answer> back = tasks.box(1);
+        order().forEach(name -> send(new Errand(name, call.apply(name), until, back)));
+    }
+
+    /** Those that answered last first. */
+    List<String> order() {
+        List<String> order = new ArrayList<>();
+        others.stream().filter(name -> !silent.containsKey(name)).forEach(order::add);
+        others.stream().filter(silent::containsKey).forEach(order::add);
+        return order;
+    }
+}
