Hold voluntary changes and let them go one an interval, in step over the fleet

Need: when a freeze ends no wave of cold servers may follow, and what was overtaken must never be played.

Change: HeldChanges keeps the newest change of each server, releases at most one an interval in an order that all routers draw alike, and keeps what comes new in line meanwhile.

--- a/router/src/main/java/stagepier/freeze/FreezePart.java
+++ b/router/src/main/java/stagepier/freeze/FreezePart.java
@@ -19,6 +19,9 @@
 public final class FreezePart implements FleetPart {
     private static final Logger LOG = LoggerFactory.getLogger(FreezePart.class);
 
+    /** A server that comes new is filled by its share of the misses in about this time. */
+    private static final Duration SPACING_LEAST = Duration.ofSeconds(2);
+
     private final Tasks tasks;
     private final FleetConfig config;
     private final History history;
@@ -84,9 +87,16 @@
         return acceptor.learned().version().packed();
     }
 
-    /** Where {@code STATUS} gets the number of held changes from; any thread calls it. */
-    public void countHeld(IntSupplier count) {
-        held = count;
+    /** What holds changes for the event loop by this calendar; {@code STATUS} counts them. Once. */
+    public <T> HeldChanges<T> holder() {
+        HeldChanges<T> holder = new HeldChanges<>(this::calendar, history, Register.fleet(config).hashCode(), interval());
+        held = holder::size;
+        return holder;
+    }
+
+    /** Between two held changes that are taken up once the calendar opens. */
+    Duration interval() {
+        return config.skew().compareTo(SPACING_LEAST) > 0 ? config.skew() : SPACING_LEAST;
     }
 
     @Override
--- a/router/src/main/java/stagepier/freeze/Register.java
+++ b/router/src/main/java/stagepier/freeze/Register.java
@@ -87,7 +87,7 @@
         this.listener = listener;
         random = new SplittableRandom(seed);
         majority = config.majority();
-        fleet = Windows.hash(String.join("\n", config.members().keySet()));
+        fleet = fleet(config);
         Collection<String> others = new TreeSet<>(config.members().keySet());
         others.remove(config.self());
         fanout = new Fanout(tasks, calls, List.copyOf(others));
@@ -100,6 +100,11 @@
         calls.answer(Ask.PART, this::answer);
     }
 
+    /** Names the configured fleet: routers with another one have another agreement. */
+    static String fleet(FleetConfig config) {
+        return Windows.hash(String.join("\n", config.members().keySet()));
+    }
+
     private static Duration max(Duration a, Duration b) {
         return a.compareTo(b) > 0 ? a : b;
     }
