Keep a view of the fleet: SWIM with Lifeguard over answered calls

Need: fourteen routers act on fourteen opinions; each has to hold who is in, and whether it is in a majority.

--- /dev/null
+++ b/router/src/main/java/stagepier/fleet/MemberTable.java
@@ -0,0 +1,520 @@
+package stagepier.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import stagepier.fleet.FleetView.Facts;
+import stagepier.fleet.FleetView.Member;
+import stagepier.fleet.FleetView.State;
+import stagepier.fleet.ViewWords.News;
+
+/**
+ * The rules of the view. Of two that speak of one member the higher incarnation holds, and in one incarnation the later of alive,
+ * suspect, gone, left: so news may come twice, late and in any order. A member itself contradicts that it is suspect or gone by a
+ * higher incarnation (Das, Gupta and Motivala, <i>SWIM: scalable weakly-consistent infection-style process group membership
+ * protocol</i>, 2002). What counts as heard is a call that was answered, here or by somebody who tells so: whose words do not get out
+ * has no answers, and whom no words reach gives none; both are out. Two that cannot call each other are both in, as long as others
+ * tell of each to the other.
+ *
+ * <p>Every method is to be called by who holds this object's monitor, and none waits.
+ */
+final class MemberTable {
+    /**
+     * Silence from which a member is in doubt, in a fleet of up to 16. That somebody was heard spreads from one to the next, so it is
+     * longer the more they are: by so much for each doubling.
+     */
+    private static final long DOUBT_NS = ms(1_300);
+    private static final long DOUBT_MORE_NS = ms(150);
+    /** How long it stays suspect where nobody else found it silent, and where as many did as are counted. */
+    static final long SUSPECT_MOST_NS = ms(900);
+    static final long SUSPECT_LEAST_NS = ms(400);
+    static final int MOST_CONFIRM = 3;
+    /** Members heard of within this make up a majority or do not. */
+    static final long MAJORITY_NS = ms(2_000);
+    /** The part of that from which it is called out of turn. */
+    private static final double REFRESH = 0.6;
+    private static final long HINT_AGAIN_NS = ms(300);
+    private static final long CONTRADICT_AGAIN_NS = ms(100);
+    private static final int MOST_NEWS = 48;
+    private static final int MOST_HEARD = 128;
+    /** Of so many calls one goes to a member that is out, one to one that is in, the others to those in doubt while there are any. */
+    private static final int TURNS = 4;
+    /** Of the last calls, so many tell whether it is this router that is cut off. */
+    private static final int LAST_CALLS = 8;
+
+    private final FleetConfig config;
+    private final Random random;
+    private final SortedMap<String, Peer> peers = new TreeMap<>();
+    private final List<Peer> all;
+    private final List<Peer> round = new ArrayList<>();
+    private final List<Peer> roundOfGone = new ArrayList<>();
+    private final Set<Peer> hints = new LinkedHashSet<>();
+    private final LocalHealth health = new LocalHealth();
+    private final int tellTimes;
+    private final long doubt;
+    /** This router as the others are told of it. */
+    private final Peer self;
+    private long contradictedAt;
+    private int lastCalls = ~0;
+    private int stalls;
+    private int turn;
+    private long epoch;
+    private boolean stateChanged = true;
+    private boolean changed = true;
+    private boolean majority;
+
+    MemberTable(FleetConfig config, long incarnation, long now, Random random) {
+        this.config = config;
+        this.random = random;
+        long never = now - ms(3_600_000);
+        for (String name : config.members().keySet()) {
+            if (!name.equals(config.self())) {
+                peers.put(name, new Peer(name, never));
+            }
+        }
+        all = List.copyOf(peers.values());
+        tellTimes = 3 * (32 - Integer.numberOfLeadingZeros(config.members().size()));
+        doubt = DOUBT_NS + DOUBT_MORE_NS * Math.max(0, 28 - Integer.numberOfLeadingZeros(config.members().size()));
+        self = new Peer(config.self(), never);
+        self.incarnation = incarnation;
+        self.state = State.ALIVE;
+        self.factsVersion = incarnation;
+        self.tell = tellTimes;
+        self.tellFacts = tellTimes;
+        contradictedAt = never;
+    }
+
+    static long ms(long n) {
+        return TimeUnit.MILLISECONDS.toNanos(n);
+    }
+
+    long incarnation() {
+        return self.incarnation;
+    }
+
+    int stalls() {
+        return stalls;
+    }
+
+    double healthFactor() {
+        return health.factor();
+    }
+
+    boolean isMember(String name) {
+        return peers.containsKey(name);
+    }
+
+    void facts(Facts facts) {
+        if (!facts.equals(self.facts)) {
+            self.facts = facts;
+            self.factsVersion++;
+            self.tellFacts = tellTimes;
+            changed = true;
+        }
+    }
+
+    void leave() {
+        self.state = State.LEFT;
+        self.tell = tellTimes;
+        stateChanged = true;
+    }
+
+    // What is heard.
+
+    /** A member answered a call that was sent then; {@code through} says so, or null where the call was this router's. */
+    void heard(String name, String through, long sentAt) {
+        Peer p = peers.get(name);
+        if (p != null && sentAt > p.heardAt) {
+            p.heardAt = sentAt;
+            p.heardThrough = through;
+        }
+    }
+
+    /** Ages in milliseconds, as of no later than the given time. */
+    void heardOfOthers(String through, Map<String, Integer> ages, long sentAt) {
+        ages.forEach((name, age) -> {
+            if (age != null && age >= 0) {
+                heard(name, through, sentAt - ms(age));
+            }
+        });
+    }
+
+    void answered(String name, long sentAt) {
+        lastCalls = lastCalls << 1 | 1;
+        heard(name, null, sentAt);
+    }
+
+    /** This router's call, sent then, had no answer in time; a stall of its own since then makes that worthless. */
+    void silent(String name, long sentAt, int stallsThen) {
+        if (stalls == stallsThen) {
+            Peer p = peers.get(name);
+            p.failedAt = sentAt;
+            if (isIn(p)) {
+                lastCalls <<= 1;
+            }
+        }
+    }
+
+    /** How long ago a member was last heard, in milliseconds; -1 where it is long. */
+    long age(String name, long now) {
+        Peer p = peers.get(name);
+        return p == null || now - p.heardAt > doubt ? -1 : TimeUnit.NANOSECONDS.toMillis(now - p.heardAt) + 1;
+    }
+
+    void apply(String from, Collection<News> news, long now) {
+        for (News n : news) {
+            if (n != null) {
+                apply(from, n, now);
+            }
+        }
+    }
+
+    void apply(String from, News news, long now) {
+        if (news == null || news.n() == null || news.i() <= 0 || news.s() < 0 || news.s() >= State.values().length) {
+            return;
+        }
+        if (news.n().equals(self.name)) {
+            hearOfSelf(news, now);
+            return;
+        }
+        Peer p = peers.get(news.n());
+        if (p == null) {
+            return;
+        }
+        if (news.f() != null && news.v() > p.factsVersion) {
+            p.facts = news.f();
+            p.factsVersion = news.v();
+            p.tellFacts = tellTimes;
+            changed = true;
+        }
+        State state = State.values()[news.s()];
+        int newer = compare(news.i(), state, p);
+        boolean ill = state == State.SUSPECT || state == State.GONE;
+        if (newer > 0 && ill && isRefused(from, p, now)) {
+            refuse(p, news);
+        } else if (newer > 0) {
+            take(p, news.i(), state, now);
+        }
+        if (compare(news.i(), state, p) == 0 && state == State.SUSPECT && news.by() != null) {
+            news.by().forEach(name -> confirm(p, name));
+        }
+    }
+
+    private static boolean isIn(Peer p) {
+        return p.state == State.ALIVE || p.state == State.SUSPECT;
+    }
+
+    private static int compare(long incarnation, State state, Peer p) {
+        int byIncarnation = Long.compare(incarnation, p.incarnation);
+        return byIncarnation != 0 ? byIncarnation : Integer.compare(state.ordinal(), p.state.ordinal());
+    }
+
+    /** Who was heard a moment ago is not silent, whoever says so; nor does the word of one count that is itself out. */
+    private boolean isRefused(String from, Peer p, long now) {
+        Peer teller = peers.get(from);
+        return now - p.heardAt < doubt || teller != null && !isIn(teller);
+    }
+
+    private void refuse(Peer p, News claim) {
+        if (claim.i() > p.incarnation) {
+            take(p, claim.i(), State.ALIVE, p.countsFrom);
+        }
+        if (p.claim == null || claim.i() > p.claim.i() || claim.i() == p.claim.i() && claim.s() > p.claim.s()) {
+            p.claim = new News(claim.n(), claim.i(), claim.s(), List.of(), 0, null);
+            p.tellClaim = tellTimes;
+            hints.add(p);
+        }
+    }
+
+    private void take(Peer p, long incarnation, State state, long now) {
+        if (incarnation > p.incarnation) {
+            // Its own word, from after the last one that is held: its silence counts from here.
+            p.countsFrom = now;
+            p.failedAt = Math.min(p.failedAt, p.heardAt);
+        }
+        p.incarnation = incarnation;
+        p.state = state;
+        p.suspectedBy.clear();
+        p.suspectSince = now;
+        p.tell = tellTimes;
+        if (p.claim != null && compare(p.claim.i(), State.values()[p.claim.s()], p) <= 0) {
+            p.claim = null;
+        }
+        stateChanged = true;
+    }
+
+    private void confirm(Peer p, String name) {
+        if (p.suspectedBy.size() < MOST_CONFIRM && config.members().containsKey(name) && p.suspectedBy.add(name)) {
+            p.tell = tellTimes;
+        }
+    }
+
+    /** Others hold this router to be out, or know an incarnation that is none of this process: above it, so that this one holds. */
+    private void hearOfSelf(News news, long now) {
+        if (news.v() > self.factsVersion) {
+            self.factsVersion = news.v() + 1;
+            self.tellFacts = tellTimes;
+        }
+        boolean against = compare(news.i(), State.values()[news.s()], self) > 0;
+        // Bounded: where two processes have one name, each would go above the other without an end.
+        if (against && now - contradictedAt > CONTRADICT_AGAIN_NS) {
+            contradictedAt = now;
+            if (news.s() == State.SUSPECT.ordinal()) {
+                health.worse(now);
+            }
+            self.incarnation = news.i() + 1;
+            self.tell = tellTimes;
+            stateChanged = true;
+        }
+    }
+
+    // What goes on with time.
+
+    /**
+     * @param late by how much the wait before it was too long, in nanoseconds
+     */
+    void tick(long late, long now) {
+        if (health.waited(late, now)) {
+            stalls++;
+            lastCalls = ~0;
+            for (Peer p : all) {
+                p.countsFrom = now;
+                p.suspectSince = now;
+                p.failedAt = Math.min(p.failedAt, p.heardAt);
+            }
+        }
+        double factor = health.factor();
+        boolean cutOff = Integer.bitCount(lastCalls & (1 << LAST_CALLS) - 1) <= 1;
+        int near = 1;
+        for (Peer p : all) {
+            long silence = now - p.silentFrom();
+            boolean found = p.failsHere() || cutOff;
+            if (p.state == State.ALIVE && silence > doubt * factor && found) {
+                take(p, p.incarnation, State.SUSPECT, now);
+                confirm(p, self.name);
+            } else if (p.state == State.SUSPECT) {
+                suspect(p, silence, factor, found, now);
+            } else if (p.state == State.ALIVE && silence > REFRESH * doubt) {
+                hint(p, now);
+            }
+            if (isIn(p) && now - p.heardAt < MAJORITY_NS) {
+                near++;
+            }
+        }
+        boolean now1 = self.state == State.ALIVE && near >= config.majority();
+        changed |= now1 != majority;
+        majority = now1;
+    }
+
+    private void suspect(Peer p, long silence, double factor, boolean found, long now) {
+        if (silence < doubt) {
+            // It answers somebody; it has to learn of this, to contradict.
+            p.suspectSince = now;
+            hint(p, now);
+            return;
+        }
+        if (found) {
+            confirm(p, self.name);
+        } else {
+            hint(p, now);
+        }
+        double confirmed = Math.log(Math.max(1, p.suspectedBy.size())) / Math.log(MOST_CONFIRM);
+        double wait = (SUSPECT_MOST_NS - confirmed * (SUSPECT_MOST_NS - SUSPECT_LEAST_NS)) * factor;
+        if (now - p.suspectSince > wait) {
+            take(p, p.incarnation, State.GONE, now);
+        }
+    }
+
+    /** To be called soon; {@link #next} takes these first. */
+    void hint(Peer p, long now) {
+        if (now - p.hintedAt > HINT_AGAIN_NS) {
+            p.hintedAt = now;
+            hints.add(p);
+        }
+    }
+
+    void hint(String name, long now) {
+        Peer p = peers.get(name);
+        if (p != null) {
+            hint(p, now);
+        }
+    }
+
+    /**
+     * Whom to call; null where nobody else is. Those in doubt come first, but leave turns to the others, who are called in rounds of an
+     * order that is drawn anew for each. Those that are out have rounds of their own, so that a fleet of which half is out still hears
+     * enough of the other half.
+     */
+    Peer next() {
+        turn = (turn + 1) % TURNS;
+        Peer p = turn > 1 ? hinted() : null;
+        if (p == null) {
+            p = nextOf(turn == 0 ? roundOfGone : round, turn == 0);
+        }
+        return p != null ? p : nextOf(turn == 0 ? round : roundOfGone, turn != 0);
+    }
+
+    private Peer hinted() {
+        for (Iterator<Peer> i = hints.iterator(); i.hasNext();) {
+            Peer hinted = i.next();
+            i.remove();
+            if (hinted.claim != null || hinted.state != State.ALIVE || hinted.heardAt < hinted.hintedAt) {
+                return hinted;
+            }
+        }
+        return null;
+    }
+
+    private Peer nextOf(List<Peer> some, boolean out) {
+        if (some.isEmpty()) {
+            for (Peer p : all) {
+                if (out != isIn(p)) {
+                    some.add(p);
+                }
+            }
+            Collections.shuffle(some, random);
+        }
+        return some.isEmpty() ? null : some.remove(some.size() - 1);
+    }
+
+    /** Some that were heard lately, to ask about one that is silent; first who told of it last. */
+    List<String> relays(Peer about, int most, long now) {
+        List<String> fresh = new ArrayList<>();
+        for (Peer p : all) {
+            if (p != about && !p.name.equals(about.heardThrough) && p.state == State.ALIVE && now - p.heardAt < doubt) {
+                fresh.add(p.name);
+            }
+        }
+        Collections.shuffle(fresh, random);
+        if (about.heardThrough != null) {
+            fresh.add(0, about.heardThrough);
+        }
+        return fresh.subList(0, Math.min(most, fresh.size()));
+    }
+
+    /** Anyone who answers; null where nobody does. */
+    String anyone(long now) {
+        List<Peer> fresh = all.stream().filter(p -> p.heardThrough == null && now - p.heardAt < MAJORITY_NS).toList();
+        return fresh.isEmpty() ? null : fresh.get(random.nextInt(fresh.size())).name;
+    }
+
+    // What is told.
+
+    /** What is held of a member, with what others hold against it. */
+    News about(Peer p) {
+        return p.claim != null ? p.claim : news(p, false);
+    }
+
+    /** What is held of a caller, where that is not what it says. */
+    News aboutCaller(String name, long incarnation) {
+        Peer p = peers.get(name);
+        if (p == null || p.claim == null && p.incarnation == incarnation && p.state == State.ALIVE) {
+            return null;
+        }
+        return about(p);
+    }
+
+    private News news(Peer p, boolean facts) {
+        return new News(p.name, p.incarnation, p.state.ordinal(), p.state == State.SUSPECT ? List.copyOf(p.suspectedBy) : null,
+                p.factsVersion, facts ? p.facts : null);
+    }
+
+    /** What changed lately, least told first. */
+    List<News> news() {
+        List<Peer> fresh = new ArrayList<>();
+        for (Peer p : all) {
+            if (p.tell > 0 || p.tellFacts > 0 || p.claim != null && p.tellClaim > 0) {
+                fresh.add(p);
+            }
+        }
+        Collections.shuffle(fresh, random);
+        fresh.sort((a, b) -> Integer.compare(b.tell, a.tell));
+        if (self.tell > 0 || self.tellFacts > 0) {
+            fresh.add(0, self);
+        }
+        List<News> news = new ArrayList<>();
+        for (Peer p : fresh.subList(0, Math.min(MOST_NEWS, fresh.size()))) {
+            if (p.tell > 0 || p.tellFacts > 0) {
+                news.add(news(p, p.tellFacts > 0));
+                p.tell = Math.max(0, p.tell - 1);
+                p.tellFacts = Math.max(0, p.tellFacts - 1);
+            }
+            if (p.claim != null && p.tellClaim > 0) {
+                news.add(p.claim);
+                p.tellClaim--;
+            }
+        }
+        return news;
+    }
+
+    /** How long ago some members were heard, in milliseconds, for who calls. */
+    Map<String, Integer> heardAges(String caller, long now) {
+        List<Peer> fresh = new ArrayList<>();
+        for (Peer p : all) {
+            if (!p.name.equals(caller) && now - p.heardAt < doubt) {
+                fresh.add(p);
+            }
+        }
+        if (fresh.size() > MOST_HEARD) {
+            Collections.shuffle(fresh, random);
+        }
+        Map<String, Integer> ages = new TreeMap<>();
+        for (Peer p : fresh.subList(0, Math.min(MOST_HEARD, fresh.size()))) {
+            ages.put(p.name, (int) TimeUnit.NANOSECONDS.toMillis(now - p.heardAt) + 1);
+        }
+        return ages;
+    }
+
+    /** A part of all that is held, without facts: so many from there on. */
+    List<News> part(int from, int most) {
+        List<News> part = new ArrayList<>();
+        part.add(news(self, false));
+        for (int i = 0; i < Math.min(most, all.size()); i++) {
+            Peer p = all.get((from + i) % all.size());
+            part.add(news(p, false));
+        }
+        return part;
+    }
+
+    /** Of the same members, what is held newer. */
+    List<News> newer(List<News> part) {
+        List<News> newer = new ArrayList<>();
+        for (News n : part) {
+            Peer p = n == null || n.n() == null ? null : n.n().equals(self.name) ? self : peers.get(n.n());
+            if (p != null && p.incarnation > 0 && n.s() >= 0 && n.s() < State.values().length
+                    && (compare(n.i(), State.values()[n.s()], p) < 0 || n.v() < p.factsVersion)) {
+                newer.add(news(p, n.v() < p.factsVersion));
+            }
+        }
+        return newer;
+    }
+
+    // What is held.
+
+    /** The view where it is another than the one taken before, else null. */
+    FleetView changedView() {
+        if (!changed && !stateChanged) {
+            return null;
+        }
+        if (stateChanged) {
+            epoch++;
+        }
+        changed = false;
+        stateChanged = false;
+        List<Member> members = new ArrayList<>();
+        for (String name : config.members().keySet()) {
+            Peer p = name.equals(self.name) ? self : peers.get(name);
+            members.add(new Member(name, p.incarnation, p.state, p.facts));
+        }
+        return new FleetView(self.name, epoch, majority, members);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/stagepier/fleet/Membership.java
@@ -0,0 +1,328 @@
+package stagepier.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stagepier.fleet.FleetView.Facts;
+import stagepier.fleet.FleetView.Member;
+import stagepier.fleet.FleetView.State;
+import stagepier.fleet.ViewWords.Ask;
+import stagepier.fleet.ViewWords.News;
+import stagepier.fleet.ViewWords.Ping;
+import stagepier.fleet.ViewWords.Pong;
+import stagepier.fleet.ViewWords.Sync;
+import stagepier.fleet.ViewWords.Told;
+import stagepier.tasks.Tasks;
+
+/**
+ * Keeps the view of the fleet: calls the others in turn, asks about those that are silent, tells on what it hears. How often it does
+ * so does not depend on the size of the fleet. The rules are in {@link MemberTable}; see {@code docs/fleet.md}.
+ */
+public final class Membership implements FleetPart {
+    private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
+    private static final int PROBERS = 4;
+    private static final Duration PROBE_EVERY = Duration.ofMillis(300);
+    private static final Duration PROBE_MOST = Duration.ofMillis(250);
+    private static final Duration ASK_MOST = Duration.ofMillis(200);
+    private static final Duration PAUSE_LEAST = Duration.ofMillis(20);
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration SYNC_EVERY = Duration.ofSeconds(1);
+    private static final int SYNC_PART = 64;
+    private static final int MUCH = 8;
+    private static final int RELAYS = 3;
+    private static final int NAMES_IN_STATUS = 8;
+    /** Of an incarnation by the wall clock, one step in a thousandth of a millisecond: room for two starts in one. */
+    private static final int STEPS = 1_000;
+
+    private final Tasks tasks;
+    private final Calls calls;
+    private final FleetConfig config;
+    private final History history;
+    private final Random random;
+    /** Held for moments, never while something is waited for. */
+    private final MemberTable table;
+    private volatile FleetView view;
+
+    public Membership(Tasks tasks, Calls calls, FleetConfig config, History history, long seed) {
+        this.tasks = tasks;
+        this.calls = calls;
+        this.config = config;
+        this.history = history;
+        random = new Random(seed);
+        long incarnation = tasks.wall().millis() * STEPS + random.nextInt(STEPS);
+        table = new MemberTable(config, incarnation, tasks.nanoTime(), random);
+        view = table.changedView();
+    }
+
+    /** What this router holds now; from any thread. */
+    public FleetView view() {
+        return view;
+    }
+
+    /** What this router tells of itself. */
+    public void facts(Facts facts) {
+        synchronized (table) {
+            table.facts(facts);
+        }
+    }
+
+    /** This process ends of its own will: some others are told, who tell it on. Does not wait for that. */
+    public void leave() {
+        synchronized (table) {
+            table.leave();
+        }
+        tasks.start("view-leave", () -> {
+            List<Peer> some = new ArrayList<>();
+            synchronized (table) {
+                for (int i = 0; i < 2 * RELAYS && i < config.members().size() - 1; i++) {
+                    some.add(table.next());
+                }
+            }
+            for (Peer p : some) {
+                probe(p);
+            }
+        });
+    }
+
+    @Override
+    public void start() {
+        calls.answer("view", this::answer);
+        for (int i = 0; i < PROBERS; i++) {
+            tasks.start("view-prober-" + i, this::probeInTurn);
+        }
+        tasks.start("view-ticker", this::tickOn);
+        tasks.start("view-sync", this::syncOn);
+    }
+
+    @Override
+    public void reload() {
+        // fleet.toml is read at the start only: the configured fleet may not change under a majority.
+    }
+
+    // Tasks.
+
+    private void probeInTurn() throws InterruptedException {
+        tasks.sleep(part(PROBE_EVERY));
+        for (;;) {
+            long began = tasks.nanoTime();
+            Peer p;
+            synchronized (table) {
+                p = table.next();
+            }
+            if (p != null) {
+                probe(p);
+            }
+            Duration left = PROBE_EVERY.minusNanos(tasks.nanoTime() - began);
+            tasks.sleep(left.compareTo(PAUSE_LEAST) < 0 ? PAUSE_LEAST : left);
+        }
+    }
+
+    private void probe(Peer p) throws InterruptedException {
+        Message ping;
+        long sentAt = tasks.nanoTime();
+        int stalls;
+        double factor;
+        synchronized (table) {
+            ping = Message.of(ViewWords.PING, new Ping(table.incarnation(), table.about(p), table.news()));
+            stalls = table.stalls();
+            factor = table.healthFactor();
+        }
+        try {
+            Message reply = calls.call(p.name, ping, Duration.ofNanos((long) (PROBE_MOST.toNanos() * factor)));
+            hear(p, read(reply, Pong.class), sentAt);
+        } catch (Calls.SilentException e) {
+            List<String> relays;
+            synchronized (table) {
+                table.silent(p.name, sentAt, stalls);
+                relays = p.state == State.ALIVE || p.state == State.SUSPECT ? table.relays(p, RELAYS, tasks.nanoTime()) : List.of();
+            }
+            for (String relay : relays) {
+                if (ask(relay, p)) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private void hear(Peer p, Pong pong, long sentAt) {
+        if (pong == null) {
+            return;
+        }
+        long now = tasks.nanoTime();
+        synchronized (table) {
+            table.answered(p.name, sentAt);
+            table.apply(p.name, new News(p.name, pong.i(), State.ALIVE.ordinal(), null, 0, null), now);
+            if (pong.heard() != null) {
+                table.heardOfOthers(p.name, pong.heard(), sentAt);
+            }
+            table.apply(p.name, pong.about(), now);
+            if (pong.news() != null) {
+                table.apply(p.name, pong.news(), now);
+            }
+        }
+    }
+
+    /** Says whether the relay has heard of it since it did not answer here. */
+    private boolean ask(String relay, Peer about) throws InterruptedException {
+        long sentAt = tasks.nanoTime();
+        try {
+            Told told = read(calls.call(relay, Message.of(ViewWords.ASK, new Ask(about.name)), ASK_MOST), Told.class);
+            synchronized (table) {
+                if (told != null && told.age() >= 0) {
+                    table.heard(about.name, relay, sentAt - MemberTable.ms(told.age()));
+                }
+                return !about.failsHere();
+            }
+        } catch (Calls.SilentException e) {
+            return false;
+        }
+    }
+
+    private void tickOn() throws InterruptedException {
+        for (;;) {
+            long began = tasks.nanoTime();
+            tasks.sleep(TICK);
+            long now = tasks.nanoTime();
+            synchronized (table) {
+                table.tick(now - began - TICK.toNanos(), now);
+                takeUp(table.changedView());
+            }
+        }
+    }
+
+    /** One exchange of a part a second; at once with the next part where much was new, as for a process that has just started. */
+    private void syncOn() throws InterruptedException {
+        int from = 0;
+        int learned = 0;
+        for (;;) {
+            tasks.sleep(learned > MUCH ? PAUSE_LEAST : SYNC_EVERY.dividedBy(2).plus(part(SYNC_EVERY)));
+            String other;
+            Sync sync;
+            synchronized (table) {
+                other = table.anyone(tasks.nanoTime());
+                sync = new Sync(table.part(from, SYNC_PART));
+            }
+            learned = other == null ? 0 : sync(other, sync);
+            from = (from + SYNC_PART) % config.members().size();
+        }
+    }
+
+    private int sync(String other, Sync sync) throws InterruptedException {
+        try {
+            Sync newer = read(calls.call(other, Message.of(ViewWords.SYNC, sync), PROBE_MOST), Sync.class);
+            if (newer == null || newer.news() == null) {
+                return 0;
+            }
+            synchronized (table) {
+                table.apply(other, newer.news(), tasks.nanoTime());
+            }
+            return newer.news().size();
+        } catch (Calls.SilentException e) {
+            LOG.debug("no exchange with {}: {}", other, e.getMessage());
+            return 0;
+        }
+    }
+
+    private Duration part(Duration most) {
+        return Duration.ofNanos((long) (random.nextDouble() * most.toNanos()));
+    }
+
+    // Answers.
+
+    private Message answer(String from, Message call) throws Message.MalformedException {
+        long now = tasks.nanoTime();
+        switch (call.kind()) {
+            case ViewWords.PING -> {
+                Ping ping = call.read(Ping.class);
+                synchronized (table) {
+                    table.apply(from, new News(from, ping.i(), State.ALIVE.ordinal(), null, 0, null), now);
+                    table.apply(from, ping.about(), now);
+                    if (ping.news() != null) {
+                        table.apply(from, ping.news(), now);
+                    }
+                    return Message.of(ViewWords.PONG, new Pong(table.incarnation(), table.aboutCaller(from, ping.i()),
+                            table.heardAges(from, now), table.news()));
+                }
+            }
+            case ViewWords.ASK -> {
+                Ask ask = call.read(Ask.class);
+                synchronized (table) {
+                    if (ask.n() == null || !table.isMember(ask.n())) {
+                        return Message.of(ViewWords.TOLD, new Told(-1));
+                    }
+                    table.hint(ask.n(), now);
+                    return Message.of(ViewWords.TOLD, new Told(table.age(ask.n(), now)));
+                }
+            }
+            case ViewWords.SYNC -> {
+                Sync sync = call.read(Sync.class);
+                if (sync.news() == null) {
+                    throw new Message.MalformedException("an exchange of nothing");
+                }
+                synchronized (table) {
+                    table.apply(from, sync.news(), now);
+                    return Message.of(ViewWords.SYNCED, new Sync(table.newer(sync.news())));
+                }
+            }
+            default -> throw new Message.MalformedException(call.kind() + " is no word of the view");
+        }
+    }
+
+    /** A reply that makes no sense is none. */
+    private static <T> T read(Message reply, Class<T> type) {
+        try {
+            return reply.read(type);
+        } catch (Message.MalformedException e) {
+            LOG.debug("a reply that makes no sense: {}", e.getMessage());
+            return null;
+        }
+    }
+
+    // What is held.
+
+    private void takeUp(FleetView next) {
+        FleetView before = view;
+        if (next == null) {
+            return;
+        }
+        view = next;
+        List<String> states = new ArrayList<>();
+        for (int i = 0; i < next.members().size(); i++) {
+            Member now = next.members().get(i);
+            State then = before.members().get(i).state();
+            states.add(now.name() + ":" + now.incarnation() + ":" + now.state());
+            if (now.state() != then && now.state() != State.SUSPECT && (then != State.SUSPECT || now.state() != State.ALIVE)) {
+                LOG.info("{} is {}", now.name(), now.state());
+            }
+        }
+        history.write("view", "epoch", next.epoch(), "majority", next.majority(), "members", states);
+        if (next.majority() != before.majority()) {
+            if (next.majority()) {
+                LOG.info("in a majority of the fleet of {}", next.members().size());
+            } else {
+                LOG.warn("in no majority of the fleet of {}", next.members().size());
+            }
+        }
+    }
+
+    @Override
+    public List<String> status() {
+        FleetView v = view;
+        StringBuilder line = new StringBuilder("view epoch=" + v.epoch() + " majority=" + (v.majority() ? "yes" : "no"));
+        for (State state : State.values()) {
+            List<String> names = v.members().stream().filter(m -> m.state() == state).map(Member::name).toList();
+            line.append(' ').append(state.name().toLowerCase(Locale.ROOT)).append('=').append(names.size());
+            if (state != State.ALIVE && !names.isEmpty()) {
+                line.append('(').append(String.join(",", names.subList(0, Math.min(NAMES_IN_STATUS, names.size()))))
+                        .append(names.size() > NAMES_IN_STATUS ? ",...)" : ")");
+            }
+        }
+        long others = v.members().stream().filter(m -> !m.name().equals(v.self()) && m.counts()
+                && !m.facts().configuration().equals(config.hash())).count();
+        return List.of(line.append(" other_configuration=").append(others).toString());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/stagepier/fleet/Peer.java
@@ -0,0 +1,50 @@
+package stagepier.fleet;
+
+import java.util.Set;
+import java.util.TreeSet;
+
+/** What a router holds of one other. Guarded by its {@link MemberTable}; times are in nanoseconds of {@code Tasks}. */
+final class Peer {
+    final String name;
+    long incarnation;
+    FleetView.State state = FleetView.State.GONE;
+    FleetView.Facts facts = FleetView.Facts.NONE;
+    long factsVersion;
+    /** Who found it silent, while it is suspect; a few are enough. */
+    final Set<String> suspectedBy = new TreeSet<>();
+    long suspectSince;
+    /** When the call was sent that it answered last, whoever's call that was. */
+    long heardAt;
+    /** Who told so; null where it answered this router itself. */
+    String heardThrough;
+    /** From when its silence counts: it was taken up anew, or this router itself stood still. */
+    long countsFrom;
+    /** When this router's own last call to it was sent that was not answered. */
+    long failedAt;
+    long hintedAt;
+    /** How often its news is still to be told on, and its facts. */
+    int tell;
+    int tellFacts;
+    /** That it is suspect or gone, said by others against what was heard here; told on, so that it can contradict. */
+    ViewWords.News claim;
+    int tellClaim;
+
+    Peer(String name, long never) {
+        this.name = name;
+        heardAt = never;
+        countsFrom = never;
+        failedAt = never;
+        hintedAt = never;
+        suspectSince = never;
+    }
+
+    /** Since when it is silent. */
+    long silentFrom() {
+        return Math.max(heardAt, countsFrom);
+    }
+
+    /** This router's own call went unanswered, and nobody has had an answer since. */
+    boolean failsHere() {
+        return failedAt > heardAt;
+    }
+}
