End the threads of a virtual world that is closed

Cause: an interrupted task's thread went back to wait for work with its interrupt spent, so each closed world left all its threads behind; some hundred histories in one process came to the machine's bound of threads.

Change: a closed world's threads end where they are, and what they throw then is no fault.

--- a/router/src/test/java/stagepier/fleet/VirtualWorld.java
+++ b/router/src/test/java/stagepier/fleet/VirtualWorld.java
@@ -43,6 +43,8 @@
     private Worker current;
     private long now = 1_000_000_000L;
     private long numbers;
+    /** Its threads end, all at once, each where it waits. */
+    private volatile boolean closed;
 
     public VirtualWorld(long seed) {
         random = new Random(seed);
@@ -114,6 +116,7 @@
 
     @Override
     public void close() {
+        closed = true;
         workers.forEach(w -> w.thread.interrupt());
     }
 
@@ -159,12 +162,15 @@
                     try {
                         body.run();
                     } catch (InterruptedException e) {
-                        if (!node.ending) {
+                        if (!node.ending && !closed) {
                             faults.add(e);
                         }
                     } catch (RuntimeException | Error e) {
                         faults.add(e);
                     }
+                    if (closed) {
+                        return;
+                    }
                     idle.push(this);
                     baton.release();
                 }
