--- a/router/src/main/java/stagepier/fleet/LocalHealth.java
+++ b/router/src/main/java/stagepier/fleet/LocalHealth.java
@@ -12,8 +12,10 @@
     private static final long BETTER_NS = TimeUnit.SECONDS.toNanos(1);
     private static final int WORST = 4;
 
-    private int score;
-    private long changedAt;
+    private int lateScore;
+    private int silentScore;
+    private long lateAt;
+    private long silentAt;
 
     /**
      * @param late by how much a wait took longer than it should have, in nanoseconds
@@ -21,22 +23,32 @@
      */
     boolean waited(long late, long now) {
         if (late > LATE_NS) {
-            worse(now);
-        } else if (score > 0 && now - changedAt > BETTER_NS) {
-            score--;
-            changedAt = now;
+            lateScore = Math.min(WORST, lateScore + 1);
+            lateAt = now;
+        } else if (lateScore > 0 && now - lateAt > BETTER_NS) {
+            lateScore--;
+            lateAt = now;
+        }
+        if (silentScore > 0 && now - silentAt > BETTER_NS) {
+            silentScore--;
+            silentAt = now;
         }
         return late > STALL_NS;
     }
 
-    /** A sign of it, such as that others found this router silent. */
-    void worse(long now) {
-        score = Math.min(WORST, score + 1);
-        changedAt = now;
+    /** Others found this router silent, and it was not. */
+    void wasSuspected(long now) {
+        silentScore = Math.min(WORST, silentScore + 1);
+        silentAt = now;
+    }
+
+    /** By what it is longer until silence counts: 1 to 2. Only its own lateness tells: a cut link makes others suspect it as well. */
+    double patience() {
+        return 1 + (double) lateScore / WORST;
     }
 
-    /** By what waits are made longer: 1 to 2. */
-    double factor() {
-        return 1 + (double) score / WORST;
+    /** By what an answer is waited for longer: 1 to 2. */
+    double waitLonger() {
+        return 1 + (double) Math.max(lateScore, silentScore) / WORST;
     }
 }
--- a/router/src/main/java/stagepier/fleet/MemberTable.java
+++ b/router/src/main/java/stagepier/fleet/MemberTable.java
@@ -32,23 +32,24 @@
      * Silence from which a member is in doubt, in a fleet of up to 16. That somebody was heard spreads from one to the next, so it is
      * longer the more they are: by so much for each doubling.
      */
-    private static final long DOUBT_NS = ms(1_300);
+    private static final long DOUBT_NS = ms(1_400);
     private static final long DOUBT_MORE_NS = ms(150);
     /** How long it stays suspect where nobody else found it silent, and where as many did as are counted. */
-    static final long SUSPECT_MOST_NS = ms(900);
+    static final long SUSPECT_MOST_NS = ms(800);
     static final long SUSPECT_LEAST_NS = ms(400);
     static final int MOST_CONFIRM = 3;
     /** Members heard of within this make up a majority or do not. */
     static final long MAJORITY_NS = ms(2_000);
     /** The part of that from which it is called out of turn. */
-    private static final double REFRESH = 0.6;
+    private static final double REFRESH = 0.45;
+    private static final long SILENT_AGAIN_NS = ms(500);
     private static final long HINT_AGAIN_NS = ms(300);
     private static final long CONTRADICT_AGAIN_NS = ms(100);
     private static final int MOST_NEWS = 48;
     private static final int MOST_HEARD = 128;
-    /** Of so many calls one goes to a member that is out, one to one that is in, the others to those in doubt while there are any. */
+    /** Of so many calls one goes to a member that does not answer, one to one that does, the others to those in doubt while there are any. */
     private static final int TURNS = 4;
-    /** Of the last calls, so many tell whether it is this router that is cut off. */
+    /** So many calls to members that are in went unanswered, and no call was answered since before doubt: then all are silent alike. */
     private static final int LAST_CALLS = 8;
 
     private final FleetConfig config;
@@ -56,7 +57,7 @@
     private final SortedMap<String, Peer> peers = new TreeMap<>();
     private final List<Peer> all;
     private final List<Peer> round = new ArrayList<>();
-    private final List<Peer> roundOfGone = new ArrayList<>();
+    private final List<Peer> roundOfSilent = new ArrayList<>();
     private final Set<Peer> hints = new LinkedHashSet<>();
     private final LocalHealth health = new LocalHealth();
     private final int tellTimes;
@@ -65,6 +66,7 @@
     private final Peer self;
     private long contradictedAt;
     private int lastCalls = ~0;
+    private long lastAnswerAt;
     private int stalls;
     private int turn;
     private long epoch;
@@ -91,6 +93,7 @@
         self.tell = tellTimes;
         self.tellFacts = tellTimes;
         contradictedAt = never;
+        lastAnswerAt = now;
     }
 
     static long ms(long n) {
@@ -105,8 +108,9 @@
         return stalls;
     }
 
-    double healthFactor() {
-        return health.factor();
+    /** By what an answer is waited for longer than it would be. */
+    double waitLonger() {
+        return health.waitLonger();
     }
 
     boolean isMember(String name) {
@@ -130,27 +134,33 @@
 
     // What is heard.
 
-    /** A member answered a call that was sent then; {@code through} says so, or null where the call was this router's. */
-    void heard(String name, String through, long sentAt) {
+    /** A member answered this router's call, which was sent then. */
+    void answered(String name, long sentAt) {
+        lastCalls = lastCalls << 1 | 1;
+        lastAnswerAt = Math.max(lastAnswerAt, sentAt);
         Peer p = peers.get(name);
-        if (p != null && sentAt > p.heardAt) {
-            p.heardAt = sentAt;
-            p.heardThrough = through;
-        }
+        p.answeredAt = Math.max(p.answeredAt, sentAt);
+        p.heardAt = Math.max(p.heardAt, sentAt);
     }
 
-    /** Ages in milliseconds, as of no later than the given time. */
-    void heardOfOthers(String through, Map<String, Integer> ages, long sentAt) {
+    /** Ages in milliseconds, as of no later than the given time, that another told. */
+    void heardOfOthers(Map<String, Integer> ages, long sentAt) {
         ages.forEach((name, age) -> {
-            if (age != null && age >= 0) {
-                heard(name, through, sentAt - ms(age));
+            Peer p = peers.get(name);
+            if (p != null && age != null && age >= 0) {
+                p.heardAt = Math.max(p.heardAt, sentAt - ms(age));
             }
         });
     }
 
-    void answered(String name, long sentAt) {
-        lastCalls = lastCalls << 1 | 1;
-        heard(name, null, sentAt);
+    /** Whom a relay can call itself. */
+    void reachedBy(String relay, List<String> names) {
+        for (String name : names) {
+            Peer p = name == null ? null : peers.get(name);
+            if (p != null && !name.equals(relay)) {
+                p.relay = peers.get(relay);
+            }
+        }
     }
 
     /** This router's call, sent then, had no answer in time; a stall of its own since then makes that worthless. */
@@ -200,7 +210,7 @@
         int newer = compare(news.i(), state, p);
         boolean ill = state == State.SUSPECT || state == State.GONE;
         if (newer > 0 && ill && isRefused(from, p, now)) {
-            refuse(p, news);
+            refuse(p, news, now);
         } else if (newer > 0) {
             take(p, news.i(), state, now);
         }
@@ -224,14 +234,14 @@
         return now - p.heardAt < doubt || teller != null && !isIn(teller);
     }
 
-    private void refuse(Peer p, News claim) {
+    private void refuse(Peer p, News claim, long now) {
         if (claim.i() > p.incarnation) {
             take(p, claim.i(), State.ALIVE, p.countsFrom);
         }
         if (p.claim == null || claim.i() > p.claim.i() || claim.i() == p.claim.i() && claim.s() > p.claim.s()) {
             p.claim = new News(claim.n(), claim.i(), claim.s(), List.of(), 0, null);
             p.tellClaim = tellTimes;
-            hints.add(p);
+            hint(p, now);
         }
     }
 
@@ -239,7 +249,9 @@
         if (incarnation > p.incarnation) {
             // Its own word, from after the last one that is held: its silence counts from here.
             p.countsFrom = now;
-            p.failedAt = Math.min(p.failedAt, p.heardAt);
+            if (!isIn(p)) {
+                p.failedAt = Math.min(p.failedAt, p.answeredAt);
+            }
         }
         p.incarnation = incarnation;
         p.state = state;
@@ -269,7 +281,7 @@
         if (against && now - contradictedAt > CONTRADICT_AGAIN_NS) {
             contradictedAt = now;
             if (news.s() == State.SUSPECT.ordinal()) {
-                health.worse(now);
+                health.wasSuspected(now);
             }
             self.incarnation = news.i() + 1;
             self.tell = tellTimes;
@@ -286,14 +298,15 @@
         if (health.waited(late, now)) {
             stalls++;
             lastCalls = ~0;
+            lastAnswerAt = now;
             for (Peer p : all) {
                 p.countsFrom = now;
                 p.suspectSince = now;
-                p.failedAt = Math.min(p.failedAt, p.heardAt);
+                p.failedAt = Math.min(p.failedAt, p.answeredAt);
             }
         }
-        double factor = health.factor();
-        boolean cutOff = Integer.bitCount(lastCalls & (1 << LAST_CALLS) - 1) <= 1;
+        double factor = health.patience();
+        boolean cutOff = (lastCalls & (1 << LAST_CALLS) - 1) == 0 && now - lastAnswerAt > doubt;
         int near = 1;
         for (Peer p : all) {
             long silence = now - p.silentFrom();
@@ -334,9 +347,17 @@
         }
     }
 
-    /** To be called soon; {@link #next} takes these first. */
-    void hint(Peer p, long now) {
-        if (now - p.hintedAt > HINT_AGAIN_NS) {
+    /** To be called soon; whom this router cannot call it hears of, and tells, by one that can. */
+    private void hint(Peer p, long now) {
+        if (p.failsHere() && p.relay != null && isIn(p.relay) && !p.relay.failsHere()) {
+            hintNow(p.relay, now);
+        } else {
+            hintNow(p, now);
+        }
+    }
+
+    private void hintNow(Peer p, long now) {
+        if (now - p.hintedAt > (p.failsHere() ? SILENT_AGAIN_NS : HINT_AGAIN_NS)) {
             p.hintedAt = now;
             hints.add(p);
         }
@@ -351,16 +372,16 @@
 
     /**
      * Whom to call; null where nobody else is. Those in doubt come first, but leave turns to the others, who are called in rounds of an
-     * order that is drawn anew for each. Those that are out have rounds of their own, so that a fleet of which half is out still hears
-     * enough of the other half.
+     * order that is drawn anew for each. Those that are out or do not answer have rounds of their own, so that a router that cannot call
+     * half of the fleet still hears enough of the other half.
      */
-    Peer next() {
+    Peer next(long now) {
         turn = (turn + 1) % TURNS;
         Peer p = turn > 1 ? hinted() : null;
         if (p == null) {
-            p = nextOf(turn == 0 ? roundOfGone : round, turn == 0);
+            p = nextOf(turn == 0, now);
         }
-        return p != null ? p : nextOf(turn == 0 ? round : roundOfGone, turn != 0);
+        return p != null ? p : nextOf(turn != 0, now);
     }
 
     private Peer hinted() {
@@ -374,36 +395,43 @@
         return null;
     }
 
-    private Peer nextOf(List<Peer> some, boolean out) {
+    private Peer nextOf(boolean silent, long now) {
+        List<Peer> some = silent ? roundOfSilent : round;
         if (some.isEmpty()) {
-            for (Peer p : all) {
-                if (out != isIn(p)) {
-                    some.add(p);
-                }
-            }
+            some.addAll(all);
             Collections.shuffle(some, random);
         }
-        return some.isEmpty() ? null : some.remove(some.size() - 1);
+        // What held when the round was drawn may not hold any more, and whoever was silent just now is left alone for a while.
+        while (!some.isEmpty()) {
+            Peer p = some.remove(some.size() - 1);
+            if (silent == (p.failsHere() || !isIn(p)) && (!silent || now - p.failedAt > SILENT_AGAIN_NS)) {
+                return p;
+            }
+        }
+        return null;
     }
 
-    /** Some that were heard lately, to ask about one that is silent; first who told of it last. */
+    /** Some that answered a moment ago, to ask about one that was not; first who told of it last. */
     List<String> relays(Peer about, int most, long now) {
+        if (!isIn(about) || now - about.silentFrom() < doubt / 2) {
+            return List.of();
+        }
         List<String> fresh = new ArrayList<>();
         for (Peer p : all) {
-            if (p != about && !p.name.equals(about.heardThrough) && p.state == State.ALIVE && now - p.heardAt < doubt) {
+            if (p != about && p != about.relay && isIn(p) && !p.failsHere() && now - p.answeredAt < doubt) {
                 fresh.add(p.name);
             }
         }
         Collections.shuffle(fresh, random);
-        if (about.heardThrough != null) {
-            fresh.add(0, about.heardThrough);
+        if (about.relay != null && isIn(about.relay) && !about.relay.failsHere()) {
+            fresh.add(0, about.relay.name);
         }
         return fresh.subList(0, Math.min(most, fresh.size()));
     }
 
     /** Anyone who answers; null where nobody does. */
     String anyone(long now) {
-        List<Peer> fresh = all.stream().filter(p -> p.heardThrough == null && now - p.heardAt < MAJORITY_NS).toList();
+        List<Peer> fresh = all.stream().filter(p -> now - p.answeredAt < MAJORITY_NS + doubt).toList();
         return fresh.isEmpty() ? null : fresh.get(random.nextInt(fresh.size())).name;
     }
 
@@ -474,6 +502,12 @@
         return ages;
     }
 
+    /** Whom this router can call itself, for who cannot. */
+    List<String> reached(String caller, long now) {
+        return all.stream().filter(p -> !p.failsHere() && now - p.answeredAt < MAJORITY_NS && !p.name.equals(caller)).map(p -> p.name)
+                .toList();
+    }
+
     /** A part of all that is held, without facts: so many from there on. */
     List<News> part(int from, int most) {
         List<News> part = new ArrayList<>();
--- a/router/src/main/java/stagepier/fleet/Membership.java
+++ b/router/src/main/java/stagepier/fleet/Membership.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Random;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -79,7 +80,10 @@
             List<Peer> some = new ArrayList<>();
             synchronized (table) {
                 for (int i = 0; i < 2 * RELAYS && i < config.members().size() - 1; i++) {
-                    some.add(table.next());
+                    Peer p = table.next(tasks.nanoTime());
+                    if (p != null) {
+                        some.add(p);
+                    }
                 }
             }
             for (Peer p : some) {
@@ -111,7 +115,7 @@
             long began = tasks.nanoTime();
             Peer p;
             synchronized (table) {
-                p = table.next();
+                p = table.next(began);
             }
             if (p != null) {
                 probe(p);
@@ -129,7 +133,7 @@
         synchronized (table) {
             ping = Message.of(ViewWords.PING, new Ping(table.incarnation(), table.about(p), table.news()));
             stalls = table.stalls();
-            factor = table.healthFactor();
+            factor = table.waitLonger();
         }
         try {
             Message reply = calls.call(p.name, ping, Duration.ofNanos((long) (PROBE_MOST.toNanos() * factor)));
@@ -138,7 +142,7 @@
             List<String> relays;
             synchronized (table) {
                 table.silent(p.name, sentAt, stalls);
-                relays = p.state == State.ALIVE || p.state == State.SUSPECT ? table.relays(p, RELAYS, tasks.nanoTime()) : List.of();
+                relays = table.relays(p, RELAYS, tasks.nanoTime());
             }
             for (String relay : relays) {
                 if (ask(relay, p)) {
@@ -157,7 +161,10 @@
             table.answered(p.name, sentAt);
             table.apply(p.name, new News(p.name, pong.i(), State.ALIVE.ordinal(), null, 0, null), now);
             if (pong.heard() != null) {
-                table.heardOfOthers(p.name, pong.heard(), sentAt);
+                table.heardOfOthers(pong.heard(), sentAt);
+            }
+            if (pong.reach() != null) {
+                table.reachedBy(p.name, pong.reach());
             }
             table.apply(p.name, pong.about(), now);
             if (pong.news() != null) {
@@ -172,8 +179,8 @@
         try {
             Told told = read(calls.call(relay, Message.of(ViewWords.ASK, new Ask(about.name)), ASK_MOST), Told.class);
             synchronized (table) {
-                if (told != null && told.age() >= 0) {
-                    table.heard(about.name, relay, sentAt - MemberTable.ms(told.age()));
+                if (told != null && told.age() >= 0 && told.age() < Integer.MAX_VALUE) {
+                    table.heardOfOthers(Map.of(about.name, (int) told.age()), sentAt);
                 }
                 return !about.failsHere();
             }
@@ -245,7 +252,7 @@
                         table.apply(from, ping.news(), now);
                     }
                     return Message.of(ViewWords.PONG, new Pong(table.incarnation(), table.aboutCaller(from, ping.i()),
-                            table.heardAges(from, now), table.news()));
+                            table.heardAges(from, now), table.reached(from, now), table.news()));
                 }
             }
             case ViewWords.ASK -> {
--- a/router/src/main/java/stagepier/fleet/Peer.java
+++ b/router/src/main/java/stagepier/fleet/Peer.java
@@ -15,12 +15,14 @@
     long suspectSince;
     /** When the call was sent that it answered last, whoever's call that was. */
     long heardAt;
-    /** Who told so; null where it answered this router itself. */
-    String heardThrough;
+    /** Who last told that it can call it itself. */
+    Peer relay;
     /** From when its silence counts: it was taken up anew, or this router itself stood still. */
     long countsFrom;
     /** When this router's own last call to it was sent that was not answered. */
     long failedAt;
+    /** When this router's own call to it was sent that it answered last. */
+    long answeredAt;
     long hintedAt;
     /** How often its news is still to be told on, and its facts. */
     int tell;
@@ -34,6 +36,7 @@
         heardAt = never;
         countsFrom = never;
         failedAt = never;
+        answeredAt = never;
         hintedAt = never;
         suspectSince = never;
     }
@@ -43,8 +46,8 @@
         return Math.max(heardAt, countsFrom);
     }
 
-    /** This router's own call went unanswered, and nobody has had an answer since. */
+    /** This router's own last call to it went unanswered. */
     boolean failsHere() {
-        return failedAt > heardAt;
+        return failedAt > answeredAt;
     }
 }
--- a/router/src/main/java/stagepier/fleet/ViewWords.java
+++ b/router/src/main/java/stagepier/fleet/ViewWords.java
@@ -40,9 +40,10 @@
      * @param i     incarnation of the one that answers
      * @param about what it holds of the caller, or null where that is as the caller says
      * @param heard by name, how many milliseconds ago a member answered somebody, for some of them
+     * @param reach who answered its own calls lately
      * @param news  what changed lately
      */
-    record Pong(long i, News about, Map<String, Integer> heard, List<News> news) {
+    record Pong(long i, News about, Map<String, Integer> heard, List<String> reach, List<News> news) {
     }
 
     /** Asks for the age of the last answer of a member that does not answer the caller, and to call that member. */
--- /dev/null
+++ b/router/src/test/java/stagepier/fleet/MemberTableTest.java
@@ -0,0 +1,95 @@
+package stagepier.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import stagepier.fleet.FleetView.Facts;
+import stagepier.fleet.FleetView.State;
+import stagepier.fleet.ViewWords.News;
+
+@Timeout(20)
+class MemberTableTest {
+    private static final long NOW = 1_000_000_000_000L;
+
+    private static MemberTable table(long incarnation) {
+        SortedMap<String, InetSocketAddress> members = new TreeMap<>();
+        for (String name : List.of("a", "b", "c", "d")) {
+            members.put(name, new InetSocketAddress("127.0.0.1", name.charAt(0)));
+        }
+        FleetConfig config = new FleetConfig(Path.of("fleet.toml"), "hash", "a", members.get("a"), members, null,
+                Duration.ofSeconds(3), Duration.ofSeconds(2), null);
+        return new MemberTable(config, incarnation, NOW, new Random(1));
+    }
+
+    private static News news(String name, long incarnation, State state) {
+        return new News(name, incarnation, state.ordinal(), List.of(), incarnation, new Facts("1", "hash", incarnation, 0, 0));
+    }
+
+    /** News may come twice, late and in any order: all routers come to hold the same. */
+    @Test
+    void theOrderOfNewsDoesNotMatter() {
+        List<News> all = new ArrayList<>();
+        for (long incarnation = 1; incarnation <= 3; incarnation++) {
+            for (State state : State.values()) {
+                all.add(news("b", incarnation, state));
+                all.add(news("c", incarnation * 2, incarnation < 3 ? state : State.ALIVE));
+            }
+        }
+        Random random = new Random(2);
+        for (int i = 0; i < 500; i++) {
+            MemberTable table = table(100);
+            Collections.shuffle(all, random);
+            table.apply("d", all, NOW);
+            table.apply("d", all.subList(0, 6), NOW);
+            FleetView view = table.changedView();
+            assertEquals(new FleetView.Member("b", 3, State.LEFT, new Facts("1", "hash", 3, 0, 0)), view.member("b").orElseThrow());
+            assertEquals(new FleetView.Member("c", 6, State.ALIVE, new Facts("1", "hash", 6, 0, 0)), view.member("c").orElseThrow());
+        }
+    }
+
+    @Test
+    void whoAnsweredJustNowIsNotGoneWhoeverSaysSoButLearnsOfIt() {
+        MemberTable table = table(100);
+        table.apply("b", news("b", 5, State.ALIVE), NOW);
+        table.answered("b", NOW);
+        table.apply("c", news("b", 5, State.GONE), NOW + MemberTable.ms(100));
+        assertEquals(State.ALIVE, table.changedView().member("b").orElseThrow().state());
+        assertTrue(table.news().stream().anyMatch(n -> n.n().equals("b") && n.s() == State.GONE.ordinal()), "it is told on");
+        table.apply("b", news("b", 6, State.ALIVE), NOW + MemberTable.ms(200));
+        assertTrue(table.news().stream().noneMatch(n -> n.n().equals("b") && n.s() == State.GONE.ordinal()), "it was contradicted");
+    }
+
+    /** Two processes that were started with one name contradict each other, but not in a storm. */
+    @Test
+    void whoContradictsDoesSoABoundedNumberOfTimes() {
+        MemberTable table = table(100);
+        for (int ms = 0; ms < 1_000; ms++) {
+            table.apply("b", news("a", table.incarnation() + 1, State.ALIVE), NOW + MemberTable.ms(ms));
+        }
+        assertTrue(table.incarnation() > 100 && table.incarnation() <= 100 + 2 * 10, "incarnation " + table.incarnation());
+    }
+
+    @Test
+    void whatMakesNoSenseChangesNothing() {
+        MemberTable table = table(100);
+        table.changedView();
+        table.apply("b", new ArrayList<>(Collections.singletonList(null)), NOW);
+        table.apply("b", new News(null, 1, 0, null, 0, null), NOW);
+        table.apply("b", new News("stranger", 1, 0, null, 0, null), NOW);
+        table.apply("b", new News("c", -1, 0, null, 0, null), NOW);
+        table.apply("b", new News("c", 1, 9, null, 0, null), NOW);
+        table.apply("b", new News("c", 1, -1, null, 0, null), NOW);
+        assertEquals(null, table.changedView());
+    }
+}
--- a/router/src/test/java/stagepier/fleet/ViewFaults.java
+++ b/router/src/test/java/stagepier/fleet/ViewFaults.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -168,8 +167,20 @@
         }
     }
 
-    @Override
-    public String toString() {
-        return String.format(Locale.ROOT, "%d sides, %d cuts", sides().size(), cuts.size());
+    List<String> down() {
+        return fleet.names.stream().filter(n -> !fleet.isUp(n)).toList();
+    }
+
+    /** The sides agree within so many seconds, and nothing changes for so many more. */
+    void check(String what, double most, double stays) {
+        Collection<Set<String>> sides = sides();
+        fleet.run(most);
+        if (fleet.disagreement(sides) != null) {
+            throw new AssertionError(what + " not settled: " + fleet.disagreement(sides));
+        }
+        String changes = fleet.changesWithin(stays, sides);
+        if (changes != null) {
+            throw new AssertionError(what + " does not stay: " + changes);
+        }
     }
 }
--- a/router/src/test/java/stagepier/fleet/ViewFleet.java
+++ b/router/src/test/java/stagepier/fleet/ViewFleet.java
@@ -32,7 +32,9 @@
     final List<String> lines = new ArrayList<>();
     /** Who was called gone while it was alive, by whom and when. */
     final List<String> wronged = new ArrayList<>();
+    /** How many views were taken up, and when the last one. */
     int taken;
+    double lastTaken;
 
     final class Process {
         final VirtualWorld.Node node;
@@ -63,6 +65,7 @@
             }
             epoch = next;
             taken++;
+            lastTaken = world.seconds();
             for (Object state : (List<?>) values[5]) {
                 String[] parts = state.toString().split(":");
                 if (parts[2].equals("GONE") && !parts[1].equals("0") && isUp(parts[0])) {
