Ask discovery what there is now on each new connection, and read before giving a call up

What was seen: after a stand-still of 4 s the timer of the call is due before any socket is looked at (an interrupted wait of the selector ends with no key), so the connection was closed with its answer unread, and requests went to drained servers until the next connection was up, up to 0.1 s later. While discovery is away, nobody was there to hear it for up to 2 s of backoff and 4 s of a call that nobody answers. A list in small pieces that began late in the wait was given up. Change: a due timer reads first; the first call of a connection has no wait and 0.3 s of patience; pauses between tries are at most 0.25 s; each piece of an answer gives it another second.

--- a/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -6,10 +6,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -23,6 +25,8 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
@@ -32,8 +36,14 @@
 
 /**
  * Keeps a watch on discovery: the next call follows the last answer at once, and a call that failed or had no
- * answer is made again on a new connection, each time after a longer wait. Owns its connections and timers: at most
+ * answer is made again on a new connection, each time after a longer wait. The first call of a connection asks what there
+ * is now, so that a silent agent is told from one that has nothing new. Owns its connections and timers: at most
  * one connection that watches, and one that is to take over from it.
+ *
+ * <p>The waits follow from the clock by which a change counts as told, after which sends may go on for 1 s. What a silent
+ * watch misses counts 6 s after it fell silent: {@link #HOLD_MS} + {@link #SLACK_MS} is 4 s, which leaves time for one more
+ * call that fails. What an agent gets at the end of an outage counts at once: {@link #NOW_WITHIN_MS} +
+ * {@link #RETRY_MOST_MS} is how long nobody may be there to hear it.
  */
 public final class DiscoveryWatch {
     private static final Logger LOG = LoggerFactory.getLogger(DiscoveryWatch.class);
@@ -41,8 +51,16 @@
     /** Longest wait that is asked for; a connection that fell silent costs no more than this and the slack. */
     private static final int HOLD_MS = 3000;
     private static final int SLACK_MS = 1000;
+    /** The wait of a call that asks what there is now. */
+    private static final int NOW_MS = 1;
+    /** The agent is on this machine and answers such a call at once; so does its machine a connection. */
+    private static final int NOW_WITHIN_MS = 300;
+    /** Between two pieces of an answer. */
+    private static final int PIECES_WITHIN_MS = 1000;
     private static final int RETRY_FIRST_MS = 100;
-    private static final int RETRY_MOST_MS = 2000;
+    private static final int RETRY_MOST_MS = 250;
+    /** Whoever waits for the list to be fresh waits no longer than this for a silent agent. */
+    private static final int FRESH_WITHIN_MS = 200;
     private static final int LARGEST_LIST = 1 << 20;
 
     private final EventLoop loop;
@@ -57,6 +75,14 @@
     private Channel connecting;
     private Future<?> retryTimer;
     private final Backoff backoff;
+    /** The agent has said what there was at a moment, and has had a call open for what came after. */
+    private boolean isFresh;
+    /** The call that is open is to say what there is now. */
+    private boolean asksNow;
+    /** What is to be done once the list is fresh. */
+    private final List<Runnable> onFresh = new ArrayList<>();
+    /** Null where nothing is to be done. */
+    private Future<?> freshTimer;
     private boolean stopped;
     private long calls;
     private long failures;
@@ -74,11 +100,11 @@
     /** Begins the watch from the list that the group has. */
     public void start() {
         Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, SLACK_MS)
+                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NOW_WITHIN_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel own) {
-                        own.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_LIST),
+                        own.pipeline().addLast(new Pieces(), new HttpClientCodec(), new HttpObjectAggregator(LARGEST_LIST),
                                 new Answers());
                     }
                 });
@@ -101,6 +127,7 @@
             return;
         }
         address = to;
+        isFresh = false;
         backoff.reset();
         dropConnecting();
         start();
@@ -110,6 +137,56 @@
         stopped = true;
         dropConnecting();
         dropWatch();
+        fresh();
+    }
+
+    /**
+     * Takes what the agent has told by now, and runs that once nothing is left to be told, which is at once where the open
+     * call has no answer yet; but no later than {@link #FRESH_WITHIN_MS} from now.
+     */
+    public void refresh(Runnable then) {
+        onFresh.add(then);
+        if (freshTimer == null) {
+            freshTimer = loop.schedule(this::fresh, FRESH_WITHIN_MS, TimeUnit.MILLISECONDS);
+        }
+        boolean waits = isFresh;
+        long before = calls;
+        // An answer that is there by now may be an old one, whatever was asked for.
+        isFresh = false;
+        asksNow = false;
+        readNow();
+        if (waits && calls == before && channel != null && channel.isActive()) {
+            isFresh = true;
+            fresh();
+        }
+    }
+
+    private void fresh() {
+        if (freshTimer != null) {
+            freshTimer.cancel(false);
+            freshTimer = null;
+        }
+        List<Runnable> due = List.copyOf(onFresh);
+        onFresh.clear();
+        due.forEach(Runnable::run);
+    }
+
+    /** Reads what has come by this moment, without waiting to be told of it. */
+    private void readNow() {
+        if (channel != null && channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+    }
+
+    /** An answer that comes in pieces is not silent. Guards against one that is given up and asked for over and over. */
+    private final class Pieces extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (ctx.channel() == channel) {
+                within(PIECES_WITHIN_MS);
+            }
+            ctx.fireChannelRead(message);
+        }
     }
 
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
@@ -147,11 +224,33 @@
 
     private void call() {
         calls++;
-        String from = group.generation() < 0 ? "" : "?from=" + group.generation() + "&hold_ms=" + HOLD_MS;
+        asksNow = !isFresh;
+        int hold = asksNow ? NOW_MS : HOLD_MS;
+        String from = group.generation() < 0 ? "" : "?from=" + group.generation() + "&hold_ms=" + hold;
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH + from);
         request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(address));
         channel.writeAndFlush(request);
-        callTimer = loop.schedule(() -> failed("no answer in time"), HOLD_MS + SLACK_MS, TimeUnit.MILLISECONDS);
+        within(asksNow ? NOW_WITHIN_MS : HOLD_MS + SLACK_MS);
+    }
+
+    /** Something has to come on the connection within that time. */
+    private void within(int ms) {
+        if (callTimer != null) {
+            callTimer.cancel(false);
+        }
+        callTimer = loop.schedule(this::due, ms, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * The agent may have answered in time. Guards against a process that stood still: the first thing that it does is to
+     * look at its timers, and a call would be given up with its answer unread.
+     */
+    private void due() {
+        Future<?> timer = callTimer;
+        readNow();
+        if (callTimer == timer) {
+            failed("no answer in time");
+        }
     }
 
     private void answered(FullHttpResponse response) {
@@ -168,6 +267,7 @@
             return;
         }
         backoff.reset();
+        isFresh |= asksNow;
         if (HttpUtil.isKeepAlive(response)) {
             call();
         } else {
@@ -177,10 +277,14 @@
         if (change.complete() || !change.hosts().isEmpty()) {
             changed.accept(change);
         }
+        if (isFresh) {
+            fresh();
+        }
     }
 
     /** The watch broke. */
     private void failed(String why) {
+        isFresh = false;
         dropWatch();
         goOn(() -> again(why));
     }
--- /dev/null
+++ b/router/src/test/java/stagepier/discovery/DiscoveryWatchTest.java
@@ -0,0 +1,156 @@
+package stagepier.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import stagepier.discovery.WatchBench.Speech;
+
+/**
+ * When a change that discovery has to tell is known here, against when it counts as told: what a watch that fell silent
+ * misses 6 s after that, or 2 s after the wait of the call if that is later; what an agent has when it has it; after SIGHUP
+ * 4 s later. From then on sends may go on for one second, of which 0.4 s are left to the loop's own delay.
+ */
+@Timeout(30)
+class DiscoveryWatchTest {
+    private static final int SILENCE_MS = 6000;
+    private static final int AFTER_WAIT_MS = 2000;
+    private static final int SENDS_GO_ON_MS = 600;
+
+    private WatchBench bench;
+    private WatchBench.Agent agent;
+
+    @BeforeEach
+    void begin() throws IOException {
+        bench = new WatchBench();
+        agent = bench.agents.get(0);
+        bench.watch.start();
+        bench.until(() -> agent.asked > 0, 1000);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        bench.close();
+    }
+
+    /** The open connection falls silent at some moment of its wait, and the drain comes so long after. */
+    @ParameterizedTest
+    @CsvSource({
+        "NOTHING,0,0", "NOTHING,0,3500", "NOTHING,2900,100", "NOTHING,1500,5900", "NOTHING,400,2500",
+        "HALF_A_HEAD,0,0", "HALF_A_HEAD,2900,50", "HEAD,0,0", "HEAD,1500,10", "HEAD,2900,50", "HALF_A_LIST,0,0",
+        "HALF_A_LIST,2900,50", "HALF_A_LIST,1500,1000", "RESET,100,0", "RESET,2900,10", "RESET,0,5000"})
+    void whatASilentWatchMissesIsKnownByTheTimeItCounts(Speech how, long into, long drainAfter) throws IOException {
+        bench.run(into);
+        int before = agent.asked;
+        agent.breakOpenOnes(how);
+        long silentFrom = bench.now;
+        bench.run(drainAfter);
+        agent.drain();
+        long counts = how == Speech.RESET ? bench.now
+                : Math.max(bench.now, Math.max(silentFrom + SILENCE_MS, bench.now - into - drainAfter + agent.longestHold + AFTER_WAIT_MS));
+        bench.until(() -> bench.drainedAt >= 0, 10_000);
+        assertTrue(bench.drainedAt <= counts + SENDS_GO_ON_MS, "known at " + bench.drainedAt + ", counts at " + counts);
+        assertTrue(agent.asked - before <= 12, agent.asked - before + " calls for it");
+    }
+
+    /** Guards against a list that is given up for coming slowly, over and over. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 2900, 2990})
+    void aListInSmallPiecesIsTakenHoweverLateItBegins(long into) throws IOException {
+        bench.run(into);
+        agent.breakOpenOnes(Speech.PIECES);
+        agent.drain();
+        bench.until(() -> bench.drainedAt >= 0, 10_000);
+        assertEquals(1, agent.connections, "on the connection on which it began");
+    }
+
+    /** Whatever the agent gets at the return of discovery counts at once, so no pause between calls may be long. */
+    @ParameterizedTest
+    @CsvSource({"8000,false", "8000,true", "1200,true", "4100,false", "7300,true", "9990,true", "30000,true"})
+    void atTheReturnOfDiscoveryTheListIsAskedForSoon(long away, boolean forgets) throws IOException {
+        bench.run(200);
+        agent.forgets = forgets;
+        agent.isDown = true;
+        // Its open call is one that fell silent; those after it are at stake here.
+        long counts = Math.max(bench.now + away, forgets ? bench.now + SILENCE_MS : 0);
+        int before = agent.asked;
+        bench.run(away);
+        assertTrue(agent.asked - before <= 2 + away / 300, agent.asked - before + " calls in vain");
+        agent.isDown = false;
+        agent.drain();
+        bench.until(() -> bench.drainedAt >= 0, 10_000);
+        assertTrue(bench.drainedAt <= counts + SENDS_GO_ON_MS, "known at " + bench.drainedAt + ", counts at " + counts);
+    }
+
+    /** An agent that refuses connections costs a call now and then, and is found soon after it is there again. */
+    @ParameterizedTest
+    @ValueSource(longs = {3000, 4700, 8000, 9990, 16_200})
+    void anAgentThatIsAwayIsAskedSoonAfterItsReturnAndNotInASpin(long away) throws IOException {
+        WatchBench.Agent next = bench.new Agent();
+        java.net.InetSocketAddress address = next.address();
+        next.close();
+        agent.breakOpenOnes(Speech.RESET);
+        bench.watch.moveTo(address);
+        bench.run(away);
+        long failures = bench.counted("discovery_failures");
+        assertTrue(failures <= away / 80, failures + " tries");
+        WatchBench.Agent back = bench.new Agent(address);
+        back.drain();
+        long counts = bench.now;
+        bench.until(() -> bench.drainedAt >= 0, 10_000);
+        assertTrue(bench.drainedAt <= counts + SENDS_GO_ON_MS, "known " + (bench.drainedAt - counts) + " ms after the return");
+    }
+
+    /** After SIGHUP what the new agent has counts 4 s later, though it be silent at first. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 500, 3900})
+    void afterAMoveTheNewAgentsListIsKnownInTime(long silent) throws IOException {
+        WatchBench.Agent next = bench.new Agent();
+        next.isDown = silent > 0;
+        next.forgets = true;
+        next.drain();
+        long moved = bench.now;
+        bench.watch.moveTo(next.address());
+        bench.run(silent);
+        next.isDown = false;
+        bench.until(() -> bench.drainedAt >= 0, 10_000);
+        assertTrue(bench.drainedAt <= moved + 4000 + SENDS_GO_ON_MS, "known " + (bench.drainedAt - moved) + " ms after the move");
+    }
+
+    /** The watch's very first call says what the list is now: a process that starts must not wait for the next change. */
+    @Test
+    void theFirstCallOfAConnectionIsAnsweredAtOnce() throws IOException {
+        bench.until(() -> agent.asked > 1, 100);
+        assertEquals(1, agent.connections);
+    }
+
+    /**
+     * The process stands still while the agent answers; then the call's timer is due before any socket is looked at. Guards
+     * against a connection that is given up with its answer unread, and a list that stays old until the next one is up.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {4200, 10_000})
+    void afterAStandStillWhatCameIsReadBeforeTheCallIsGivenUp(long ms) throws IOException {
+        bench.run(500);
+        agent.drain();
+        bench.freeze(ms);
+        assertEquals(bench.now, bench.drainedAt, "known with the first thing that is done");
+        bench.turn();
+        assertEquals(1, agent.connections);
+    }
+
+    /** The price: what a hundred routers ask for while nothing changes, and never all at once. */
+    @Test
+    void aHundredQuietRoutersAskSeldom() throws IOException {
+        bench.run(60_000);
+        assertTrue(agent.asked <= 22, agent.asked + " calls a minute");
+        assertEquals(1, agent.connections);
+    }
+}
--- /dev/null
+++ b/router/src/test/java/stagepier/discovery/WatchBench.java
@@ -0,0 +1,258 @@
+package stagepier.discovery;
+
+import com.google.gson.JsonParser;
+import io.netty.channel.ManualIoEventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import stagepier.Api;
+import stagepier.settings.SettingsParser;
+
+/**
+ * A watch on a loop that the test turns by hand, in time that only the test moves on, against agents on real sockets that
+ * the same thread plays. An agent answers as the protocol says, at once with what is newer and else when the wait is over,
+ * unless it is told to be silent.
+ */
+final class WatchBench implements Closeable {
+    /** What an agent does with an answer that is due. */
+    enum Speech { WHOLE, NOTHING, HALF_A_HEAD, HEAD, HALF_A_LIST, PIECES, RESET }
+
+    private static final int STEP_MS = 10;
+    private static final int PIECE = 24;
+    private static final int PIECE_EVERY_MS = 300;
+
+    private final MockTicker ticker = Ticker.newMockTicker();
+    final ManualIoEventLoop loop = new ManualIoEventLoop(null, Thread.currentThread(), NioIoHandler.newFactory(), ticker);
+    final HostGroup group = new HostGroup(new SettingsParser.Names(List.of("c"), List.of(), List.of("a"), List.of("m")));
+    final List<Agent> agents = new ArrayList<>();
+    final DiscoveryWatch watch;
+    /** When the drain became known to the router; -1 before. In milliseconds. */
+    long drainedAt = -1;
+    long now;
+
+    WatchBench() throws IOException {
+        group.apply(JsonParser.parseString(list(1, true, "up")));
+        Agent first = new Agent();
+        watch = new DiscoveryWatch(loop, first.address(), group, this::changed, () -> { }, new Random(7));
+    }
+
+    private void changed(HostGroup.Change change) {
+        if (drainedAt < 0 && change.hosts().stream().anyMatch(h -> h.member().state() == Api.MemberState.DRAINING)) {
+            drainedAt = now;
+        }
+    }
+
+    static String list(int generation, boolean reset, String lifecycle) {
+        return ("{%n  \"generation\": %d,%n  \"reset\": %b,%n  \"instances\": [%n%s  ]%n}").formatted(generation, reset,
+                lifecycle.isEmpty() ? "" : ("    {\"instanceId\": \"s-00000001\", \"hostPort\": \"127.0.0.1:9\", \"zone\": \"a\","
+                        + "%n     \"machineType\": \"m\", \"cell\": 0, \"lifecycle\": \"%s\", \"weight\": 1.0}%n").formatted(lifecycle));
+    }
+
+    /** Time goes by, and both sides act in it. */
+    void run(long ms) throws IOException {
+        for (long end = now + ms; now < end;) {
+            now += STEP_MS;
+            ticker.advance(STEP_MS, TimeUnit.MILLISECONDS);
+            turn();
+        }
+    }
+
+    /** Everything that can happen at this moment does. */
+    void turn() throws IOException {
+        for (int i = 0; i < 4; i++) {
+            loop.runNow();
+            for (Agent agent : agents) {
+                agent.act();
+            }
+        }
+    }
+
+    /** Time goes by in which the router's process stands still: timers are due before any socket is looked at. */
+    void freeze(long ms) throws IOException {
+        for (long end = now + ms; now < end;) {
+            now += STEP_MS;
+            ticker.advance(STEP_MS, TimeUnit.MILLISECONDS);
+            for (Agent agent : agents) {
+                agent.act();
+            }
+        }
+        loop.runNonBlockingTasks(0);
+    }
+
+    void until(BooleanSupplier condition, long most) throws IOException {
+        for (long end = now + most; !condition.getAsBoolean();) {
+            if (now >= end) {
+                throw new AssertionError("not within " + most + " ms");
+            }
+            run(STEP_MS);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        watch.stop();
+        loop.runNow();
+        for (Agent agent : List.copyOf(agents)) {
+            agent.close();
+        }
+    }
+
+    long counted(String name) {
+        long[] found = {-1};
+        watch.count((counter, value) -> found[0] = counter.equals(name) ? value : found[0]);
+        return found[0];
+    }
+
+    /** One connection and the call on it that waits, if one does. */
+    private static final class Call {
+        private final SocketChannel socket;
+        private String head = "";
+        private boolean isOpen;
+        private int from;
+        private long until;
+        private byte[] rest = {};
+        private long nextPieceAt;
+        private boolean dead;
+
+        Call(SocketChannel socket) {
+            this.socket = socket;
+        }
+    }
+
+    /** An agent of discovery on a socket of its own. */
+    final class Agent {
+        private final ServerSocketChannel listening = ServerSocketChannel.open();
+        private final List<Call> calls = new ArrayList<>();
+        int generation = 1;
+        boolean isDown;
+        /** A call that came while the agent was silent has no answer ever. */
+        boolean forgets;
+        /** What the next answers on connections that are there by now are; others get whole ones. */
+        private Speech speech = Speech.WHOLE;
+        int asked;
+        int connections;
+        int longestHold;
+
+        Agent() throws IOException {
+            this(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        }
+
+        Agent(InetSocketAddress at) throws IOException {
+            listening.setOption(java.net.StandardSocketOptions.SO_REUSEADDR, true);
+            listening.bind(at);
+            listening.configureBlocking(false);
+            agents.add(this);
+        }
+
+        InetSocketAddress address() throws IOException {
+            return (InetSocketAddress) listening.getLocalAddress();
+        }
+
+        /** Nobody is there any more. */
+        void close() throws IOException {
+            agents.remove(this);
+            listening.close();
+            for (Call call : calls) {
+                call.socket.close();
+            }
+        }
+
+        /** The cache server drains from now on, as this agent has it. */
+        void drain() {
+            generation++;
+        }
+
+        /** Connections that are there by now fall silent in this way. */
+        void breakOpenOnes(Speech how) throws IOException {
+            speech = how;
+            for (Call call : calls) {
+                call.dead = true;
+                if (how == Speech.RESET) {
+                    call.socket.setOption(java.net.StandardSocketOptions.SO_LINGER, 0);
+                    call.socket.close();
+                }
+            }
+        }
+
+        void act() throws IOException {
+            for (SocketChannel s = listening.accept(); s != null; s = listening.accept()) {
+                s.configureBlocking(false);
+                s.setOption(java.net.StandardSocketOptions.TCP_NODELAY, true);
+                calls.add(new Call(s));
+                connections++;
+            }
+            calls.removeIf(c -> !c.socket.isOpen());
+            for (Call call : calls) {
+                read(call);
+                answer(call);
+            }
+        }
+
+        private void read(Call call) throws IOException {
+            ByteBuffer bytes = ByteBuffer.allocate(4096);
+            if (call.socket.read(bytes) < 0) {
+                call.socket.close();
+                return;
+            }
+            call.head += new String(bytes.array(), 0, bytes.position(), StandardCharsets.ISO_8859_1);
+            if (call.head.endsWith("\r\n\r\n")) {
+                String query = call.head.substring(call.head.indexOf('?') + 1, call.head.indexOf(" HTTP"));
+                call.from = Integer.parseInt(query.replaceAll(".*from=(\\d+).*", "$1"));
+                int hold = Integer.parseInt(query.replaceAll(".*hold_ms=(\\d+).*", "$1"));
+                longestHold = Math.max(longestHold, hold);
+                call.until = now + hold;
+                call.isOpen = !(isDown && forgets);
+                call.head = "";
+                asked++;
+            }
+        }
+
+        private void answer(Call call) throws IOException {
+            if (call.rest.length > 0 && now >= call.nextPieceAt) {
+                int n = Math.min(PIECE, call.rest.length);
+                write(call, java.util.Arrays.copyOf(call.rest, n));
+                call.rest = java.util.Arrays.copyOfRange(call.rest, n, call.rest.length);
+                call.nextPieceAt = now + PIECE_EVERY_MS;
+            }
+            if (!call.isOpen || isDown || call.from >= generation && now < call.until) {
+                return;
+            }
+            call.isOpen = false;
+            String body = list(generation, false, call.from < generation ? "draining" : "");
+            String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n";
+            byte[] all = (head + body).getBytes(StandardCharsets.ISO_8859_1);
+            int said = switch (call.dead ? speech : Speech.WHOLE) {
+                case NOTHING, RESET, PIECES -> 0;
+                case HALF_A_HEAD -> head.length() / 2;
+                case HEAD -> head.length();
+                case HALF_A_LIST -> head.length() + body.length() / 2;
+                case WHOLE -> all.length;
+            };
+            if (call.dead && speech == Speech.PIECES) {
+                call.rest = all;
+            }
+            write(call, java.util.Arrays.copyOf(all, said));
+        }
+
+        private void write(Call call, byte[] bytes) throws IOException {
+            try {
+                call.socket.write(ByteBuffer.wrap(bytes));
+            } catch (IOException e) {
+                call.socket.close();
+            }
+        }
+    }
+}
