After a stand-still, read what discovery has told before anything is decided or sent

What was seen: a router that stood still for a second and more (SIGSTOP, a starved core) went on with the requests that had come, and with connections that came up, by the list from before; the next call was answered only after that. A new process served by the list of its configuration, however old, in the first moments before discovery's first answer. Change: a loop that was not seen for 0.5 s stood still; then the module is told nothing but lists, and no link begins to send, until the agent has said what there is now, at most 0.2 s. Clients are accepted after the same at the start.

--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -61,6 +61,8 @@
     private final ConsoleListener console;
     /** Null where no console is named. */
     private final StaffCalls staff;
+    /** Discovery was asked what there is now, and has said so or not. */
+    private boolean asked;
     private boolean listening;
 
     Router(Config config) {
@@ -75,6 +77,7 @@
         clients = new ClientListener(loop, clock, delay, places(config.sockets()), host, this::stats, drain);
         watch = new DiscoveryWatch(loop, config.discovery(), hosts, this::changed, host::membersFailed,
                 new Random(config.seed()));
+        host.connectList(watch::refresh);
         peers = config.peers() == null ? null : new PeerSocket(loop, config.peers(), host::heard);
         if (peers != null) {
             host.connectPeers(peers::tell);
@@ -132,7 +135,10 @@
         return ready;
     }
 
-    /** All is warm: takes up the list as it was known last, and goes on with the one that is. */
+    /**
+     * All is warm: takes up the list as it was known last, and goes on with the one that is. Guards against requests that
+     * are decided by a known list which was old when this process began: clients come once discovery was asked.
+     */
     private void serve() {
         try {
             if (config.known() != null) {
@@ -142,6 +148,10 @@
             LOG.warn("the known list is of no use: {}", e.getMessage());
         }
         watch.start();
+        watch.refresh(() -> {
+            asked = true;
+            listenOnce();
+        });
         if (peers != null) {
             peers.start();
         }
@@ -150,6 +160,11 @@
     }
 
     private void changed(HostGroup.Change change) {
+        if (!change.complete() && change.hosts().isEmpty()) {
+            // If the process stood still before this was read, there may be more to be told.
+            host.mustWaitForList(() -> { });
+            return;
+        }
         List<Api.Member> members = new ArrayList<>();
         for (HostGroup.Host h : change.hosts()) {
             members.add(h.member());
@@ -165,7 +180,11 @@
             }
         }
         change.left().forEach(h -> servers.retire(h.member().id()));
-        if (!listening) {
+        listenOnce();
+    }
+
+    private void listenOnce() {
+        if (!listening && asked && hosts.generation() >= 0) {
             listening = true;
             listen();
         }
--- a/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -77,7 +77,9 @@
     private final Backoff backoff;
     /** The agent has said what there was at a moment, and has had a call open for what came after. */
     private boolean isFresh;
-    /** The call that is open is to say what there is now. */
+    /** A call has been made that has no whole answer yet. */
+    private boolean isOpen;
+    /** That call is to say what there is now. */
     private boolean asksNow;
     /** What is to be done once the list is fresh. */
     private final List<Runnable> onFresh = new ArrayList<>();
@@ -87,6 +89,10 @@
     private long calls;
     private long failures;
 
+    /**
+     * @param changed is told of each answer, and so of those as well that change nothing
+     * @param failed  is told of each try that failed
+     */
     public DiscoveryWatch(EventLoop loop, InetSocketAddress address, HostGroup group,
             Consumer<HostGroup.Change> changed, Runnable failed, RandomGenerator random) {
         backoff = new Backoff(RETRY_FIRST_MS, RETRY_MOST_MS, random);
@@ -149,7 +155,7 @@
         if (freshTimer == null) {
             freshTimer = loop.schedule(this::fresh, FRESH_WITHIN_MS, TimeUnit.MILLISECONDS);
         }
-        boolean waits = isFresh;
+        boolean waits = isFresh && isOpen;
         long before = calls;
         // An answer that is there by now may be an old one, whatever was asked for.
         isFresh = false;
@@ -224,6 +230,7 @@
 
     private void call() {
         calls++;
+        isOpen = true;
         asksNow = !isFresh;
         int hold = asksNow ? NOW_MS : HOLD_MS;
         String from = group.generation() < 0 ? "" : "?from=" + group.generation() + "&hold_ms=" + hold;
@@ -255,6 +262,7 @@
 
     private void answered(FullHttpResponse response) {
         callTimer.cancel(false);
+        isOpen = false;
         HostGroup.Change change;
         try {
             if (response.status().code() != 200 || response.decoderResult().isFailure()) {
@@ -268,20 +276,25 @@
         }
         backoff.reset();
         isFresh |= asksNow;
-        if (HttpUtil.isKeepAlive(response)) {
-            call();
-        } else {
-            dropWatch();
-            goOn(this::start);
-        }
-        if (change.complete() || !change.hosts().isEmpty()) {
+        try {
             changed.accept(change);
+        } finally {
+            next(HttpUtil.isKeepAlive(response));
         }
         if (isFresh) {
             fresh();
         }
     }
 
+    private void next(boolean onThisConnection) {
+        if (onThisConnection && channel != null) {
+            call();
+        } else {
+            dropWatch();
+            goOn(this::start);
+        }
+    }
+
     /** The watch broke. */
     private void failed(String why) {
         isFresh = false;
@@ -315,6 +328,7 @@
         if (callTimer != null) {
             callTimer.cancel(false);
         }
+        isOpen = false;
         Channel old = channel;
         channel = null;
         if (old != null) {
--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -50,6 +51,8 @@
     private final Api.Settings settings;
     private final Map<Long, Exchange> open = new HashMap<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
+    /** Lists that came while all else has to wait. */
+    private final ArrayDeque<Runnable> lists = new ArrayDeque<>();
     private final long[] outcomes = new long[Api.Outcome.values().length];
     private final long[] replies = new long[Reply.Kind.values().length];
     /** Ids of requests and when they were taken, the oldest first. */
@@ -60,11 +63,17 @@
     private Consumer<List<Api.News>> peers = news -> { };
     private final PeerView peerView = new PeerView();
     private boolean inEvent;
+    /** Brings the list up to date, then runs what it is given. */
+    private Consumer<Runnable> refresh = Runnable::run;
+    /** The process stood still and the list may be old: the module is told nothing but the list. */
+    private boolean listMayBeOld;
+    private final List<Runnable> onFreshList = new ArrayList<>();
     private long lastId;
     private long unanswered;
     private long gone;
     private long overdue;
     private long cameLate;
+    private long stoodStill;
 
     public ModuleHost(EventLoop loop, Clock clock, LoopDelay delay, SettingsParser.Parsed parsed) {
         this.loop = loop;
@@ -80,6 +89,11 @@
         peers = to;
     }
 
+    /** What brings the list up to date after this process stood still, and then runs what it is given. */
+    public void connectList(Consumer<Runnable> refresher) {
+        refresh = refresher;
+    }
+
     /** Before anything else. */
     public void connect(Api.Events decisions, Carrier servers) {
         module = decisions;
@@ -92,19 +106,53 @@
      */
     private void post(Runnable event) {
         events.add(event);
-        if (inEvent) {
-            return;
+        if (!inEvent && !listMayBeOld()) {
+            tell();
         }
+    }
+
+    private void tell() {
         inEvent = true;
         try {
-            for (Runnable next = events.poll(); next != null; next = events.poll()) {
-                run(next);
+            while (!lists.isEmpty() || !listMayBeOld && !events.isEmpty()) {
+                run((lists.isEmpty() ? events : lists).remove());
             }
         } finally {
             inEvent = false;
         }
     }
 
+    /**
+     * Whether the list may be old since this process stood still. Guards against deciding, when it goes on, by who was
+     * there before: what discovery told meanwhile is read first.
+     */
+    private boolean listMayBeOld() {
+        if (!listMayBeOld && delay.stoodStill(clock.now())) {
+            listMayBeOld = true;
+            stoodStill++;
+            refresh.accept(this::listIsFresh);
+        }
+        return listMayBeOld;
+    }
+
+    private void listIsFresh() {
+        listMayBeOld = false;
+        List<Runnable> due = List.copyOf(onFreshList);
+        onFreshList.clear();
+        due.forEach(Runnable::run);
+        if (!inEvent) {
+            tell();
+        }
+    }
+
+    /** Whether nothing may be sent before the list is fresh; that is then run as soon as it is. */
+    public boolean mustWaitForList(Runnable then) {
+        if (listMayBeOld()) {
+            onFreshList.add(then);
+        }
+        return listMayBeOld;
+    }
+
     private static void run(Runnable event) {
         try {
             event.run();
@@ -269,7 +317,11 @@
 
     // ---- from discovery -----------------------------------------------------------------------------------
     public void members(boolean complete, List<Api.Member> members) {
-        post(() -> module.onMembers(clock.now(), complete, members));
+        // Ahead of all that waits for it.
+        (listMayBeOld() ? lists : events).add(() -> module.onMembers(clock.now(), complete, members));
+        if (!inEvent) {
+            tell();
+        }
     }
 
     public void membersFailed() {
@@ -373,6 +425,7 @@
         to.accept("requests_client_gone", gone);
         to.accept("requests_overdue", overdue);
         to.accept("requests_read_late", cameLate);
+        to.accept("loop_stood_still", stoodStill);
         to.accept("loop_late_mean_us", Math.round(delay.mean() * 1e6));
         to.accept("loop_late_worst_us", Math.round(delay.worst() * 1e6));
         for (Reply.Kind kind : Reply.Kind.values()) {
--- a/router/src/main/java/stagepier/overload/LoopDelay.java
+++ b/router/src/main/java/stagepier/overload/LoopDelay.java
@@ -15,6 +15,11 @@
     private static final double WAITED_PART = 0.1;
     /** A heartbeat is late from here on: timers are only so exact. */
     private static final double INEXACT = 0.003;
+    /**
+     * A loop that was not seen for so long stood still, whatever the cause. What was told meanwhile is at most that old:
+     * half of the second that one has to act on it.
+     */
+    private static final double STOOD_STILL = 0.5;
     /** Weight of one heartbeat in the running mean. */
     private static final double GAIN = 0.1;
 
@@ -22,11 +27,14 @@
     private double sawAt = Double.NaN;
     private double sawBefore = Double.NaN;
     private double nextBeat = Double.NaN;
+    private double seenAt = Double.NaN;
+    private boolean stoodStill;
     private double mean;
     private double worst;
 
     /** The loop begins to look for input. */
     public void looks(double now) {
+        seen(now);
         // A turn in which nothing was read tells no more than that it looked.
         sawBefore = Double.isNaN(sawAt) ? lookBegan : sawAt;
         lookBegan = now;
@@ -42,12 +50,28 @@
 
     /** The heartbeat. */
     public void beats(double now) {
+        seen(now);
         double late = Double.isNaN(nextBeat) ? 0 : Math.max(0, now - nextBeat);
         mean += GAIN * (late - mean);
         worst = Math.max(worst, late);
         nextBeat = now + BEAT;
     }
 
+    private void seen(double now) {
+        stoodStill |= now - seenAt > STOOD_STILL;
+        seenAt = now;
+    }
+
+    /** Whether the loop stood still since this was asked last. In the middle of a turn this sees it as well. */
+    public boolean stoodStill(double now) {
+        boolean stood = stoodStill || now - seenAt > STOOD_STILL;
+        stoodStill = false;
+        if (stood) {
+            seenAt = now;
+        }
+        return stood;
+    }
+
     /** Seconds for which what is read in this turn may have lain unread; 0 where nothing is known. */
     public double unreadFor(double now) {
         if (Double.isNaN(sawAt) || Double.isNaN(sawBefore)) {
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -25,6 +25,7 @@
     private final ArrayDeque<Execution> sent = new ArrayDeque<>();
     private final double openedAt;
     private boolean up;
+    private boolean awaitsList;
     /** Takes nothing new, and ends once nobody waits for an answer on it. */
     private boolean retired;
     private double heardAt;
@@ -179,6 +180,9 @@
 
     @Override
     protected void fill() {
+        if (!waiting.isEmpty() && mustWaitForList()) {
+            return;
+        }
         if (pool.isRetired()) {
             // The last point before bytes go out: whatever brought it here, nothing new goes to a server that drains.
             dropWaiting();
@@ -195,6 +199,17 @@
         }
     }
 
+    /** Guards against a link that comes up after the process stood still, before what was told meanwhile is read. */
+    private boolean mustWaitForList() {
+        if (!awaitsList) {
+            awaitsList = pool.pools().host().mustWaitForList(() -> {
+                awaitsList = false;
+                pump();
+            });
+        }
+        return awaitsList;
+    }
+
     @Override
     protected void onWritten() {
     }
--- /dev/null
+++ b/router/src/test/java/stagepier/app/RouterProcess.java
@@ -0,0 +1,95 @@
+package stagepier.app;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+/** The program as it is started, on a port of its own, with its log and configuration in a folder. */
+final class RouterProcess implements Closeable {
+    static final int WAIT_MS = 5000;
+    static final String SETTINGS = """
+            {"Classes":[{"Name":"read","Deadline":2,"GoalTime":1,"Repeat":"idempotent","Worth":1},
+            {"Name":"put","Deadline":2,"GoalTime":1,"Repeat":"deduplicated","Group":"all","DedupWindow":9,"Worth":1}],
+            "Areas":["a"],"Flavors":["m"],"Limits":{"MaxAttempts":3,"MaxRetryAfter":1.2,"DialTimeout":0.25,
+            "IdleClose":60},"Obligations":{"DrainGrace":1}}""";
+
+    private final Path folder;
+    private final int port;
+    private final Process process;
+
+    /** One that knows these cache servers. */
+    RouterProcess(Path folder, StandInAgent agent, String... entries) throws IOException {
+        this.folder = folder;
+        port = Rehearsal.freePort();
+        process = launch(folder, """
+                {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964","settings":%s,
+                "limits":{"sockets":128},"known":%s}""".formatted(port, agent.port(), SETTINGS, StandInAgent.known(entries)));
+    }
+
+    static Process launch(Path folder, String config) throws IOException {
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true", "-cp", System.getProperty("java.class.path"),
+                "stagepier.app.Main", "serve");
+        builder.environment().put("GW_CONFIG", file.toString());
+        builder.redirectError(folder.resolve("log").toFile());
+        return builder.start();
+    }
+
+    /** A connection, as soon as there can be one. */
+    Socket connect() throws Exception {
+        while (true) {
+            try {
+                Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                socket.setSoTimeout(WAIT_MS);
+                socket.setTcpNoDelay(true);
+                return socket;
+            } catch (IOException e) {
+                if (!process.isAlive()) {
+                    throw new AssertionError("ended: " + log());
+                }
+                Thread.sleep(5);
+            }
+        }
+    }
+
+    /** The first line of the answer on a connection of its own. */
+    String ask(String line) throws Exception {
+        try (Socket client = connect()) {
+            Rehearsal.write(client, line + "\r\n");
+            BufferedReader in = Rehearsal.reader(client);
+            return in.readLine();
+        }
+    }
+
+    Process process() {
+        return process;
+    }
+
+    String log() throws IOException {
+        return Files.readString(folder.resolve("log"));
+    }
+
+    void signal(String name) throws Exception {
+        if (new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor() != 0) {
+            throw new AssertionError("no such process");
+        }
+    }
+
+    int exitCode() throws InterruptedException {
+        if (!process.waitFor(10, TimeUnit.SECONDS)) {
+            throw new AssertionError("still there");
+        }
+        return process.exitValue();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+}
--- a/router/src/test/java/stagepier/app/RouterTest.java
+++ b/router/src/test/java/stagepier/app/RouterTest.java
@@ -27,16 +27,11 @@
 class RouterTest {
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     private static final int WAIT_MS = 5000;
-    private static final String SETTINGS = """
-            {"Classes":[{"Name":"read","Deadline":2,"GoalTime":1,"Repeat":"idempotent","Worth":1},
-            {"Name":"put","Deadline":2,"GoalTime":1,"Repeat":"deduplicated","Group":"all","DedupWindow":9,"Worth":1}],
-            "Areas":["a"],"Flavors":["m"],"Limits":{"MaxAttempts":3,"MaxRetryAfter":1.2,"DialTimeout":0.25,
-            "IdleClose":60},"Obligations":{"DrainGrace":1}}""";
-
     @TempDir
     private Path folder;
     private final ServerSocket cache = listen();
-    private final ServerSocket discovery = listen();
+    private final StandInAgent discovery = agent();
+    private RouterProcess started;
     private Process router;
     private Socket client;
     private BufferedReader answers;
@@ -51,38 +46,25 @@
         }
     }
 
+    private static StandInAgent agent() {
+        try {
+            return new StandInAgent();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket s = listen()) {
             return s.getLocalPort();
         }
     }
 
-    private Process launch(String config) throws IOException {
-        Path file = Files.writeString(folder.resolve("config.json"), config);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "stagepier.app.Main", "serve");
-        builder.environment().put("GW_CONFIG", file.toString());
-        builder.redirectError(folder.resolve("log").toFile());
-        return builder.start();
-    }
-
     /** A router that knows one cache server, at that port. */
     private void start(int cachePort) throws Exception {
-        int port = freePort();
-        router = launch("""
-                {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964","settings":%s,
-                "limits":{"sockets":128},
-                "known":{"generation":1,"reset":true,"instances":[{"instanceId":"s-00000001",
-                "hostPort":"127.0.0.1:%d","zone":"a","machineType":"m","cell":0,"lifecycle":"up","weight":1.0,
-                "startedAtMs":0}]}}""".formatted(port, discovery.getLocalPort(), SETTINGS, cachePort));
-        while (client == null) {
-            try {
-                client = new Socket(LOOPBACK, port);
-            } catch (IOException e) {
-                assertTrue(router.isAlive(), Files.readString(folder.resolve("log")));
-                Thread.sleep(20);
-            }
-        }
+        started = new RouterProcess(folder, discovery, StandInAgent.entry(1, cachePort, "up"));
+        router = started.process();
+        client = started.connect();
         answers = reader(client);
         assertEquals("MN", ask("mn"));
     }
@@ -235,13 +217,12 @@
     @Test
     void aServerThatMovedIsAskedAtItsNewAddressWhileItsOldLinkStillHasAnAnswerToGive() throws Exception {
         start(cache.getLocalPort());
-        Socket watch = discovery.accept();
-        assertTrue(reader(watch).readLine().startsWith("GET "));
         write(client, "mg k1 v Oa Pc=read,d=1900\r\n");
         Socket old = cache.accept();
         assertTrue(reader(old).readLine().startsWith("mg k1 "));
         try (ServerSocket moved = listen(); Socket other = new Socket(LOOPBACK, client.getPort())) {
-            tell(watch, 2, moved.getLocalPort(), "up");
+            discovery.tell(StandInAgent.entry(1, moved.getLocalPort(), "up"));
+            discovery.awaitHeard();
             write(other, "mg k2 v Ob Pc=read,d=1900\r\n");
             Socket fresh = moved.accept();
             assertTrue(reader(fresh).readLine().startsWith("mg k2 "));
@@ -253,23 +234,14 @@
         }
     }
 
-    /** Discovery tells of the one cache server. */
-    private static void tell(Socket watch, int generation, int port, String lifecycle) throws IOException {
-        String list = "{\"generation\":" + generation + ",\"reset\":false,\"instances\":[{\"instanceId\":\"s-00000001\","
-                + "\"hostPort\":\"127.0.0.1:" + port + "\",\"lifecycle\":\"" + lifecycle + "\"}]}";
-        write(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
-    }
-
     /** Guards against new work for a server that drains, and against a watch that starts from another list than known. */
     @Test
     void aServerThatDrainsGetsNothingNewAndTheWatchIsRenewed() throws Exception {
         start(cache.getLocalPort());
-        Socket watch = discovery.accept();
-        BufferedReader calls = reader(watch);
-        assertTrue(calls.readLine().startsWith("GET /discovery/hosts?from=1&hold_ms="));
-        tell(watch, 2, cache.getLocalPort(), "draining");
-        assertEquals("GET /discovery/hosts?from=2", calls.lines().filter(l -> l.startsWith("GET")).findFirst()
-                .orElseThrow().split("&")[0]);
+        discovery.awaitCalls(1);
+        assertTrue(discovery.calls().get(0).startsWith("GET /discovery/hosts?from=1&hold_ms="));
+        discovery.tell(StandInAgent.entry(1, cache.getLocalPort(), "draining"));
+        discovery.awaitHeard();
         assertTrue(ask("mg k1 v Oa Pc=read,d=1900").startsWith("SERVER_ERROR busy"));
         cache.setSoTimeout(300);
         assertThrows(java.net.SocketTimeoutException.class, cache::accept);
@@ -370,7 +342,7 @@
     }
 
     private void hangUpUntilLogged(String text) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(router.pid())).start().waitFor());
+        started.signal("HUP");
         for (int i = 0; !Files.readString(folder.resolve("log")).contains(text); i++) {
             assertTrue(i < WAIT_MS / 20, "never logged: " + text);
             Thread.sleep(20);
@@ -381,30 +353,29 @@
     @Test
     void onSighupTheWatchMovesToTheNewDiscoveryAndABadFileChangesNothing() throws Exception {
         start(cache.getLocalPort());
-        BufferedReader old = reader(discovery.accept());
-        assertTrue(old.readLine().startsWith("GET /discovery/hosts?from=1&"));
+        discovery.awaitCalls(2);
         Path file = folder.resolve("config.json");
         String config = Files.readString(file);
         Files.writeString(file, "{\"listen\":");
         hangUpUntilLogged("the configuration in force stays");
         // Nobody answers there: the old watch must not end before the new one is up.
         int refused = freePort();
-        Files.writeString(file, config.replace(":" + discovery.getLocalPort(), ":" + refused));
+        Files.writeString(file, config.replace(":" + discovery.port(), ":" + refused));
         hangUpUntilLogged("discovery at /127.0.0.1:" + refused);
-        assertTrue(old.readLine().startsWith("host:"));
-        assertEquals("", old.readLine());
-        try (ServerSocket moved = listen()) {
-            Files.writeString(file, config.replace(":" + discovery.getLocalPort(), ":" + moved.getLocalPort()));
-            hangUpUntilLogged("discovery at /127.0.0.1:" + moved.getLocalPort());
-            assertTrue(reader(moved.accept()).readLine().startsWith("GET /discovery/hosts?from=1&"));
-            assertEquals(null, old.readLine(), "the old watch ends with the move");
+        assertEquals(1, discovery.open());
+        try (StandInAgent moved = new StandInAgent()) {
+            Files.writeString(file, config.replace(":" + discovery.port(), ":" + moved.port()));
+            hangUpUntilLogged("discovery at /127.0.0.1:" + moved.port());
+            moved.awaitCalls(1);
+            assertTrue(moved.calls().get(0).startsWith("GET /discovery/hosts?from=1&"));
+            StandInAgent.await(() -> discovery.open() == 0);
         }
         assertEquals("MN", ask("mn"));
     }
 
     @Test
     void aBadConfigurationEndsInOneLine() throws Exception {
-        router = launch("{\"listen\":\"nowhere\"}");
+        router = RouterProcess.launch(folder, "{\"listen\":\"nowhere\"}");
         assertTrue(router.waitFor(20, TimeUnit.SECONDS));
         assertFalse(router.exitValue() == 0);
         assertEquals(List.of("stagepier: configuration: 'nowhere' is not an address and a port"),
--- a/router/src/test/java/stagepier/app/StaffTest.java
+++ b/router/src/test/java/stagepier/app/StaffTest.java
@@ -1,14 +1,12 @@
 package stagepier.app;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -32,14 +30,11 @@
             {"Classes":[{"Name":"read","Deadline":2,"GoalTime":1,"Repeat":"idempotent","Worth":1}],
             "Areas":["a"],"Flavors":["m"],"Limits":{"MaxAttempts":3,"MaxRetryAfter":1.2,"DialTimeout":0.25,
             "IdleClose":60},"Obligations":{"DrainGrace":1}}""";
-    private static final String HOST = "{\"instanceId\":\"s-0000000%d\",\"hostPort\":\"127.0.0.1:%d\",\"zone\":\"a\","
-            + "\"machineType\":\"m\",\"cell\":0,\"lifecycle\":\"up\",\"weight\":1.0,\"startedAtMs\":0}";
-
     @TempDir
     private Path shared;
     private StandInCache one;
     private StandInCache other;
-    private ServerSocket discovery;
+    private StandInAgent discovery;
     private Platform platform;
     private Path config;
     private int ids;
@@ -48,12 +43,16 @@
     void begin() throws Exception {
         one = new StandInCache();
         other = new StandInCache();
-        discovery = Rehearsal.listen();
+        discovery = new StandInAgent();
         platform = new Platform(shared);
         config = Files.writeString(shared.resolve("config.json"), """
                 {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"1","limits":{"sockets":256},"settings":%s,
-                "known":{"generation":1,"reset":true,"instances":[%s,%s]}}""".formatted(platform.port(),
-                discovery.getLocalPort(), SETTINGS, HOST.formatted(1, one.port()), HOST.formatted(2, other.port())));
+                "known":%s}""".formatted(platform.port(), discovery.port(), SETTINGS,
+                StandInAgent.known(up(1, one), up(2, other))));
+    }
+
+    private static String up(int id, StandInCache cache) {
+        return StandInAgent.entry(id, cache.port(), "up");
     }
 
     @AfterEach
@@ -159,11 +158,11 @@
         long before = one.answered();
         askMany(20);
         // The list says again that it is up, and then all anew.
-        try (Socket watch = discovery.accept()) {
-            tell(watch, 2, false, HOST.formatted(1, one.port()));
-            tell(watch, 3, true, HOST.formatted(1, one.port()) + "," + HOST.formatted(2, other.port()));
-            askMany(20);
-        }
+        discovery.tell(up(1, one));
+        discovery.awaitHeard();
+        discovery.tellAll(up(1, one), up(2, other));
+        discovery.awaitHeard();
+        askMany(20);
         int next = Rehearsal.freePort();
         long fresh = start(next);
         Platform.terminate(old);
@@ -199,15 +198,6 @@
         }
     }
 
-    private static void tell(Socket watch, int generation, boolean reset, String hosts) throws IOException {
-        BufferedReader in = Rehearsal.reader(watch);
-        for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
-            assertFalse(line.startsWith("POST"));
-        }
-        String list = "{\"generation\":%d,\"reset\":%b,\"instances\":[%s]}".formatted(generation, reset, hosts);
-        Rehearsal.write(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
-    }
-
     @Test
     void aPauseSaysNoClosesIdleLinksFinishesWhatIsOpenAndEndsWithYes() throws Exception {
         int console = Rehearsal.freePort();
--- a/router/src/test/java/stagepier/app/StandInCache.java
+++ b/router/src/test/java/stagepier/app/StandInCache.java
@@ -23,6 +23,7 @@
 
     private final ServerSocket listening;
     private boolean held;
+    private volatile int slowMs;
     private int waiting;
     private final List<Connection> connections = new CopyOnWriteArrayList<>();
 
@@ -54,6 +55,11 @@
         connections.stream().max(java.util.Comparator.comparingLong(c -> c.answered)).orElseThrow().silent = true;
     }
 
+    /** Each answer takes so long. */
+    void slow(int ms) {
+        slowMs = ms;
+    }
+
     /** Answers wait until it is told otherwise. */
     synchronized void hold(boolean on) {
         held = on;
@@ -72,6 +78,10 @@
         waiting--;
     }
 
+    private static void pause(int ms) {
+        java.util.concurrent.locks.LockSupport.parkNanos(ms * 1_000_000L);
+    }
+
     private synchronized int waiting() {
         return waiting;
     }
@@ -90,6 +100,9 @@
             String id = line.substring(line.indexOf(" O"), line.indexOf(" P"));
             if (!c.silent) {
                 pass();
+                if (slowMs > 0) {
+                    pause(slowMs);
+                }
                 Rehearsal.write(c.socket, "VA 2" + id + " h1\r\nhi\r\n");
                 c.answered++;
             }
--- a/router/src/test/java/stagepier/discovery/DiscoveryWatchTest.java
+++ b/router/src/test/java/stagepier/discovery/DiscoveryWatchTest.java
@@ -53,8 +53,8 @@
         long silentFrom = bench.now;
         bench.run(drainAfter);
         agent.drain();
-        long counts = how == Speech.RESET ? bench.now
-                : Math.max(bench.now, Math.max(silentFrom + SILENCE_MS, bench.now - into - drainAfter + agent.longestHold + AFTER_WAIT_MS));
+        long afterWait = silentFrom - into + agent.longestHold + AFTER_WAIT_MS;
+        long counts = how == Speech.RESET ? bench.now : Math.max(bench.now, Math.max(silentFrom + SILENCE_MS, afterWait));
         bench.until(() -> bench.drainedAt >= 0, 10_000);
         assertTrue(bench.drainedAt <= counts + SENDS_GO_ON_MS, "known at " + bench.drainedAt + ", counts at " + counts);
         assertTrue(agent.asked - before <= 12, agent.asked - before + " calls for it");
@@ -146,6 +146,38 @@
         assertEquals(1, agent.connections);
     }
 
+    /** A call that is open at that moment has waited and brought nothing; one that was answered just then has not. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void theListIsFreshOnceTheAgentHadTheChanceToSayMore(boolean uponAnAnswer) throws IOException {
+        bench.run(500);
+        int before = agent.asked;
+        int[] askedWhenFresh = {-1};
+        Runnable refresh = () -> bench.watch.refresh(() -> askedWhenFresh[0] = agent.asked);
+        if (uponAnAnswer) {
+            bench.onAnswer = () -> {
+                bench.onAnswer = () -> { };
+                refresh.run();
+            };
+            bench.until(() -> askedWhenFresh[0] >= 0, 4000);
+            assertEquals(before + 1, askedWhenFresh[0], "asked anew what there is now");
+        } else {
+            refresh.run();
+            assertEquals(before, askedWhenFresh[0], "at once");
+        }
+    }
+
+    /** Guards against requests that wait for good where discovery is away. */
+    @Test
+    void whereTheAgentIsSilentWhoeverWaitsForItGoesOnSoon() throws IOException {
+        agent.isDown = true;
+        bench.run(3500);
+        boolean[] gone = {false};
+        bench.watch.refresh(() -> gone[0] = true);
+        assertEquals(false, gone[0]);
+        bench.until(() -> gone[0], 250);
+    }
+
     /** The price: what a hundred routers ask for while nothing changes, and never all at once. */
     @Test
     void aHundredQuietRoutersAskSeldom() throws IOException {
--- a/router/src/test/java/stagepier/discovery/WatchBench.java
+++ b/router/src/test/java/stagepier/discovery/WatchBench.java
@@ -49,7 +49,11 @@
         watch = new DiscoveryWatch(loop, first.address(), group, this::changed, () -> { }, new Random(7));
     }
 
+    /** What is done upon each answer. */
+    Runnable onAnswer = () -> { };
+
     private void changed(HostGroup.Change change) {
+        onAnswer.run();
         if (drainedAt < 0 && change.hosts().stream().anyMatch(h -> h.member().state() == Api.MemberState.DRAINING)) {
             drainedAt = now;
         }
@@ -57,7 +61,8 @@
 
     static String list(int generation, boolean reset, String lifecycle) {
         return ("{%n  \"generation\": %d,%n  \"reset\": %b,%n  \"instances\": [%n%s  ]%n}").formatted(generation, reset,
-                lifecycle.isEmpty() ? "" : ("    {\"instanceId\": \"s-00000001\", \"hostPort\": \"127.0.0.1:9\", \"zone\": \"a\","
+                lifecycle.isEmpty() ? ""
+                        : ("    {\"instanceId\": \"s-00000001\", \"hostPort\": \"127.0.0.1:9\", \"zone\": \"a\","
                         + "%n     \"machineType\": \"m\", \"cell\": 0, \"lifecycle\": \"%s\", \"weight\": 1.0}%n").formatted(lifecycle));
     }
 
--- a/router/src/test/java/stagepier/exchange/ModuleHostTest.java
+++ b/router/src/test/java/stagepier/exchange/ModuleHostTest.java
@@ -24,7 +24,9 @@
             "Limits":{"MaxAttempts":1}}""";
 
     private final EventLoop loop = new DefaultEventLoop();
-    private final ModuleHost host = new ModuleHost(loop, new Clock(), new LoopDelay(), SettingsParser.parse(SETTINGS));
+    private final Clock clock = new Clock();
+    private final LoopDelay delay = new LoopDelay();
+    private final ModuleHost host = new ModuleHost(loop, clock, delay, SettingsParser.parse(SETTINGS));
     private final List<String> events = new ArrayList<>();
     private final List<Reply> replies = new ArrayList<>();
 
@@ -48,6 +50,7 @@
 
         @Override
         public void onMembers(double now, boolean complete, List<Api.Member> members) {
+            events.add("list " + complete);
         }
 
         @Override
@@ -110,6 +113,24 @@
         assertEquals("0 OK MISS true", events.get(0));
     }
 
+    /** Guards against deciding by an old list, and against changes that overtake each other. */
+    @Test
+    void afterAStandStillTheModuleIsToldTheListsInOrderAndOnlyThenWhatElseHappened() throws Exception {
+        List<Runnable> waiting = new ArrayList<>();
+        host.connectList(waiting::add);
+        delay.looks(clock.now() - 0.6);
+        take("mg k v Oa Pc=c,d=900\r\n", Api.Outcome.OK);
+        assertEquals(List.of(), events);
+        assertEquals(true, host.mustWaitForList(() -> events.add("sent")));
+        host.members(true, List.of());
+        host.members(false, List.of());
+        assertEquals(List.of("list true", "list false"), events);
+        waiting.get(0).run();
+        assertEquals(List.of("list true", "list false", "sent", "0 OK UNKNOWN true", "1 NOT_SENT UNKNOWN true"), events);
+        take("mg k v Ob Pc=c,d=900\r\n", Api.Outcome.OK);
+        assertEquals(1, waiting.size(), "it does not stand still any more");
+    }
+
     @Test
     void whatArisesInsideAnEventIsToldAfterItAndAnsweredOnce() throws Exception {
         take("mg k v Oa Pc=c,d=900\r\n", Api.Outcome.OK);
--- a/router/src/test/java/stagepier/overload/LoopDelayTest.java
+++ b/router/src/test/java/stagepier/overload/LoopDelayTest.java
@@ -1,6 +1,7 @@
 package stagepier.overload;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
@@ -22,6 +23,19 @@
         assertEquals(0, delay.unreadFor(5.1));
     }
 
+    @Test
+    void aLoopStoodStillIfItWasNotSeenForHalfASecondAndIsToldSoOnce() {
+        assertFalse(delay.stoodStill(5), "never seen");
+        delay.looks(5);
+        assertFalse(delay.stoodStill(5.4));
+        assertTrue(delay.stoodStill(5.6), "in the middle of a turn");
+        assertFalse(delay.stoodStill(5.7));
+        delay.beats(6.3);
+        delay.looks(6.31);
+        assertTrue(delay.stoodStill(6.32), "before this turn");
+        assertFalse(delay.stoodStill(6.33));
+    }
+
     /** Guards against blaming a server for an answer that lay here while the loop was at work on something else. */
     @Test
     void whatIsFoundAtOnceMayHaveLainUnreadSinceTheLastLook() {
