After SIGTERM, turn away what comes on open connections and answer the backlog

What was seen in the real process: 0.7 s after SIGTERM a link with an open request read no more, so what came behind that request was closed upon; half a request was closed upon; the closed listener reset those that waited to be accepted, more than there are places (150 clients, 128 descriptors). Change: what comes on such links is answered 'busy' at once, and each link is closed when nothing is open on it and nothing has come; half a request has 0.8 s between pieces; the listener is closed once nobody waits, at most 0.5 s later.

--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -252,7 +252,6 @@
 
     private void awaitLast() {
         if (drain.phase(clock.now()) == Drain.Phase.LAST) {
-            clients.leave();
             awaitEnd();
         } else {
             loop.schedule(this::awaitLast, POLL_MS, TimeUnit.MILLISECONDS);
@@ -266,7 +265,7 @@
     }
 
     private void awaitEnd() {
-        if (clients.isEmpty() && host.unanswered() == 0) {
+        if (clients.isOver() && host.unanswered() == 0) {
             watch.stop();
             stopPeers();
             stopped.complete(null);
--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -27,6 +27,8 @@
     private static final double FIRST_WORD_MOST = 0.4;
     /** Bytes of a command that a link may always hold; for more there must be memory. */
     private static final int ALWAYS_HELD = 4096;
+    /** To whom is turned away because this process ends: another router serves at once, this one never. */
+    private static final String TURNED_AWAY = "SERVER_ERROR busy 1";
 
     private final AnswerBytes.Sink sink = new AnswerBytes.Sink() {
         @Override
@@ -67,6 +69,8 @@
     /** Memory of which the listener knows. */
     private int counted;
     private boolean leaving;
+    /** What comes from now on is turned away. */
+    private boolean ending;
     private int answerBytes;
     /** Slots whose value comes by and by. */
     private int flows;
@@ -193,10 +197,13 @@
         switch (command.kind()) {
             case GET, SET -> {
                 String objection = owner.host().objection(command);
-                if (objection == null) {
-                    ask(command);
-                } else {
+                if (objection != null) {
                     say("CLIENT_ERROR " + objection);
+                } else if (ending || owner.turnsAway()) {
+                    owner.turnedAway();
+                    say(TURNED_AWAY);
+                } else {
+                    ask(command);
                 }
             }
             case ALIVE -> say(owner.alive());
@@ -303,6 +310,9 @@
             // Room for more commands: those that wait in the ring first.
             digest();
             readOn();
+            if (ending) {
+                closeIfIdle();
+            }
         }
     }
 
@@ -320,7 +330,11 @@
 
     /** Closes if nothing is open on it and nothing has come; returns whether it did. */
     boolean leaveIfIdle(double now) {
-        if (!isIdle() || isFresh(now)) {
+        return !isFresh(now) && closeIfIdle();
+    }
+
+    private boolean closeIfIdle() {
+        if (!isIdle()) {
             return false;
         }
         readNow();
@@ -335,19 +349,25 @@
         return slots.isEmpty() && nothingQueued() && unread() == 0 && !isWaiting;
     }
 
-    /** Takes what has come by this moment, then leaves. */
+    /**
+     * Takes what has come by this moment; what comes after it is turned away, and the link closes as soon as nothing is open
+     * on it. Guards against requests that come while earlier ones are open, and would be closed upon unread.
+     */
     void finish() {
-        if (!leaving) {
+        if (!ending) {
             readNow();
             if (isWaiting) {
                 workOff();
             }
+            ending = true;
+        }
+        if (!closeIfIdle() && behaviour() == Behaviour.PART) {
+            giveUp(Behaviour.PART);
         }
-        leave();
     }
 
     /** Takes no more commands; closes as soon as all that was taken has been answered. */
-    void leave() {
+    private void leave() {
         leaving = true;
         if (slots.isEmpty() && nothingQueued()) {
             close();
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -47,6 +48,8 @@
     private static final double TOLD_EVERY = 1;
     /** While clients are sent away, their links are looked through so often. */
     private static final long SEND_AWAY_MS = 5;
+    /** For so long at the most, in seconds, connections are accepted after the last moment at which clients are served. */
+    private static final double LAST_ACCEPTED = 0.5;
 
     private final ModuleHost host;
     private final Supplier<String> stats;
@@ -65,6 +68,8 @@
     private boolean shared;
     private boolean accepting = true;
     private boolean sendingAway;
+    /** Since when clients are turned away; NaN before. */
+    private double lastSince = Double.NaN;
     private Places.Level level = Places.Level.PLENTY;
     private boolean full;
     private boolean working;
@@ -73,6 +78,7 @@
     private final long[] commands = new long[Command.Kind.values().length];
     private long opened;
     private long malformed;
+    private long turnedAway;
     private long timesFull;
 
     /**
@@ -264,6 +270,9 @@
             return;
         }
         boolean closed = false;
+        if (turnsAway()) {
+            acceptLast(now);
+        }
         if (phase != Drain.Phase.LINGER) {
             for (ClientLink link : new ArrayList<>(links)) {
                 if (phase == Drain.Phase.LAST && !link.isFresh(now)) {
@@ -278,14 +287,34 @@
         loop.schedule(this::sendNextAway, next, TimeUnit.MICROSECONDS);
     }
 
-    /** Takes no more connections and no more requests; links close when all they took is answered. */
-    public void leave() {
-        stopAccepting();
-        new ArrayList<>(links).forEach(ClientLink::finish);
+    /** Whether this process is about to end and serves nothing new. */
+    boolean turnsAway() {
+        return drain.state() == Drain.State.ENDING && drain.phase(clock.now()) == Drain.Phase.LAST;
+    }
+
+    /**
+     * Accepts who waits, and closes the listening socket once nobody does. Guards against connections that wait to be
+     * accepted and would be reset with that socket: whoever asks on them gets an answer.
+     */
+    private void acceptLast(double now) {
+        if (Double.isNaN(lastSince)) {
+            lastSince = now;
+        }
+        if (listening == null || shared || !accepting) {
+            return;
+        }
+        long before = opened;
+        if (!full && listening.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+        if (!full && opened == before || now - lastSince > LAST_ACCEPTED) {
+            stopAccepting();
+        }
     }
 
-    public boolean isEmpty() {
-        return links.isEmpty();
+    /** Nobody is there, and nobody comes any more. */
+    public boolean isOver() {
+        return links.isEmpty() && (listening == null || !accepting);
     }
 
     ModuleHost host() {
@@ -333,6 +362,10 @@
         return clock.now();
     }
 
+    void turnedAway() {
+        turnedAway++;
+    }
+
     void malformed() {
         malformed++;
     }
@@ -341,6 +374,7 @@
         to.accept("client_links", links.size());
         to.accept("client_links_opened", opened);
         to.accept("client_places_full", timesFull);
+        to.accept("client_requests_turned_away", turnedAway);
         to.accept("client_input_malformed", malformed);
         to.accept("client_bytes_held", held);
         for (Command.Kind kind : Command.Kind.values()) {
