--- a/router/src/test/java/stagepier/discovery/WatchBench.java
+++ b/router/src/test/java/stagepier/discovery/WatchBench.java
@@ -59,11 +59,20 @@
         }
     }
 
+    /** Indented, as an agent may send it. */
     static String list(int generation, boolean reset, String lifecycle) {
-        return ("{%n  \"generation\": %d,%n  \"reset\": %b,%n  \"instances\": [%n%s  ]%n}").formatted(generation, reset,
-                lifecycle.isEmpty() ? ""
-                        : ("    {\"instanceId\": \"s-00000001\", \"hostPort\": \"127.0.0.1:9\", \"zone\": \"a\","
-                        + "%n     \"machineType\": \"m\", \"cell\": 0, \"lifecycle\": \"%s\", \"weight\": 1.0}%n").formatted(lifecycle));
+        String entry = lifecycle.isEmpty() ? "" : """
+                    {"instanceId": "s-00000001", "hostPort": "127.0.0.1:9", "zone": "a",
+                     "machineType": "m", "cell": 0, "lifecycle": "%s", "weight": 1.0}
+                """.formatted(lifecycle);
+        return """
+                {
+                  "generation": %d,
+                  "reset": %b,
+                  "instances": [
+                %s  ]
+                }
+                """.formatted(generation, reset, entry);
     }
 
     /** Time goes by, and both sides act in it. */
