Wire the fleet's view and calendar into the router, off unless GW_FLEET names a file

Need: the parts beside the event loop have to be made, asked, told of files and ended by the router that runs.

Change: app.FleetWork owns tasks, calls, view and calendar; the loop asks it about additions, weights, zones, addresses, moved discovery and RESTORE (refused at once with the reason); STATUS has a line of each part after its own; SIGHUP reads the calendar again off the loop; SIGTERM says that this member leaves, and the tasks end without keeping the process.

--- a/router/src/main/java/stagepier/app/Config.java
+++ b/router/src/main/java/stagepier/app/Config.java
@@ -24,9 +24,12 @@
  * @param peers   where routers hear of each other, or null where they don't
  * @param console where staff call, or null where there is no console
  * @param passed  the clients' listening socket is descriptor 0, which other processes have as well
+ * @param name    of this router, or ""
+ * @param fleet   the file that says with whom it decides together, or ""
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, JsonElement known, int sockets,
-        SettingsParser.Parsed settings, PeerSocket.Addresses peers, InetSocketAddress console, boolean passed) {
+        SettingsParser.Parsed settings, PeerSocket.Addresses peers, InetSocketAddress console, boolean passed,
+        String name, String fleet) {
     private static final int SOCKETS_USUAL = 1024;
     private static final int SOCKETS_LEAST = 128;
 
@@ -62,7 +65,8 @@
             InetSocketAddress discovery = address(o, "discovery");
             SettingsParser.Parsed settings = SettingsParser.parse(String.valueOf(o.get("settings")));
             return new Config(listen, discovery, seed(o), known == null || known.isJsonNull() ? null : known, sockets(o),
-                    settings, peers(o, settings), console(o, environment), passed(environment));
+                    settings, peers(o, settings), console(o, environment), passed(environment), name(o, environment),
+                    environment.getOrDefault("GW_FLEET", ""));
         } catch (JsonParseException | IllegalStateException | UnsupportedOperationException
                 | IllegalArgumentException | SettingsException e) {
             throw new BadConfigException("configuration: " + e.getMessage());
@@ -99,6 +103,10 @@
         }
     }
 
+    private static String name(JsonObject o, Map<String, String> environment) {
+        return o.has("name") ? o.get("name").getAsString() : environment.getOrDefault("GW_NAME", "");
+    }
+
     private static boolean passed(Map<String, String> environment) {
         String descriptor = environment.getOrDefault("GW_PASSED_SOCKET", "");
         if (!descriptor.isEmpty() && !descriptor.equals("0")) {
--- /dev/null
+++ b/router/src/main/java/stagepier/app/FleetWork.java
@@ -0,0 +1,137 @@
+package stagepier.app;
+
+import io.netty.channel.EventLoop;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stagepier.discovery.HostGroup;
+import stagepier.fleet.BadFleetException;
+import stagepier.fleet.FleetConfig;
+import stagepier.fleet.FleetConfigReader;
+import stagepier.fleet.FleetPart;
+import stagepier.fleet.FleetView;
+import stagepier.fleet.History;
+import stagepier.fleet.Membership;
+import stagepier.fleet.TcpCalls;
+import stagepier.freeze.Calendar;
+import stagepier.freeze.Change;
+import stagepier.freeze.FreezePart;
+import stagepier.freeze.HeldChanges;
+import stagepier.tasks.LiveTasks;
+import stagepier.tasks.Tasks;
+
+/**
+ * What this router decides together with others: owns the tasks beside the event loop, and is asked by the loop, which never waits for
+ * them. Made only where {@code GW_FLEET} names a file. All that is not said otherwise is called on the event loop.
+ */
+final class FleetWork implements TopologyGate.Holder {
+    private static final Logger LOG = LoggerFactory.getLogger(FleetWork.class);
+    /** By how much the lab sets this process's wall clock off, in milliseconds. */
+    private static final String OFFSET = "stagepier.clock.offset.ms";
+    private static final int LOOK_MS = 100;
+    private static final String BUILD = String.valueOf(FleetWork.class.getPackage().getImplementationVersion());
+
+    private final FleetConfig config;
+    private final Tasks tasks;
+    private final TcpCalls calls;
+    private final History history = HistoryLog.get();
+    private final Membership view;
+    /** Null where there is no calendar. */
+    private final FreezePart freeze;
+    /** Null where there is no calendar. */
+    private final HeldChanges<Runnable> held;
+    private final List<FleetPart> parts = new ArrayList<>();
+
+    /** @throws Config.BadConfigException one line: file, line, key and what is wrong */
+    static FleetWork read(String file, String self, long seed) throws Config.BadConfigException {
+        try {
+            return new FleetWork(FleetConfigReader.read(Path.of(file), self), seed);
+        } catch (BadFleetException e) {
+            throw new Config.BadConfigException(e.getMessage());
+        }
+    }
+
+    private FleetWork(FleetConfig config, long seed) {
+        this.config = config;
+        tasks = new LiveTasks(Clock.offset(Clock.systemUTC(), Duration.ofMillis(Long.getLong(OFFSET, 0))));
+        calls = new TcpCalls(tasks, config, seed);
+        view = new Membership(tasks, calls, config, history, seed + 1);
+        parts.add(view);
+        freeze = config.calendar() == null ? null : new FreezePart(tasks, calls, config, history, seed + 2);
+        if (freeze != null) {
+            parts.add(freeze);
+        }
+        held = freeze == null ? null : freeze.holder();
+    }
+
+    private Calendar calendar() {
+        return freeze == null ? Calendar.NONE : freeze.calendar();
+    }
+
+    /** @param zones names of zones, as the settings number them */
+    void start(EventLoop loop, HostGroup hosts, List<String> zones, TopologyGate.Later later) {
+        if (freeze != null) {
+            hosts.holdBy(new TopologyGate(this, zones, later));
+        }
+        parts.forEach(FleetPart::start);
+        calls.start();
+        loop.scheduleWithFixedDelay(() -> look(hosts), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void look(HostGroup hosts) {
+        if (held != null) {
+            held.due(tasks.wall().instant(), tasks.nanoTime()).forEach(Runnable::run);
+        }
+        view.facts(new FleetView.Facts(BUILD, config.hash(), hosts.generation(), freeze == null ? 0 : freeze.version(), 0));
+    }
+
+    @Override
+    public boolean offer(Change change, Runnable later) {
+        return held == null || held.offer(change, later, tasks.wall().instant(), tasks.nanoTime());
+    }
+
+    @Override
+    public void overtaken(String server) {
+        if (held != null) {
+            held.overtaken(server);
+        }
+    }
+
+    /** Why a change that staff ask for may not be made now; null where it may. */
+    String refusal(Change change) {
+        Calendar.Answer answer = calendar().ask(change, tasks.wall().instant(), tasks.nanoTime());
+        boolean open = answer.permit() == Calendar.Permit.OPEN;
+        history.write(open ? "topology.admitted" : "topology.refused", "kind", change.kind().name(), "server", change.server(),
+                "zone", change.zone(), "calendar", calendar().version());
+        return open ? null : answer.permit() == Calendar.Permit.FROZEN ? "frozen by " + answer.reason()
+                : "the calendar is unknown: " + answer.reason();
+    }
+
+    /** From any thread. */
+    void reload() {
+        parts.forEach(FleetPart::reload);
+    }
+
+    /** The lines of {@code STATUS}. */
+    List<String> status() {
+        return parts.stream().flatMap(p -> p.status().stream()).toList();
+    }
+
+    /** The process is told to end: others hear that it left, and need not suspect it. */
+    void leave() {
+        view.leave();
+    }
+
+    /** The process ends. Does not wait: a task that hangs keeps nothing from draining. */
+    void stop() {
+        Thread end = new Thread(tasks::stop, "fleet-stop");
+        end.setDaemon(true);
+        end.start();
+        LOG.debug("the fleet's tasks are told to end");
+    }
+}
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -7,6 +7,7 @@
 import io.netty.channel.SelectStrategy;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.spi.SelectorProvider;
 import java.util.ArrayList;
@@ -25,6 +26,7 @@
 import stagepier.drain.Drain;
 import stagepier.exchange.Clock;
 import stagepier.exchange.ModuleHost;
+import stagepier.freeze.Change;
 import stagepier.overload.LoopDelay;
 import stagepier.overload.Pressure;
 import stagepier.peers.PeerSocket;
@@ -61,12 +63,18 @@
     private final ConsoleListener console;
     /** Null where no console is named. */
     private final StaffCalls staff;
+    /** Null where this router decides nothing together with others. */
+    private final FleetWork fleet;
+    /** Where the configuration wants discovery to be; the watch is there unless that is held. */
+    private InetSocketAddress wanted;
     /** Discovery was asked what there is now, and has said so or not. */
     private boolean asked;
     private boolean listening;
 
-    Router(Config config) {
+    Router(Config config) throws Config.BadConfigException {
         this.config = config;
+        wanted = config.discovery();
+        fleet = config.fleet().isEmpty() ? null : FleetWork.read(config.fleet(), config.name(), config.seed());
         Api.Settings settings = config.settings().settings();
         hosts = new HostGroup(config.settings().names());
         host = new ModuleHost(loop, clock, delay, config.settings());
@@ -82,7 +90,8 @@
         if (peers != null) {
             host.connectPeers(peers::tell);
         }
-        staff = config.console() == null ? null : new StaffCalls(clock, drain, hosts, this::changed, clients::sendAway);
+        staff = config.console() == null ? null : new StaffCalls(clock, drain, hosts, this::changed, clients::sendAway,
+                fleet);
         console = config.console() == null ? null : new ConsoleListener(loop, config.console(), staff);
     }
 
@@ -147,6 +156,9 @@
         } catch (IllegalArgumentException e) {
             LOG.warn("the known list is of no use: {}", e.getMessage());
         }
+        if (fleet != null) {
+            fleet.start(loop, hosts, config.settings().names().zones(), host -> changed(hosts.admit(host)));
+        }
         watch.start();
         watch.refresh(() -> {
             asked = true;
@@ -224,21 +236,45 @@
      * from the next start on. Harmless while the router starts or drains.
      */
     void reload(Config fresh) {
+        if (fleet != null) {
+            // Reads files: not on the event loop.
+            fleet.reload();
+        }
         loop.execute(() -> {
             LOG.info("configuration read again: discovery at {}", fresh.discovery());
             if (!fresh.listen().equals(config.listen()) || !fresh.settings().equals(config.settings())) {
                 LOG.warn("the new configuration differs in more than discovery: that needs a restart");
             }
-            watch.moveTo(fresh.discovery());
+            if (fleet == null) {
+                watch.moveTo(fresh.discovery());
+            } else {
+                move(fresh.discovery());
+            }
         });
     }
 
+    /** Moves the watch, unless the calendar holds that; held moves are made later, the newest only. */
+    private void move(InetSocketAddress to) {
+        if (to.equals(wanted)) {
+            return;
+        }
+        wanted = to;
+        if (fleet.offer(new Change(Change.Kind.MOVE_DISCOVERY, "", ""), () -> watch.moveTo(to))) {
+            watch.moveTo(to);
+        } else {
+            LOG.info("discovery stays as it was until the calendar allows the move to {}", to);
+        }
+    }
+
     /** Goes on serving for a while, then finishes all that was taken. Completes when that is done. */
     CompletableFuture<Void> stop() {
         loop.execute(() -> {
             if (drain.state() != Drain.State.ENDING) {
                 drain.end(clock.now(), config.passed());
                 clients.sendAway();
+                if (fleet != null) {
+                    fleet.leave();
+                }
                 if (config.passed()) {
                     // Whoever has the socket as well serves already: the backlog is left to it.
                     clients.stopAccepting();
@@ -268,6 +304,9 @@
         if (clients.isOver() && host.unanswered() == 0) {
             watch.stop();
             stopPeers();
+            if (fleet != null) {
+                fleet.stop();
+            }
             stopped.complete(null);
         } else {
             loop.schedule(this::awaitEnd, POLL_MS, TimeUnit.MILLISECONDS);
--- a/router/src/main/java/stagepier/app/StaffCalls.java
+++ b/router/src/main/java/stagepier/app/StaffCalls.java
@@ -16,6 +16,7 @@
 import stagepier.discovery.HostGroup;
 import stagepier.drain.Drain;
 import stagepier.exchange.Clock;
+import stagepier.freeze.Change;
 
 /** Does what staff ask of the running router. On the event loop. */
 final class StaffCalls implements Operations {
@@ -28,10 +29,14 @@
     private final HostGroup hosts;
     private final Consumer<HostGroup.Change> changed;
     private final Runnable sendAway;
+    /** Null where this router decides nothing together with others. */
+    private final FleetWork fleet;
     /** Null where there is no folder to share. */
     private final BanFiles files;
 
-    StaffCalls(Clock clock, Drain drain, HostGroup hosts, Consumer<HostGroup.Change> changed, Runnable sendAway) {
+    StaffCalls(Clock clock, Drain drain, HostGroup hosts, Consumer<HostGroup.Change> changed, Runnable sendAway,
+            FleetWork fleet) {
+        this.fleet = fleet;
         this.clock = clock;
         this.drain = drain;
         this.hosts = hosts;
@@ -79,7 +84,7 @@
         if (command instanceof ConsoleCommand.Resume) {
             return drain.resume() ? Result.yes("clients may come") : Result.no("this process ends");
         }
-        return status();
+        return fleet == null ? status() : status().with(fleet.status());
     }
 
     private Result status() {
@@ -98,6 +103,10 @@
         if (hosts.bans().isOut(server) == out) {
             return Result.yes(server + (out ? " is out already" : " is not out"));
         }
+        String frozen = out || fleet == null ? null : fleet.refusal(new Change(Change.Kind.RESTORE, server, hosts.zone(server)));
+        if (frozen != null) {
+            return Result.no(server + " stays out: " + frozen);
+        }
         Ban ban = new Ban(server, out, hosts.bans().stamp(server, clock.now()));
         String kept = "";
         if (files != null) {
--- a/router/src/main/java/stagepier/console/LineForm.java
+++ b/router/src/main/java/stagepier/console/LineForm.java
@@ -52,8 +52,10 @@
         return words[1];
     }
 
-    /** The line for an outcome, with its end. */
+    /** The line for an outcome, with its end, and what follows it. */
     public static String answer(Operations.Result result) {
-        return (result.done() ? "OK " : "ERR ") + result.text() + "\r\n";
+        StringBuilder answer = new StringBuilder(result.done() ? "OK " : "ERR ").append(result.text()).append("\r\n");
+        result.more().forEach(line -> answer.append(line).append("\r\n"));
+        return answer.toString();
     }
 }
--- a/router/src/main/java/stagepier/discovery/HostGroup.java
+++ b/router/src/main/java/stagepier/discovery/HostGroup.java
@@ -156,6 +156,13 @@
         return everListed.contains(name) || bans.isOut(name);
     }
 
+    /** The zone of a server that counts, by its name; "" where it has none or is none of them. */
+    public String zone(String server) {
+        Host host = hosts.get(Ids.ofServer(server));
+        int zone = host == null ? -1 : host.member().zone();
+        return zone < 0 ? "" : names.zones().get(zone);
+    }
+
     public Bans bans() {
         return bans;
     }
