--- a/router/src/main/java/stagepier/freeze/Acceptor.java
+++ b/router/src/main/java/stagepier/freeze/Acceptor.java
@@ -67,12 +67,13 @@
         boolean current = ask.incarnation() >= vector.get(ask.name());
         highest = Math.max(highest, ask.generation());
         boolean ok = current && does(kind, ask);
-        boolean whole = !kind.equals(Ask.CONFIRM) && !kind.equals(Ask.LEARN) && !kind.equals(Ask.PULL);
-        boolean content = kind.equals(Ask.RECOVER) || kind.equals(Ask.FOUND) || kind.equals(Ask.PREPARE) && ok;
+        boolean whole = kind.equals(Ask.PREPARE) || kind.equals(Ask.ACCEPT) || kind.equals(Ask.FOUND) || kind.equals(Ask.FOUNDED)
+                || kind.equals(Ask.RECOVER) && ok;
+        boolean content = kind.equals(Ask.RECOVER) && ok || kind.equals(Ask.FOUND) || kind.equals(Ask.PREPARE) && ok;
         boolean news = kind.equals(Ask.PULL) && ask.after().compareTo(learned.version()) < 0;
         return new Reply(ok, incarnation, member, generation, earlier, highest, promised, ballot, entry.version(), learned.version(),
                 wallMs.getAsLong(), content ? entry : null, news ? learned : null, news ? learnedIn : null, whole ? file : null,
-                whole ? new TreeMap<>(known()) : null);
+                whole ? new TreeMap<>(known()) : kind.equals(Ask.RECOVER) ? Map.of(ask.name(), vector.get(ask.name())) : null);
     }
 
     private boolean does(String kind, Ask ask) {
--- a/router/src/main/java/stagepier/freeze/Clocks.java
+++ b/router/src/main/java/stagepier/freeze/Clocks.java
@@ -13,10 +13,10 @@
      * @param good whether that is within the skew that was promised, as far as the time on the way tells
      */
     record Offset(long ms, boolean good) {
-        /** Whole seconds, for messages. */
+        /** For messages. */
         @Override
         public String toString() {
-            return (ms >= 0 ? "behind by " : "ahead by ") + Math.abs(ms) / 1000.0 + " s";
+            return (ms >= 0 ? "behind by " : "ahead by ") + Math.round(Math.abs(ms) / 100.0) / 10.0 + " s";
         }
     }
 
--- a/router/src/main/java/stagepier/freeze/Founding.java
+++ b/router/src/main/java/stagepier/freeze/Founding.java
@@ -42,6 +42,11 @@
         mine = config.members().firstKey().equals(self);
     }
 
+    /** Whether it is this router that founds. */
+    boolean isMine() {
+        return mine;
+    }
+
     /** This router's own file was read again. */
     synchronized void file(String text) {
         fileText = text;
--- a/router/src/main/java/stagepier/freeze/Register.java
+++ b/router/src/main/java/stagepier/freeze/Register.java
@@ -31,10 +31,10 @@
     /** Above this many routers confirmations get rarer, so that what a router hears does not grow with the fleet. */
     private static final Duration CONFIRM_EACH_OTHER = Duration.ofMillis(20);
     private static final Duration AGAIN = Duration.ofMillis(300);
+    private static final Duration AGAIN_OTHER = Duration.ofMillis(5);
     /** A ballot that met another one waits up to this, and up to that many times longer, before it tries again. */
     private static final int BACKOFF_MS = 60;
     private static final int BACKOFF_DOUBLINGS = 3;
-    private static final int BALLOTS_AT_ONCE = 12;
     /** A ballot of another router is over, or lost, when nothing is heard of it for this long. */
     private static final int QUIET_MS = 40;
     private static final int QUIET_LOOKS = 6;
@@ -70,6 +70,7 @@
     private final String fleet;
     private final int majority;
     private final Duration confirmEach;
+    private final Duration again;
     /** What its staff want, or {@link #LOOK}. */
     private final Box<String> wishes;
     /** Written by the task alone. */
@@ -97,6 +98,7 @@
         Duration byFleet = CONFIRM_EACH_OTHER.multipliedBy(config.members().size());
         Duration slowest = config.lease().dividedBy(3);
         confirmEach = max(CONFIRM_EACH, byFleet.compareTo(slowest) < 0 ? byFleet : slowest);
+        again = max(AGAIN, AGAIN_OTHER.multipliedBy(config.members().size()));
         calls.answer(Ask.PART, this::answer);
     }
 
@@ -150,19 +152,19 @@
     private void run() throws InterruptedException {
         while (true) {
             boolean good = acceptor.isMember() || recover();
+            if (pending != null && tasks.nanoTime() >= pending.untilNano()) {
+                LOG.warn("calendar: the fleet did not accept this router's file within {} s: given up", PROPOSAL_MOST.toSeconds());
+                pending = null;
+            }
             if (good && pending != null) {
                 decide(pending);
             }
             good = good && confirm();
-            String wanted = wishes.take(good && pending == null ? confirmEach : AGAIN);
+            String wanted = wishes.take(good && pending == null ? confirmEach : again);
             if (wanted != null && !wanted.equals(LOOK)) {
                 pending = new Proposal(acceptor.incarnation() + ":" + ++proposed, wanted,
                         tasks.nanoTime() + PROPOSAL_MOST.toNanos());
             }
-            if (pending != null && tasks.nanoTime() > pending.untilNano()) {
-                LOG.warn("calendar: the fleet did not accept this router's file within {} s: given up", PROPOSAL_MOST.toSeconds());
-                pending = null;
-            }
         }
     }
 
@@ -204,7 +206,14 @@
     private boolean recover() throws InterruptedException {
         long mine = acceptor.incarnation();
         Tally tally = new Tally();
-        fanout.ask(to -> Message.of(Ask.RECOVER, ask(to, 0, null, null)), ROUND, tally, t -> latest(t).size() >= majority);
+        Function<String, Message> call = to -> Message.of(Ask.RECOVER, ask(to, 0, null, null));
+        // Where none of a majority has a memory, no majority has: only who may found the fleet needs to hear the rest.
+        List<String> order = fanout.order();
+        int first = founding.isMine() ? order.size() : Math.min(order.size(), majority);
+        fanout.ask(order.subList(0, first), call, ROUND, tally, t -> latest(t).size() >= majority);
+        if (first < order.size() && latest(tally).size() < majority && !tally.agreed().isEmpty()) {
+            fanout.ask(order.subList(first, order.size()), call, ROUND, tally, t -> latest(t).size() >= majority);
+        }
         long over = tally.all().values().stream().mapToLong(r -> r.known(config.self())).max().orElse(0);
         if (over > mine) {
             acceptor.startOver(over);
@@ -230,7 +239,7 @@
 
     /** Has the proposal accepted. Where another router is at a ballot, that one is let finish. */
     private void decide(Proposal proposal) throws InterruptedException {
-        for (int attempt = 0; attempt < BALLOTS_AT_ONCE && !ballot(proposal); attempt++) {
+        for (int attempt = 0; tasks.nanoTime() < proposal.untilNano() && !ballot(proposal); attempt++) {
             tasks.sleep(Duration.ofMillis(random.nextInt(BACKOFF_MS << Math.min(attempt, BACKOFF_DOUBLINGS))));
             quiet();
         }
--- a/router/src/test/java/stagepier/freeze/Judge.java
+++ b/router/src/test/java/stagepier/freeze/Judge.java
@@ -90,7 +90,7 @@
             if (a.permit() != Calendar.Permit.OPEN) {
                 continue;
             }
-            double since = a.at() - VirtualFleet.LEASE.toNanos() / 1e9;
+            double since = a.at() - fleet.lease.toNanos() / 1e9;
             Optional<Version> last = Optional.ofNullable(latest.floorEntry(since)).map(Map.Entry::getValue);
             boolean allowed = last.isEmpty() && isOpen(hashes, null, a)
                     || last.isPresent() && isOpen(hashes, last.get(), a)
--- a/router/src/test/java/stagepier/freeze/VirtualFleet.java
+++ b/router/src/test/java/stagepier/freeze/VirtualFleet.java
@@ -19,7 +19,6 @@
 
 /** A fleet with a calendar in virtual time: routers that are killed, stopped and restarted, and a file for each that outlives them. */
 final class VirtualFleet implements AutoCloseable {
-    static final Duration LEASE = Duration.ofSeconds(3);
     static final Duration SKEW = Duration.ofSeconds(2);
     private static final Change CHANGE = new Change(Change.Kind.ADD_SERVER, "s-1", "a");
 
@@ -66,7 +65,7 @@
             History history = (what, values) -> write(this, mine, what, values);
             VirtualWorld.Node at = node;
             FleetConfig config = new FleetConfig(Path.of("fleet.toml"), "hash", name, addresses.get(name), addresses,
-                    Path.of("calendar.toml"), LEASE, SKEW, null);
+                    Path.of("calendar.toml"), lease, SKEW, null);
             long seed = world.random().nextLong();
             part = new FreezePart(node, calls, config, history, seed, () -> file,
                     memory.make(name, Incarnations.first(node.wall(), seed), () -> at.wall().millis(), history));
@@ -100,6 +99,7 @@
         }
     }
 
+    Duration lease = Duration.ofSeconds(3);
     final VirtualWorld world;
     final MemoryNet net;
     final List<Router> routers = new ArrayList<>();
