--- a/router/src/main/java/stagepier/freeze/Acceptor.java
+++ b/router/src/main/java/stagepier/freeze/Acceptor.java
@@ -8,11 +8,11 @@
 import stagepier.fleet.History;
 
 /**
- * What one router remembers of the agreement, and the rules by which it promises and votes. It never waits, and its lock is held only
- * while it looks something up. Never on the event loop.
+ * What one router remembers of the agreement, and the rules by which it promises and votes. It never waits, and its lock is
+ * held only while it looks something up. Never on the event loop.
  *
- * <p>A process starts without a memory and has no vote. It has one once it has taken over what a majority holds ({@link #recovered}),
- * or was one of all that founded the fleet ({@link Ask#FOUNDED}).
+ * <p>A process starts without a memory and has no vote. It has one once it has taken over what a majority holds ({@link
+ * #recovered}), or was one of all that founded the fleet ({@link Ask#FOUNDED}).
  */
 class Acceptor {
     private final String self;
@@ -71,8 +71,9 @@
                 || kind.equals(Ask.RECOVER) && ok;
         boolean content = kind.equals(Ask.RECOVER) && ok || kind.equals(Ask.FOUND) || kind.equals(Ask.PREPARE) && ok;
         boolean news = kind.equals(Ask.PULL) && ask.after().compareTo(learned.version()) < 0;
-        return new Reply(ok, incarnation, member, generation, earlier, highest, promised, ballot, entry.version(), learned.version(),
-                wallMs.getAsLong(), content ? entry : null, news ? learned : null, news ? learnedIn : null, whole ? file : null,
+        return new Reply(ok, incarnation, member, generation, earlier, highest, promised, ballot, entry.version(),
+                learned.version(), wallMs.getAsLong(), content ? entry : null, news ? learned : null, news ? learnedIn : null,
+                whole ? file : null,
                 whole ? new TreeMap<>(known()) : kind.equals(Ask.RECOVER) ? Map.of(ask.name(), vector.get(ask.name())) : null);
     }
 
@@ -149,7 +150,8 @@
         entry = votedFor;
         member = true;
         holdLearned();
-        history.write("calendar.member", "generation", generation, "incarnation", incarnation, "version", entry.version().toString());
+        history.write("calendar.member", "generation", generation, "incarnation", incarnation, "version",
+                entry.version().toString());
     }
 
     /**
@@ -178,7 +180,10 @@
         vector.merge(name, itsIncarnation, Math::max);
     }
 
-    /** This process is held to be over, for its clock went back over a restart, or another one has its name: it has no vote any more. */
+    /**
+     * This process is held to be over, for its clock went back over a restart, or another one has its name: it has no vote any
+     * more.
+     */
     final synchronized void startOver(long over) {
         if (over < incarnation) {
             return;
@@ -207,12 +212,13 @@
     }
 
     /**
-     * What is known to be accepted is held like what was voted for, so that a founding hears of it where those who voted are gone. No
-     * later ballot can have anything that does not follow from it.
+     * What is known to be accepted is held like what was voted for, so that a founding hears of it where those who voted are
+     * gone. No later ballot can have anything that does not follow from it.
      */
     private void holdLearned() {
         if (member && learned.version().generation() == generation && learnedIn.compareTo(ballot) > 0) {
             ballot = learnedIn;
+            promised = learnedIn.compareTo(promised) > 0 ? learnedIn : promised;
             entry = learned;
         }
     }
--- a/router/src/main/java/stagepier/freeze/Fanout.java
+++ b/router/src/main/java/stagepier/freeze/Fanout.java
@@ -16,18 +16,49 @@
 import stagepier.tasks.Tasks;
 
 /**
- * Asks many routers at once: a few tasks make the calls, so that one that is silent keeps no other one waiting. Those that answered
- * last time are asked first.
+ * Asks many routers at once: a few tasks make the calls, so that one that is silent keeps no other one waiting. Those that
+ * answered last time are asked first.
  */
 final class Fanout {
     private static final int WORKERS_MOST = 16;
     private static final Duration IDLE = Duration.ofHours(1);
 
-    private record Errand(String to, Message message, long until, Box<Answer> back) {
+    private record Errand(String to, Message message, long until, Round round) {
     }
 
-    /** @param reply null where none came, or one that makes no sense */
-    private record Answer(String from, Reply reply) {
+    /** Takes the replies to one question; what comes after its end is left. */
+    private static final class Round {
+        private final Tally tally;
+        private final Predicate<Tally> enough;
+        private final Box<Boolean> ended;
+        private int open;
+        private boolean over;
+
+        Round(Tally tally, Predicate<Tally> enough, int open, Box<Boolean> ended) {
+            this.tally = tally;
+            this.enough = enough;
+            this.open = open;
+            this.ended = ended;
+        }
+
+        /** @param reply null where none came, or one that makes no sense */
+        synchronized void take(String from, Reply reply) {
+            if (over) {
+                return;
+            }
+            if (reply != null) {
+                tally.add(from, reply);
+            }
+            open--;
+            if (open == 0 || enough.test(tally)) {
+                over = true;
+                ended.put(true);
+            }
+        }
+
+        synchronized void end() {
+            over = true;
+        }
     }
 
     private final Tasks tasks;
@@ -68,7 +99,7 @@
             }
             if (errand != null) {
                 waiting.decrementAndGet();
-                errand.back().put(new Answer(errand.to(), ask(errand)));
+                errand.round().take(errand.to(), ask(errand));
             }
         }
     }
@@ -116,31 +147,28 @@
     /** Asks only some. */
     void ask(List<String> whom, Function<String, Message> call, Duration most, Tally tally, Predicate<Tally> enough)
             throws InterruptedException {
+        if (whom.isEmpty() || enough.test(tally)) {
+            return;
+        }
         long until = tasks.nanoTime() + most.toNanos();
-        Box<Answer> back = tasks.box(Math.max(1, whom.size()));
-        int open = 0;
+        Round round = new Round(tally, enough, whom.size(), tasks.box(1));
         for (String name : whom) {
-            open += send(new Errand(name, call.apply(name), until, back)) ? 1 : 0;
-        }
-        while (open > 0 && !enough.test(tally)) {
-            Answer answer = back.take(Duration.ofNanos(Math.max(0, until - tasks.nanoTime())));
-            if (answer == null && tasks.nanoTime() >= until) {
-                return;
-            }
-            if (answer != null) {
-                open--;
-                if (answer.reply() != null) {
-                    tally.add(answer.from(), answer.reply());
-                }
+            if (!send(new Errand(name, call.apply(name), until, round))) {
+                round.take(name, null);
             }
         }
+        Boolean ended = null;
+        for (long left = most.toNanos(); ended == null && left > 0; left = until - tasks.nanoTime()) {
+            ended = round.ended.take(Duration.ofNanos(left));
+        }
+        round.end();
     }
 
     /** Tells all others, and waits for nobody. */
-    void tell(Function<String, Message> call, Duration most) {
-        long until = tasks.nanoTime() + most.toNanos();
-        Box<Answer> back = tasks.box(1);
-        order().forEach(name -> send(new Errand(name, call.apply(name), until, back)));
+    void tell(Function<String, Message> call, Duration within) {
+        long until = tasks.nanoTime() + within.toNanos();
+        Round nobodyWaits = new Round(new Tally(), t -> false, others.size(), tasks.box(1));
+        order().forEach(name -> send(new Errand(name, call.apply(name), until, nobodyWaits)));
     }
 
     /** Those that answered last first. */
--- a/router/src/main/java/stagepier/freeze/Founding.java
+++ b/router/src/main/java/stagepier/freeze/Founding.java
@@ -80,7 +80,7 @@
         long highest = before.all().values().stream().mapToLong(Founding::latest).max().orElse(0);
         long generation = Math.max(Math.max(highest, lastSent) + 1, Math.max(tasks.wall().millis(), acceptor.highest() + 1));
         Tally promises = register.every(Ask.FOUND, to -> register.ask(to, generation, null, null));
-        Map<String, Reply> all = promises.agreed();
+        Map<String, Reply> all = promises.standing(r -> r.ok() && r.entry() != null && r.vector() != null);
         if (all.size() < names.size()) {
             LOG.info("calendar: {} of {} routers would found the fleet anew; all are needed", all.size(), names.size());
             return;
@@ -91,7 +91,8 @@
         lastSent = generation;
         Tally founded = register.every(Ask.FOUNDED, to -> register.founded(to, generation, base, incarnations));
         LOG.info("calendar: the fleet was founded anew as generation {} with {} of {} routers, {}", generation,
-                founded.agreed().size(), names.size(), base.text() == null ? "closed until staff propose a calendar" : "going on");
+                founded.agreed().size(), names.size(),
+                base.text() == null ? "closed until staff propose a calendar" : "going on");
     }
 
     /** What the new generation begins with. */
@@ -99,13 +100,15 @@
         Optional<Reply> best = all.values().stream().filter(r -> r.generation() > 0)
                 .max(Comparator.comparingLong(Reply::generation).thenComparing(Reply::ballot));
         Entry survived = best.map(Reply::entry).orElse(Entry.NONE);
-        long last = Math.max(lastSent, all.values().stream().mapToLong(r -> Math.max(r.generation(), r.earlier())).max().orElse(0));
+        long last = Math.max(lastSent, all.values().stream().mapToLong(r -> Math.max(r.generation(), r.earlier()))
+                .max().orElse(0));
         long remember = all.values().stream().filter(r -> last > 0 && r.generation() == last).count();
         if (names.size() - remember < majority) {
             // At least one of any majority remembers: nothing that was accepted is lost.
             return Entry.founded(generation, survived.text(), survived.done());
         }
-        // Something accepted may be lost. The file that held it lies at the router where it was proposed, or staff have replaced it.
+        // Something accepted may be lost. The file that held it lies at the router where it was proposed, or staff have
+        // replaced it.
         List<String> files = all.values().stream().map(Reply::file).distinct().toList();
         String text = file();
         boolean alike = files.size() == 1 && Objects.equals(files.get(0), Windows.hash(text))
--- a/router/src/main/java/stagepier/freeze/FreezePart.java
+++ b/router/src/main/java/stagepier/freeze/FreezePart.java
@@ -124,7 +124,8 @@
 
     private void confirmed(Entry accepted, long startNano, long startWallMs, Clocks.Offset offset) {
         if (accepted.text() == null) {
-            close(accepted.version(), "the fleet was founded anew and what was accepted may be lost: propose the calendar (SIGHUP)");
+            close(accepted.version(),
+                    "the fleet was founded anew and what was accepted may be lost: propose the calendar (SIGHUP)");
             return;
         }
         if (!offset.good()) {
--- a/router/src/main/java/stagepier/freeze/HeldChanges.java
+++ b/router/src/main/java/stagepier/freeze/HeldChanges.java
@@ -11,14 +11,14 @@
 import stagepier.fleet.History;
 
 /**
- * Voluntary changes that may not be taken up now, the newest of each server, and when each may. Pure: told the time, no lock, no wait;
- * on the event loop.
+ * Voluntary changes that may not be taken up now, the newest of each server, and when each may. Pure: told the time, no lock,
+ * no wait; on the event loop.
  *
- * <p>When the calendar opens, one held change is taken up an interval, and as long as something is held whatever comes new gets in line.
- * Time is cut into slots of the interval by the wall clock; in each slot the held change is first whose keyed hash with the slot is
- * smallest. Routers that hold the same changes so take up the same server within the skew of their clocks: a ring that differs from
- * router to router would keep keys in two places. Whatever they hold, in each interval the fleet moves no more traffic than the share
- * of one server, since no router moves more of its own.
+ * <p>When the calendar opens, one held change is taken up an interval, and as long as something is held whatever comes new gets
+ * in line. Time is cut into slots of the interval by the wall clock; in each slot the held change is first whose keyed hash
+ * with the slot is smallest. Routers that hold the same changes so take up the same server within the skew of their clocks: a
+ * ring that differs from router to router would keep keys in two places. Whatever they hold, in each interval the fleet moves
+ * no more traffic than the share of one server, since no router moves more of its own.
  *
  * @param <T> what is to be done when a change may be taken up
  */
@@ -122,8 +122,8 @@
     }
 
     /**
-     * What is to be taken up now: at most one change, where the calendar lets it and an interval has gone by since the last. To be called
-     * several times an interval.
+     * What is to be taken up now: at most one change, where the calendar lets it and an interval has gone by since the last. To
+     * be called several times an interval.
      */
     public List<T> due(Instant wall, long nanoTime) {
         if (held.isEmpty()) {
@@ -161,13 +161,14 @@
     }
 
     private long rank(Place place, long slot) {
-        long name = new SplittableRandom(key ^ (long) place.server().hashCode() << Integer.SIZE ^ place.line().ordinal()).nextLong();
+        long id = (long) place.server().hashCode() << Integer.SIZE | place.line().ordinal();
+        long name = new SplittableRandom(key ^ id).nextLong();
         return new SplittableRandom(name ^ slot).nextLong();
     }
 
     private void write(String event, Change change, Calendar by, String why) {
-        history.write(event, "kind", change.kind().name(), "server", change.server(), "zone", change.zone(), "calendar", by.version(),
-                "why", why);
+        history.write(event, "kind", change.kind().name(), "server", change.server(), "zone", change.zone(),
+                "calendar", by.version(), "why", why);
     }
 
     /** From any thread. */
--- a/router/src/main/java/stagepier/freeze/LeasedCalendar.java
+++ b/router/src/main/java/stagepier/freeze/LeasedCalendar.java
@@ -5,11 +5,11 @@
 import java.util.List;
 
 /**
- * The calendar as a majority confirmed it at one moment; it is relied on for the lease from then. Immutable; asking it makes nothing
- * and waits for nothing.
+ * The calendar as a majority confirmed it at one moment; it is relied on for the lease from then. Immutable; asking it makes
+ * nothing and waits for nothing.
  *
- * <p>The wall clock is believed as long as it has gone on since the confirmation by what monotonic time says; where it jumped, nothing
- * is known until the next confirmation has compared it with the others' clocks.
+ * <p>The wall clock is believed as long as it has gone on since the confirmation by what monotonic time says; where it jumped,
+ * nothing is known until the next confirmation has compared it with the others' clocks.
  */
 final class LeasedCalendar implements Calendar {
     /** A wall clock that is drawn to the right time bit by bit stays below this between two confirmations. */
--- a/router/src/main/java/stagepier/freeze/LocalTimes.java
+++ b/router/src/main/java/stagepier/freeze/LocalTimes.java
@@ -7,8 +7,9 @@
 import java.time.zone.ZoneOffsetTransition;
 
 /**
- * A local time that a zone has twice, or never, on the day that its clocks are set: it can be read with the offset before and with the
- * one after. A freeze begins at the earlier and ends at the later of both readings, so that it is never shorter than meant.
+ * A local time that a zone has twice, or never, on the day that its clocks are set: it can be read with the offset before and
+ * with the one after. A freeze begins at the earlier and ends at the later of both readings, so that it is never shorter than
+ * meant.
  */
 final class LocalTimes {
     private LocalTimes() {
--- a/router/src/main/java/stagepier/freeze/Register.java
+++ b/router/src/main/java/stagepier/freeze/Register.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Function;
@@ -20,9 +22,9 @@
 import stagepier.tasks.Tasks;
 
 /**
- * One router's part in agreeing on the calendar: a register that all routers change in ballots of two phases, each change a function
- * of what was accepted before it, so that what is accepted forms one sequence. One task does all of it, one thing after another;
- * {@link Acceptor} answers the others meanwhile. {@code docs/freeze.md} has the rules and why they hold.
+ * One router's part in agreeing on the calendar: a register that all routers change in ballots of two phases, each change a
+ * function of what was accepted before it, so that what is accepted forms one sequence. One task does all of it, one thing
+ * after another; {@link Acceptor} answers the others meanwhile. {@code docs/freeze.md} has the rules and why they hold.
  */
 final class Register {
     private static final Logger LOG = LoggerFactory.getLogger(Register.class);
@@ -32,9 +34,9 @@
     private static final Duration CONFIRM_EACH_OTHER = Duration.ofMillis(20);
     private static final Duration AGAIN = Duration.ofMillis(300);
     private static final Duration AGAIN_OTHER = Duration.ofMillis(5);
-    /** A ballot that met another one waits up to this, and up to that many times longer, before it tries again. */
+    /** A ballot that met another one waits up to this, and twice as long each time, before it tries again. */
     private static final int BACKOFF_MS = 60;
-    private static final int BACKOFF_DOUBLINGS = 3;
+    private static final int BALLOTS_AT_ONCE = 4;
     /** A ballot of another router is over, or lost, when nothing is heard of it for this long. */
     private static final int QUIET_MS = 40;
     private static final int QUIET_LOOKS = 6;
@@ -42,6 +44,7 @@
     private static final int FINISH_MS = 400;
     /** Guards against a file that is accepted long after staff gave it, over a newer one that they gave elsewhere. */
     private static final Duration PROPOSAL_MOST = Duration.ofSeconds(10);
+    private static final int FEW = 8;
     private static final int WISHES = 8;
     /** Something newer was heard of: confirm it now. No calendar is this text. */
     private static final String LOOK = "";
@@ -76,6 +79,8 @@
     /** Written by the task alone. */
     private volatile Proposal pending;
     private int proposed;
+    /** In the last ballot a majority could have voted. */
+    private boolean heardEnough;
     private long round;
 
     /** @param file the windows in this router's own file, canonical */
@@ -127,7 +132,8 @@
     }
 
     /**
-     * Asks the fleet to accept what this router's file says now; from any thread. A later one takes the place of one that still waits.
+     * Asks the fleet to accept what this router's file says now; from any thread. A later one takes the place of one that still
+     * waits.
      */
     void propose(String text) {
         file(text);
@@ -153,7 +159,8 @@
         while (true) {
             boolean good = acceptor.isMember() || recover();
             if (pending != null && tasks.nanoTime() >= pending.untilNano()) {
-                LOG.warn("calendar: the fleet did not accept this router's file within {} s: given up", PROPOSAL_MOST.toSeconds());
+                LOG.warn("calendar: the fleet did not accept this router's file within {} s: given up",
+                        PROPOSAL_MOST.toSeconds());
                 pending = null;
             }
             if (good && pending != null) {
@@ -176,7 +183,8 @@
 
     /** The second phase of a founding. */
     Ask founded(String to, long generation, Entry base, Map<String, Long> incarnations) {
-        return new Ask(fleet, config.self(), acceptor.incarnation(), acceptor.known(to), generation, null, base, null, incarnations);
+        return new Ask(fleet, config.self(), acceptor.incarnation(), acceptor.known(to), generation, null, base, null,
+                incarnations);
     }
 
     /** Asks all, this router among them; the round is over when a majority that counts has agreed. */
@@ -207,9 +215,10 @@
         long mine = acceptor.incarnation();
         Tally tally = new Tally();
         Function<String, Message> call = to -> Message.of(Ask.RECOVER, ask(to, 0, null, null));
-        // Where none of a majority has a memory, no majority has: only who may found the fleet needs to hear the rest.
+        // Where none of a few has a memory, hardly a majority has: only who may found the fleet needs to hear all each time.
         List<String> order = fanout.order();
-        int first = founding.isMine() ? order.size() : Math.min(order.size(), majority);
+        Collections.shuffle(order, new Random(random.nextLong()));
+        int first = founding.isMine() ? order.size() : Math.min(order.size(), Math.min(majority, FEW));
         fanout.ask(order.subList(0, first), call, ROUND, tally, t -> latest(t).size() >= majority);
         if (first < order.size() && latest(tally).size() < majority && !tally.agreed().isEmpty()) {
             fanout.ask(order.subList(first, order.size()), call, ROUND, tally, t -> latest(t).size() >= majority);
@@ -224,7 +233,8 @@
             LOG.info("calendar: recovered in generation {} from {} routers", acceptor.generation(), latest.size());
             return true;
         }
-        listener.unconfirmed("this router has no vote yet: " + latest.size() + " of " + majority + " routers with a memory heard");
+        listener.unconfirmed("this router has no vote yet: " + latest.size() + " of " + majority
+                + " routers with a memory heard");
         founding.consider(tally);
         return acceptor.isMember();
     }
@@ -232,15 +242,15 @@
     /** Those with a memory of the last generation that any of them holds. */
     private static Map<String, Reply> latest(Tally tally) {
         long last = tally.agreed().values().stream().mapToLong(Reply::generation).max().orElse(0);
-        return tally.standing(r -> r.ok() && r.generation() == last);
+        return tally.standing(r -> r.ok() && r.generation() == last && r.entry() != null && r.vector() != null);
     }
 
     // Accepting
 
-    /** Has the proposal accepted. Where another router is at a ballot, that one is let finish. */
+    /** Has the proposal accepted, if no more than other routers' ballots stand against it: these are let finish. */
     private void decide(Proposal proposal) throws InterruptedException {
-        for (int attempt = 0; tasks.nanoTime() < proposal.untilNano() && !ballot(proposal); attempt++) {
-            tasks.sleep(Duration.ofMillis(random.nextInt(BACKOFF_MS << Math.min(attempt, BACKOFF_DOUBLINGS))));
+        for (int attempt = 0; attempt < BALLOTS_AT_ONCE && !ballot(proposal) && heardEnough; attempt++) {
+            tasks.sleep(Duration.ofMillis(random.nextInt(BACKOFF_MS << attempt)));
             quiet();
         }
     }
@@ -261,7 +271,8 @@
         Ballot ballot = new Ballot(round, config.self(), acceptor.incarnation());
         Tally promises = all(Ask.PREPARE, generation, ballot, null);
         promises.all().values().forEach(r -> round = Math.max(round, r.promised().round()));
-        Map<String, Reply> agreed = promises.agreed();
+        Map<String, Reply> agreed = promises.standing(r -> r.ok() && r.entry() != null);
+        heardEnough = promises.standing(r -> r.member() && r.generation() == generation).size() >= majority;
         if (agreed.size() < majority) {
             return false;
         }
@@ -323,7 +334,9 @@
         return false;
     }
 
-    /** Fetches what is newer from one that knows it; where nobody does, who voted for it is dead or slow, and it is finished here. */
+    /**
+     * Fetches what is newer from one that knows it; where nobody does, who voted for it is dead or slow, and it is finished here.
+     */
     private void catchUp(Map<String, Reply> replies, Version last) throws InterruptedException {
         Optional<Map.Entry<String, Reply>> knows = replies.entrySet().stream()
                 .filter(e -> e.getValue().learned().compareTo(acceptor.learned().version()) > 0)
--- a/router/src/main/java/stagepier/freeze/Tally.java
+++ b/router/src/main/java/stagepier/freeze/Tally.java
@@ -5,9 +5,9 @@
 import java.util.function.Predicate;
 
 /**
- * The replies of one round, without those that another reply of the round knows to come from a process that is over: what that one
- * promised or voted is forgotten (crash vectors; Michael, Ports, Sharma and Szekeres, <i>Recovering shared objects without stable
- * storage</i>, DISC 2017).
+ * The replies of one round, without those that another reply of the round knows to come from a process that is over: what that
+ * one promised or voted is forgotten (crash vectors; Michael, Ports, Sharma and Szekeres, <i>Recovering shared objects without
+ * stable storage</i>, DISC 2017).
  */
 final class Tally {
     private final Map<String, Reply> replies = new LinkedHashMap<>();
--- a/router/src/main/java/stagepier/freeze/Windows.java
+++ b/router/src/main/java/stagepier/freeze/Windows.java
@@ -53,7 +53,8 @@
                 if (scope == null || (w.rule() == null) != (w.end() != null)) {
                     throw new IllegalArgumentException("window " + w.name() + " makes no sense");
                 }
-                windows.add(new Window(w.name(), ZoneId.of(w.zone()), start, w.end() == null ? null : LocalDateTime.parse(w.end()),
+                windows.add(new Window(w.name(), ZoneId.of(w.zone()), start,
+                        w.end() == null ? null : LocalDateTime.parse(w.end()),
                         w.rule() == null ? null : new Recurrence(w.rule(), start),
                         w.duration() == null ? null : Duration.parse(w.duration()), scope, w.reason()));
             }
--- a/router/src/test/java/stagepier/freeze/AgreementTest.java
+++ b/router/src/test/java/stagepier/freeze/AgreementTest.java
@@ -25,11 +25,11 @@
             fleet.known(FROZEN);
             fleet.startAll();
             fleet.askEach(ms(100));
-            assertTrue(fleet.world.runUntil(fleet::agree, ms(5000)), () -> fleet.story());
+            assertTrue(fleet.world.runUntil(fleet::agree, ms(5000)), fleet::story);
             fleet.routers.get(5).propose(FROZEN);
-            
-            assertTrue(fleet.world.runUntil(() -> fleet.routers.stream().allMatch(r -> r.permit() == Calendar.Permit.FROZEN), ms(3000)),
-                    fleet::story);
+
+            assertTrue(fleet.world.runUntil(() -> fleet.routers.stream().allMatch(r -> r.permit() == Calendar.Permit.FROZEN),
+                    ms(3000)), fleet::story);
             fleet.world.run(ms(5000));
             assertEquals(List.of(), Judge.breaches(fleet));
 
--- a/router/src/test/java/stagepier/freeze/Faults.java
+++ b/router/src/test/java/stagepier/freeze/Faults.java
@@ -13,6 +13,8 @@
     private final List<Windows> texts;
     private final VirtualFleet.Router jumper;
     private int down;
+    private double standsUntil;
+    private boolean healed;
 
     Faults(VirtualFleet fleet, List<Windows> texts) {
         this.fleet = fleet;
@@ -63,7 +65,11 @@
             case 2 -> bridge(time);
             case 3 -> oneWay(some(1 + random.nextInt(n / 2)), time);
             case 4 -> flap(some(n / 2), 4);
-            case 5 -> fleet.any(random).node.standStill(s(random.nextInt(2) == 0 ? 4 : time));
+            case 5 -> {
+                double stands = random.nextInt(2) == 0 ? 4 : time;
+                fleet.any(random).node.standStill(s(stands));
+                standsUntil = Math.max(standsUntil, fleet.world.seconds() + stands);
+            }
             case 6 -> {
                 fleet.net.loss(0.05 + random.nextDouble() * 0.2);
                 fleet.world.after(s(time), () -> fleet.net.loss(0));
@@ -88,11 +94,21 @@
         });
     }
 
+    /** No router is down or stands still any more. */
     boolean allUp() {
-        return down == 0;
+        return down == 0 && fleet.world.seconds() > standsUntil;
+    }
+
+    /** From here on all hear each other. */
+    void heal() {
+        healed = true;
+        fleet.net.heal();
     }
 
     private void partition(List<String> side, double time) {
+        if (healed) {
+            return;
+        }
         List<String> other = rest(side);
         fleet.net.partition(side, other, true);
         fleet.world.after(s(time), () -> fleet.net.partition(side, other, false));
--- a/router/src/test/java/stagepier/freeze/HeldChangesTest.java
+++ b/router/src/test/java/stagepier/freeze/HeldChangesTest.java
@@ -38,7 +38,8 @@
     };
 
     private HeldChanges<String> held() {
-        return new HeldChanges<>(() -> calendar, (event, values) -> told.add(event + " " + values[3] + " " + values[7]), 5, INTERVAL);
+        return new HeldChanges<>(() -> calendar, (event, values) -> told.add(event + " " + values[3] + " " + values[7]), 5,
+                INTERVAL);
     }
 
     private static Change add(String server) {
--- a/router/src/test/java/stagepier/freeze/HistoriesTest.java
+++ b/router/src/test/java/stagepier/freeze/HistoriesTest.java
@@ -10,15 +10,16 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 
 /** P5, P6 and P8 over histories that a seed draws: faults of all kinds while staff propose calendars. */
-@Timeout(300)
+@Timeout(600)
 class HistoriesTest {
     private static final Instant START = Instant.parse("2026-12-02T18:00:01Z");
     private static final Windows OPEN = Calendars.window("past", START.minusSeconds(7200), START.minusSeconds(3600));
     private static final Windows FROZEN = Calendars.window("now", START.minusSeconds(60), START.plusSeconds(3600));
-    private static final Windows SOON = Calendars.window("soon", START.plusSeconds(8), START.plusSeconds(12));
-    private static final double FAULTS_S = 10;
+    private static final Windows SOON = Calendars.window("soon", START.plusSeconds(5), START.plusSeconds(9));
+    private static final double FAULTS_S = 8;
 
     /** What a history broke, and how long the fleet took after it to accept and to know. */
     record Outcome(long seed, List<String> breaches, double settled, double accepted, double known) {
@@ -33,12 +34,12 @@
             fleet.routers.forEach(r -> r.wallOff = Duration.ofMillis(fleet.world.random().nextInt(2000) - 1000));
             Faults plan = new Faults(fleet, List.of(OPEN, FROZEN, SOON));
             fleet.startAll();
-            fleet.askEach(Duration.ofMillis(50));
+            fleet.askEach(Duration.ofMillis(100));
             plan.plan(faults, 6, FAULTS_S);
-            fleet.world.run(s(FAULTS_S + 4));
+            fleet.world.run(s(FAULTS_S));
             List<String> breaches = new ArrayList<>();
             fleet.world.runUntil(plan::allUp, s(10));
-            fleet.net.heal();
+            plan.heal();
             // Staff have set the clocks right, and give a new calendar.
             fleet.routers.forEach(r -> r.node.jump(Duration.between(r.node.wall().instant(), fleet.trueTime().plus(r.wallOff))));
             double healed = fleet.world.seconds();
@@ -96,12 +97,29 @@
     }
 
     @Test
-    void fourteenRouters() {
-        all(14, 5, 1, Integer.getInteger("histories.14", 20));
+    void threeRouters() {
+        all(3, 6, 20_000, Integer.getInteger("histories.3", 300));
     }
 
     @Test
     void fiveRouters() {
-        all(5, 6, 10_000, Integer.getInteger("histories.5", 100));
+        all(5, 6, 10_000, Integer.getInteger("histories.5", 400));
+    }
+
+    @Test
+    void thirteenRouters() {
+        all(13, 5, 30_000, Integer.getInteger("histories.13", 20));
+    }
+
+    @Test
+    void fourteenRouters() {
+        all(14, 5, 1, Integer.getInteger("histories.14", 40));
+    }
+
+    /** Costs minutes: for the nightly run. */
+    @Test
+    @EnabledIfSystemProperty(named = "histories.200", matches = "[1-9].*")
+    void twoHundredRouters() {
+        all(200, 4, 40_000, Integer.getInteger("histories.200", 0));
     }
 }
--- a/router/src/test/java/stagepier/freeze/Judge.java
+++ b/router/src/test/java/stagepier/freeze/Judge.java
@@ -22,6 +22,7 @@
         judge.learnedInOrder();
         judge.confirmedIsLatest();
         judge.nothingInsideAWindow();
+        judge.foundedOnWhatWasAccepted();
         return judge.breaches;
     }
 
@@ -78,6 +79,37 @@
         return latest;
     }
 
+    /**
+     * P6: a founding begins with what was accepted last, or voted for since; with nothing; or with what all files say, where what was
+     * accepted last stands in no file any more.
+     */
+    private void foundedOnWhatWasAccepted() {
+        Map<Version, String> hashes = new HashMap<>();
+        Version last = null;
+        for (VirtualFleet.Event e : fleet.events) {
+            boolean begins = e.what().equals("calendar.accepted") && e.version().number() <= 1 && last != null
+                    && last.generation() < e.version().generation() && !e.text("hash").isEmpty();
+            if (begins) {
+                Version before = last;
+                boolean survived = hashes.entrySet().stream().anyMatch(h -> h.getKey().compareTo(before) >= 0
+                        && h.getValue().contains(e.text("hash")));
+                String lost = hashes.get(before);
+                boolean replaced = fleet.files.headMap(e.at(), true).tailMap(e.at() - 5).values().stream()
+                        .anyMatch(f -> !f.contains(lost));
+                if (!survived && !replaced) {
+                    breaches.add("P6: " + e.version() + " begins with " + e.text("hash") + " in place of " + before + " " + lost);
+                }
+            }
+            if (e.what().equals("calendar.vote") && !e.text("hash").isEmpty()) {
+                hashes.merge(e.version(), e.text("hash"), (a, b) -> a.equals(b) ? a : a + " " + b);
+            }
+            if (e.what().equals("calendar.accepted") && (last == null || e.version().compareTo(last) > 0)) {
+                last = e.version();
+                hashes.put(last, e.text("hash"));
+            }
+        }
+    }
+
     /** P6: open is said only by what was accepted last before the lease, or by what was voted for since. */
     private void nothingInsideAWindow() {
         TreeMap<Double, Version> latest = latest();
--- a/router/src/test/java/stagepier/freeze/JudgeTest.java
+++ b/router/src/test/java/stagepier/freeze/JudgeTest.java
@@ -73,6 +73,13 @@
         found("P5: r000 confirmed");
     }
 
+    @Test
+    void aFoundingThatLosesWhatAFileStillSays() {
+        Version founded = new Version(last().generation() + 1_000_000, 1);
+        plant("calendar.accepted", "version", founded.toString(), "hash", Windows.hash(OPEN.text()));
+        found("P6: " + founded + " begins with");
+    }
+
     @Test
     void openInsideAWindow() {
         fleet.asked.add(new VirtualFleet.Asked(fleet.world.seconds(), fleet.trueTime(), "r002", Calendar.Permit.OPEN));
--- a/router/src/test/java/stagepier/freeze/PlantedTest.java
+++ b/router/src/test/java/stagepier/freeze/PlantedTest.java
@@ -16,8 +16,8 @@
 import stagepier.fleet.History;
 
 /**
- * Histories that aim at forgotten promises and votes: routers are killed just as they vote, and are back at once. The right memory
- * withstands them; with a wrong one the judge has to find the breach, or it could find none.
+ * Histories that aim at forgotten promises and votes: routers are killed just as they vote, and are back at once. The right
+ * memory withstands them; with a wrong one the judge has to find the breach, or it could find none.
  */
 @Timeout(300)
 class PlantedTest {
@@ -76,9 +76,9 @@
     }
 
     /**
-     * The case that crash vectors are for: the first router that votes for another's proposal forgets it at once, recovers from three that
-     * have not voted yet, of which one votes then. The proposer counts itself, the one that forgot and that last one; the other three,
-     * cut off, agree on something else.
+     * The case that crash vectors are for: the first router that votes for another's proposal forgets it at once, recovers from
+     * three that have not voted yet, of which one votes then. The proposer counts itself, the one that forgot and that last
+     * one; the other three, cut off, agree on something else.
      */
     private static List<String> aimed(long seed, VirtualFleet.Memory memory) {
         try (VirtualFleet fleet = new VirtualFleet(seed, 5, text(0), memory)) {
--- a/router/src/test/java/stagepier/freeze/VirtualFleet.java
+++ b/router/src/test/java/stagepier/freeze/VirtualFleet.java
@@ -17,7 +17,7 @@
 import stagepier.fleet.MemoryNet;
 import stagepier.fleet.VirtualWorld;
 
-/** A fleet with a calendar in virtual time: routers that are killed, stopped and restarted, and a file for each that outlives them. */
+/** A fleet with a calendar in virtual time: routers that are killed, stopped and restarted, and files that outlive them. */
 final class VirtualFleet implements AutoCloseable {
     static final Duration SKEW = Duration.ofSeconds(2);
     private static final Change CHANGE = new Change(Change.Kind.ADD_SERVER, "s-1", "a");
@@ -106,6 +106,8 @@
     final List<Event> events = new ArrayList<>();
     final List<Asked> asked = new ArrayList<>();
     final Map<String, Windows> texts = new LinkedHashMap<>();
+    /** What the files of all routers said, each hash once, by the time. */
+    final TreeMap<Double, List<String>> files = new TreeMap<>();
     private final TreeMap<String, InetSocketAddress> addresses = new TreeMap<>();
     private final Memory memory;
     private Runnable watch = () -> { };
@@ -151,6 +153,7 @@
             map.put((String) values[i], values[i + 1]);
         }
         events.add(new Event(world.seconds(), router.name, life, what, map));
+        files.put(world.seconds(), routers.stream().map(r -> Windows.hash(r.file.text())).distinct().toList());
         watch.run();
     }
 
