Try a candidate shard map beside the real one: file, slice, rules, copies, counts, verdict

Need: nobody can try a new shard map before it is the real one.

Change: package shadow. candidate.toml is read strictly; a keyed hash chooses the slice; rules say whether a copy goes out; copies have links of their own and give way first; what comes back is compared, a difference is asked for once more; counts are merged over the fleet by router and process; the verdict is a confidence interval that is good at all times; a wrong candidate is stopped by word to all, others by lease; promotion plans are functions of key and time. ModuleHost tells a tap of sends and outcomes, none by default.

Nothing of it is wired in yet.

--- a/router/src/main/java/stagepier/HashRing.java
+++ b/router/src/main/java/stagepier/HashRing.java
@@ -84,7 +84,7 @@
     }
 
     /** Finalizer of SplitMix64: every input bit reaches every output bit. */
-    static long mix(long z) {
+    public static long mix(long z) {
         long a = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
         long b = (a ^ a >>> 27) * 0x94d049bb133111ebL;
         return b ^ b >>> 31;
--- a/router/src/main/java/stagepier/exchange/Carrier.java
+++ b/router/src/main/java/stagepier/exchange/Carrier.java
@@ -5,6 +5,16 @@
     /** An execution that can be given up. */
     interface Sending {
         void cancel();
+
+        /** It has been handed to its socket. */
+        default boolean isOut() {
+            return true;
+        }
+
+        /** When it was handed to its socket nothing else was awaited there. */
+        default boolean isAlone() {
+            return true;
+        }
     }
 
     Sending send(Exchange exchange, int attempt, long server, double timeout);
--- a/router/src/main/java/stagepier/exchange/Exchange.java
+++ b/router/src/main/java/stagepier/exchange/Exchange.java
@@ -13,16 +13,18 @@
     private final long id;
     private final Command command;
     private final Asker asker;
+    private final double takenAt;
     private final double deadlineAt;
     private final List<Carrier.Sending> sendings = new ArrayList<>(2);
     private int outstanding;
     private boolean finished;
     private Future<?> backstop;
 
-    Exchange(long id, Command command, Asker asker, double deadlineAt) {
+    Exchange(long id, Command command, Asker asker, double takenAt, double deadlineAt) {
         this.id = id;
         this.command = command;
         this.asker = asker;
+        this.takenAt = takenAt;
         this.deadlineAt = deadlineAt;
     }
 
@@ -31,7 +33,7 @@
         return command;
     }
 
-    long id() {
+    public long id() {
         return id;
     }
 
@@ -39,10 +41,21 @@
         return asker;
     }
 
-    double deadlineAt() {
+    /** When it was taken, in seconds of the {@link Clock}. */
+    public double takenAt() {
+        return takenAt;
+    }
+
+    /** By when its answer is due. */
+    public double deadlineAt() {
         return deadlineAt;
     }
 
+    /** An execution of it, counted from 0; null where there is no such. */
+    public Carrier.Sending sending(int attempt) {
+        return attempt < sendings.size() ? sendings.get(attempt) : null;
+    }
+
     List<Carrier.Sending> sendings() {
         return sendings;
     }
--- a/router/src/main/java/stagepier/exchange/Ids.java
+++ b/router/src/main/java/stagepier/exchange/Ids.java
@@ -17,7 +17,7 @@
     }
 
     /** A key in hex is its number. */
-    static long ofKey(String key) {
+    public static long ofKey(String key) {
         long number = KEY.matcher(key).matches() ? Long.parseUnsignedLong(key, 16) : 0;
         return number != 0 ? number : hash(key);
     }
--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -63,6 +63,8 @@
     private final double longestDeadline;
     private Api.Events module;
     private Carrier carrier;
+    /** Null where nothing is tried beside the real requests. */
+    private ShadowTap tap;
     private Consumer<List<Api.News>> peers = news -> { };
     private final PeerView peerView = new PeerView();
     private boolean inEvent;
@@ -97,6 +99,11 @@
         refresh = refresher;
     }
 
+    /** Who is told of sends and outcomes, and changes nothing. */
+    public void connectShadow(ShadowTap to) {
+        tap = to;
+    }
+
     /** Before anything else. */
     public void connect(Api.Events decisions, Carrier servers) {
         module = decisions;
@@ -204,7 +211,7 @@
         double unread = Math.max(0, now - cameAt);
         cameLate += unread > LATE ? 1 : 0;
         double budget = wait - unread - Math.min(MARGIN, MARGIN_PART * wait);
-        Exchange x = new Exchange(++lastId, command, asker, now + budget);
+        Exchange x = new Exchange(++lastId, command, asker, now, now + budget);
         open.put(x.id(), x);
         idsTaken.put(command.id(), now);
         unanswered++;
@@ -257,6 +264,9 @@
 
     private void answer(Exchange x, Reply reply) {
         replies[reply.kind().ordinal()]++;
+        if (tap != null) {
+            tap.answered(x, reply, clock.now());
+        }
         finish(x);
         x.asker().answered(x, reply);
     }
@@ -295,6 +305,9 @@
         post(() -> {
             double now = clock.now();
             double elapsed = now - sentAt;
+            if (tap != null) {
+                tap.ended(x, attempt, server, outcome, lookup, served, elapsed, now);
+            }
             if (outcome != Api.Outcome.TIMEOUT && outcome != Api.Outcome.CANCELLED) {
                 // What lay here unread is this router's own delay: no server may be judged by it.
                 elapsed = Math.max(Math.min(elapsed, SHORTEST), elapsed - delay.unreadFor(now));
@@ -363,6 +376,9 @@
             ended(x, attempt, server, Api.Outcome.TIMEOUT, now, Api.Lookup.UNKNOWN, null);
         } else {
             x.sendings().add(carrier.send(x, attempt, server, timeout == 0 ? left : Math.min(timeout, left)));
+            if (tap != null) {
+                tap.sent(x, attempt, server, now);
+            }
         }
     }
 
--- a/router/src/main/java/stagepier/server/Execution.java
+++ b/router/src/main/java/stagepier/server/Execution.java
@@ -31,6 +31,7 @@
     private long endsAt;
     /** When it was handed to the socket. */
     private double sentAt;
+    private boolean alone;
 
     /** @param exchange null for a probe */
     Execution(ServerPools pools, Exchange exchange, int attempt, long server, double timeout) {
@@ -78,6 +79,21 @@
         return sentAt;
     }
 
+    /** Nothing else is awaited on the link that it is handed to. */
+    void alone() {
+        alone = true;
+    }
+
+    @Override
+    public boolean isAlone() {
+        return alone;
+    }
+
+    @Override
+    public boolean isOut() {
+        return sentAt > 0;
+    }
+
     boolean isOver() {
         return over;
     }
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -193,6 +193,9 @@
                 heardAt = pool.pools().now();
             }
             Execution next = waiting.remove();
+            if (sent.isEmpty()) {
+                next.alone();
+            }
             next.sentAt(pool.pools().now());
             sent.add(next);
             next.endsAt(queue(next.message()));
--- /dev/null
+++ b/router/src/main/java/stagepier/shadow/Comparison.java
@@ -0,0 +1,77 @@
+package stagepier.shadow;
+
+import stagepier.Api;
+
+/** Says what a copy's answer was beside the real one. Pure. */
+public final class Comparison {
+    /** Logarithm of the time ratio beyond which it counts no more: one answer that waited must not decide. */
+    public static final double RATIO_MOST = Math.log(8);
+
+    private Comparison() {
+    }
+
+    /**
+     * @param first  no copy of this key has been answered there of late
+     * @param before what the real owner gave before this answer, 0 for nothing that is known
+     */
+    public static Result of(Seen real, Seen copy, boolean first, long before) {
+        if (!copy.isServed()) {
+            return real.isServed() ? failed(copy) : Result.NOT_COMPARED;
+        }
+        if (!real.isServed()) {
+            return first ? Result.MOVED : Result.REAL_FAILED;
+        }
+        if (real.hasValue() && copy.hasValue() && real.value() != copy.value()) {
+            // Whatever it is, it is asked for once more, unless it is known.
+            return copy.value() == before ? Result.OLDER : Result.IN_DOUBT;
+        }
+        if (first && !copy.isHit()) {
+            return Result.MOVED;
+        }
+        return real.hasValue() && copy.hasValue() ? Result.SAME : Result.NOT_COMPARED;
+    }
+
+    private static Result failed(Seen copy) {
+        return switch (copy.outcome()) {
+            case TIMEOUT -> Result.TIMEOUT;
+            case FULL, CONNECT_FAILED, NOT_SENT -> Result.TURNED_AWAY;
+            case CANCELLED -> Result.NOT_COMPARED;
+            default -> Result.ERROR;
+        };
+    }
+
+    /** Of the second look, in which first the real owner, then the candidate's is asked once more. */
+    public static Result secondLook(Seen real, Seen copy, Seen realAgain, Seen copyAgain) {
+        if (!realAgain.hasValue() || !copyAgain.hasValue()) {
+            return Result.IN_DOUBT;
+        }
+        if (realAgain.value() == copy.value() || copyAgain.value() == realAgain.value() && realAgain.value() != real.value()) {
+            return Result.NEWER;
+        }
+        if (copyAgain.value() == real.value()) {
+            return Result.OLDER;
+        }
+        // Both as before, or the candidate's gives what nobody else does.
+        return realAgain.value() == real.value() ? Result.WRONG : Result.IN_DOUBT;
+    }
+
+    /**
+     * How the copy fared against the real answer: the logarithm of the ratio of their times, above 0 where the copy was slower, within
+     * {@link #RATIO_MOST}; a failure counts as the most. NaN where the two say nothing about the map.
+     *
+     * @param steady the copy went out on a connection that had served before
+     */
+    public static double score(Result result, Seen real, Seen copy, boolean steady) {
+        return switch (result) {
+            case ERROR, TIMEOUT, TURNED_AWAY -> RATIO_MOST;
+            case REAL_FAILED -> real.outcome() == Api.Outcome.CANCELLED ? Double.NaN : -RATIO_MOST;
+            case SAME, OLDER, NEWER -> real.alone() && copy.alone() && steady ? ratio(copy.elapsed(), real.elapsed()) : Double.NaN;
+            default -> Double.NaN;
+        };
+    }
+
+    private static double ratio(double copy, double real) {
+        double ratio = Math.log(Math.max(1e-6, copy) / Math.max(1e-6, real));
+        return Math.max(-RATIO_MOST, Math.min(RATIO_MOST, ratio));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/stagepier/shadow/Counts.java
@@ -0,0 +1,68 @@
+package stagepier.shadow;
+
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.HdrHistogram.IntCountsHistogram;
+
+/**
+ * What this process has counted of one candidate map since it began. Owned by the event loop; what others read is a snapshot, which
+ * holds all so far, so that one that is lost is made good by the next.
+ */
+public final class Counts {
+    /** In microseconds; 10 s and more fall together. */
+    private static final int LONGEST = 10_000_000;
+    /** Significant digits: values are within 1%. Each histogram takes some 10 KB. */
+    private static final int DIGITS = 2;
+    /** Scores are summed in these parts of 1, so that sums are exact in any order. */
+    static final double SCORE_UNIT = 1e6;
+
+    static final String SCORES = "scores";
+    static final String SCORE_SUM = "score_sum";
+    /** Of the squares, in parts of {@link #SCORE_UNIT}. */
+    static final String SCORE_SQUARES = "score_squares";
+
+    private final Map<String, long[]> counters = new TreeMap<>();
+    private final Map<String, IntCountsHistogram> times = new TreeMap<>();
+    private long sequence;
+
+    void add(String counter, long n) {
+        counters.computeIfAbsent(counter, c -> new long[1])[0] += n;
+        sequence++;
+    }
+
+    /** @param score of {@link Comparison#score} */
+    void score(double score) {
+        if (!Double.isNaN(score)) {
+            add(SCORES, 1);
+            add(SCORE_SUM, Math.round(score * SCORE_UNIT));
+            add(SCORE_SQUARES, Math.round(score * score * SCORE_UNIT));
+        }
+    }
+
+    /** @param which class and side, such as {@code read.copy} */
+    void time(String which, double seconds) {
+        times.computeIfAbsent(which, w -> new IntCountsHistogram(LONGEST, DIGITS))
+                .recordValue(Math.max(1, Math.min(LONGEST, Math.round(seconds * 1e6))));
+        sequence++;
+    }
+
+    long sequence() {
+        return sequence;
+    }
+
+    Snapshot snapshot(String map) {
+        SortedMap<String, Long> numbers = new TreeMap<>();
+        counters.forEach((name, n) -> numbers.put(name, n[0]));
+        SortedMap<String, IntCountsHistogram> copies = new TreeMap<>();
+        times.forEach((which, h) -> copies.put(which, h.copy()));
+        return new Snapshot(map, sequence, numbers, copies);
+    }
+
+    /** All that was counted up to a moment. Nobody changes it any more. */
+    public record Snapshot(String map, long sequence, SortedMap<String, Long> counters, SortedMap<String, IntCountsHistogram> times) {
+        long counter(String name) {
+            return counters.getOrDefault(name, 0L);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/stagepier/shadow/ShadowCopies.java
@@ -0,0 +1,388 @@
+package stagepier.shadow;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stagepier.Api;
+import stagepier.exchange.Carrier;
+import stagepier.exchange.Clock;
+import stagepier.exchange.Exchange;
+import stagepier.exchange.Ids;
+import stagepier.exchange.Reply;
+import stagepier.exchange.ShadowTap;
+import stagepier.fleet.History;
+import stagepier.memcache.Command;
+import stagepier.server.Connector;
+import stagepier.settings.SettingsParser;
+
+/**
+ * Sends copies beside the real requests and compares what comes. On the event loop; reads orders without waiting and hands over
+ * counts by a box that drops. Whatever fails in here ends the shadow, never a real request.
+ */
+public final class ShadowCopies implements ShadowTap {
+    private static final Logger LOG = LoggerFactory.getLogger(ShadowCopies.class);
+    /** Requests that are looked at at a time. Guards the heap. */
+    private static final int PAIRS_MOST = 64;
+    private static final int TICK_MS = 50;
+    /** Ticks between two hand-overs of counts. */
+    private static final int TELL_EVERY = 5;
+
+    /**
+     * What it works with.
+     *
+     * @param linksMost  descriptors set aside for copies
+     * @param ids        beginning of the copies' ids: this process's own, up to 16 letters and digits
+     * @param nanoTime   of {@code Tasks}
+     * @param orders     what holds now; null for nothing
+     * @param tell       takes counts; false where its box is full
+     */
+    public record Parts(EventLoop loop, Clock clock, Connector connector, SettingsParser.Parsed settings, int linksMost, String ids,
+            RouterState router, ServerStates servers, LongSupplier nanoTime, Supplier<ShadowOrders> orders,
+            Predicate<Counts.Snapshot> tell, History history) {
+    }
+
+    /** A real request in the slice, and its copy. */
+    private static final class Pair {
+        private final Exchange real;
+        private final long server;
+        private final String className;
+        private final long key;
+        private boolean first;
+        private long candidate;
+        private boolean copied;
+        private Seen seen;
+        private Seen copy;
+
+        Pair(Exchange real, long server, String className, long key) {
+            this.real = real;
+            this.server = server;
+            this.className = className;
+            this.key = key;
+        }
+    }
+
+    private final Parts parts;
+    private final ShadowLinks links;
+    private final Map<Long, Pair> pairs = new HashMap<>();
+    private ShadowOrders orders;
+    private ShadowRules rules;
+    private KeyMemory memory;
+    private Counts counts;
+    private String id = "";
+    private SecondLook look;
+    private boolean halted;
+    private boolean broken;
+    private long lastId;
+    private long toldSequence;
+    private int ticks;
+
+    public ShadowCopies(Parts parts) {
+        this.parts = parts;
+        links = new ShadowLinks(parts.loop(), parts.clock(), parts.connector(), parts.linksMost(), parts.settings().idleClose());
+    }
+
+    /** From here on it looks after its links and tells its counts. */
+    public void start() {
+        parts.loop().scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Connections for copies that are open or being opened. */
+    public int links() {
+        return links.size();
+    }
+
+    // ---- what is heard of the real requests --------------------------------------------------------------
+    @Override
+    public void sent(Exchange x, int attempt, long server, double now) {
+        if (attempt == 0 && !broken) {
+            guarded(() -> look(x, server));
+        }
+    }
+
+    @Override
+    public void ended(Exchange x, int attempt, long server, Api.Outcome outcome, Api.Lookup lookup, Reply served, double elapsed,
+            double now) {
+        if (!broken) {
+            guarded(() -> {
+                parts.servers().ended(now, server, outcome);
+                Pair p = attempt == 0 ? pairs.get(x.id()) : null;
+                if (p != null) {
+                    Carrier.Sending sending = x.sending(0);
+                    long value = served == null || served.flow() != null ? 0 : Seen.checksum(served.body());
+                    p.seen = new Seen(outcome, lookup, value, elapsed, sending == null || sending.isAlone());
+                    complete(p);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void answered(Exchange x, Reply reply, double now) {
+        if (!broken && reply.kind() == Reply.Kind.THROTTLE && rules != null) {
+            guarded(() -> {
+                rules.refused(now);
+                giveWay(now);
+            });
+        }
+    }
+
+    /** Guards the real requests, in the middle of which this runs. */
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            broken = true;
+            LOG.error("the shadow failed and has ended until the next start", e);
+            parts.loop().execute(() -> {
+                pairs.clear();
+                links.dropAll();
+            });
+        }
+    }
+
+    private void look(Exchange x, long server) {
+        ShadowOrders now = parts.orders().get();
+        if (now == null) {
+            return;
+        }
+        takeUp(now);
+        Command command = x.command();
+        String className = command.attribute("c");
+        if (!isOrdered() || command.kind() != Command.Kind.GET || !orders.map().covers(className, command.key())) {
+            return;
+        }
+        long key = Ids.ofKey(command.key());
+        if (!orders.slice().holds(key, orders.map().slice())) {
+            return;
+        }
+        counts.add("asked", 1);
+        if (pairs.size() >= PAIRS_MOST) {
+            counts.add(Ruling.NO_LINK.counter(), 1);
+            return;
+        }
+        Pair p = new Pair(x, server, className, key);
+        pairs.put(x.id(), p);
+        // After this turn's sends: the real one goes first.
+        parts.loop().execute(() -> guarded(() -> consider(p)));
+    }
+
+    /** Other orders: where they are of another map, all begins anew. */
+    private void takeUp(ShadowOrders now) {
+        if (now == orders) {
+            return;
+        }
+        if (now.isOtherMap(orders)) {
+            links.dropAll();
+            pairs.clear();
+            rules = new ShadowRules(now.map(), now.fleet());
+            memory = new KeyMemory();
+            counts = new Counts();
+            id = now.map().id();
+            look = null;
+            halted = false;
+            toldSequence = 0;
+        }
+        orders = now;
+    }
+
+    private boolean isOrdered() {
+        return !halted && !broken && orders.holdAt(parts.nanoTime().getAsLong());
+    }
+
+    // ---- copies -------------------------------------------------------------------------------------------
+    private void consider(Pair p) {
+        if (pairs.get(p.real.id()) != p) {
+            return;
+        }
+        Ruling ruling = rule(p);
+        counts.add(ruling.counter(), 1);
+        if (ruling != Ruling.COPY) {
+            pairs.remove(p.real.id());
+        }
+    }
+
+    private Ruling rule(Pair p) {
+        double now = parts.clock().now();
+        p.candidate = orders.ring().owner(p.key);
+        p.first = memory.isFirst(now, p.key);
+        int index = parts.settings().names().classes().indexOf(p.className);
+        boolean repeatable = index >= 0 && parts.settings().settings().classes().get(index).repeat() == Api.Repeat.SAFE;
+        long present = orders.present().owner(p.key);
+        load(present, "now");
+        load(p.candidate, "then");
+        Carrier.Sending sending = p.real.sending(0);
+        double left = p.real.deadlineAt() - now;
+        Ruling ruling = rules.rule(now, new ShadowRules.Asked(repeatable, p.real.command().isWrite(), 0,
+                sending != null && sending.isOut(), p.real.deadlineAt() - p.real.takenAt(), left, p.first),
+                new ShadowRules.Owners(p.server, present, p.candidate), isOrdered(), parts.router(),
+                parts.servers().of(now, p.candidate));
+        if (ruling != Ruling.COPY) {
+            return ruling;
+        }
+        if (look != null) {
+            // What is in doubt comes first.
+            return Ruling.OVER_BUDGET;
+        }
+        ShadowLink link = links.free(p.candidate, parts.servers().address(p.candidate));
+        ruling = link == null ? Ruling.NO_LINK : rules.afford(now, p.first);
+        if (ruling == Ruling.COPY) {
+            p.copied = true;
+            send(link, p.real.command(), left, seen -> {
+                p.copy = seen;
+                complete(p);
+            });
+        }
+        return ruling;
+    }
+
+    /** Requests by zone and kind, as they are and as the candidate would have them: with {@link Spread}, the load that is foretold. */
+    private void load(long server, String when) {
+        Api.Member member = parts.servers().member(server);
+        if (member != null) {
+            SettingsParser.Names names = parts.settings().names();
+            counts.add("load_zone." + name(names.zones(), member.zone()) + "." + when, 1);
+            counts.add("load_kind." + name(names.kinds(), member.kind()) + "." + when, 1);
+        }
+    }
+
+    private static String name(List<String> names, int index) {
+        return index >= 0 && index < names.size() ? names.get(index) : "other";
+    }
+
+    private void send(ShadowLink link, Command command, double left, Consumer<Seen> done) {
+        String copyId = parts.ids() + Long.toHexString(++lastId);
+        counts.add("copies", 1);
+        parts.history().write("shadow.copy", "map", id, "server", link.server(), "id", copyId);
+        links.ask(link, new ShadowAsk(copyId, command, left, seen -> guarded(() -> done.accept(seen))));
+    }
+
+    /** Both have ended, or it is waited for the other. */
+    private void complete(Pair p) {
+        if (p.seen == null || p.copied && p.copy == null || !p.copied) {
+            return;
+        }
+        if (pairs.remove(p.real.id(), p)) {
+            compare(p);
+        }
+    }
+
+    private void compare(Pair p) {
+        double now = parts.clock().now();
+        parts.servers().ended(now, p.candidate, p.copy.outcome());
+        long before = memory.before(p.key, p.seen.value());
+        Result result = Comparison.of(p.seen, p.copy, p.first, before);
+        memory.gave(p.key, p.seen.value());
+        if (p.copy.isServed()) {
+            memory.copied(now, p.key);
+        }
+        if (!p.first && p.copy.isMiss()) {
+            rules.fetched(now);
+        }
+        counts.add(result.counter(), 1);
+        if (!p.first && p.seen.isHit() && p.copy.isMiss()) {
+            counts.add("miss_for_hit", 1);
+        } else if (!p.first && p.seen.isMiss() && p.copy.isHit()) {
+            counts.add("hit_for_miss", 1);
+        }
+        double score = Comparison.score(result, p.seen, p.copy, p.copy.alone());
+        counts.score(score);
+        if (!Double.isNaN(score) && p.seen.isServed() && p.copy.isServed()) {
+            counts.time(p.className + ".real", p.seen.elapsed());
+            counts.time(p.className + ".copy", p.copy.elapsed());
+        }
+        if (result == Result.IN_DOUBT && look == null) {
+            Command command = p.real.command();
+            look = new SecondLook((server, done) -> askAgain(server, command, done), p.server, p.candidate, p.seen, p.copy, now,
+                    this::judged);
+        }
+    }
+
+    /** @return whether it was sent */
+    private boolean askAgain(long server, Command command, Consumer<Seen> done) {
+        double now = parts.clock().now();
+        if (rules.givesWay(now, isOrdered(), parts.router()) || parts.servers().of(now, server) != Fitness.FIT) {
+            return false;
+        }
+        ShadowLink link = links.free(server, parts.servers().address(server));
+        if (link == null || rules.afford(now, false) != Ruling.COPY) {
+            return false;
+        }
+        int index = parts.settings().names().classes().indexOf(command.attribute("c"));
+        send(link, command, parts.settings().settings().classes().get(index).deadline(), done);
+        return true;
+    }
+
+    private void judged(Result result) {
+        look = null;
+        if (result == Result.IN_DOUBT) {
+            counts.add("left_in_doubt", 1);
+            return;
+        }
+        counts.add(result.counter(), 1);
+        if (result == Result.WRONG) {
+            halted = true;
+            parts.history().write("shadow.wrong", "map", id);
+            LOG.warn("candidate {} gives wrong answers: stopped here", id);
+            giveWay(parts.clock().now());
+            tell();
+        }
+    }
+
+    // ---- giving way ---------------------------------------------------------------------------------------
+    /** The first thing that is given up: all that is out ends now. */
+    private void giveWay(double now) {
+        if (rules != null && rules.givesWay(now, isOrdered(), parts.router())) {
+            links.dropAll();
+        }
+    }
+
+    private void tick() {
+        guarded(() -> {
+            ShadowOrders current = parts.orders().get();
+            if (broken || current == null) {
+                return;
+            }
+            takeUp(current);
+            double now = parts.clock().now();
+            giveWay(now);
+            links.sweep(server -> {
+                Fitness fitness = parts.servers().of(now, server);
+                return fitness != Fitness.ABSENT && fitness != Fitness.DRAINING;
+            });
+            if (look != null) {
+                look.look(now);
+            }
+            if (++ticks % TELL_EVERY == 0) {
+                tell();
+            }
+        });
+    }
+
+    private void tell() {
+        if (counts.sequence() != toldSequence && parts.tell().test(counts.snapshot(id))) {
+            toldSequence = counts.sequence();
+        }
+    }
+
+    /** Ends for good: gives back all links. */
+    public void stop() {
+        broken = true;
+        new ArrayList<>(pairs.values()).forEach(p -> pairs.remove(p.real.id()));
+        links.dropAll();
+    }
+
+    @Override
+    public String toString() {
+        return String.format(Locale.ROOT, "shadow of %s, %d links", id, links.size());
+    }
+}
--- /dev/null
+++ b/router/src/test/java/stagepier/shadow/ShadowRulesTest.java
@@ -0,0 +1,157 @@
+package stagepier.shadow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+@Timeout(30)
+class ShadowRulesTest {
+    private static final ShadowRules.Asked FINE = new ShadowRules.Asked(true, false, 0, true, 1, 0.9, false);
+    private static final ShadowRules.Owners MOVED = new ShadowRules.Owners(1, 1, 2);
+
+    private static RouterState router(boolean pressed, boolean draining) {
+        return new RouterState() {
+            @Override
+            public boolean isPressed() {
+                return pressed;
+            }
+
+            @Override
+            public boolean isDraining() {
+                return draining;
+            }
+        };
+    }
+
+    private static Ruling rule(ShadowRules.Asked asked, ShadowRules.Owners owners) {
+        return new ShadowRules(CandidateFileTest.good(), 1).rule(10, asked, owners, true, router(false, false), Fitness.FIT);
+    }
+
+    @Test
+    void onlyWhatMayBeRepeatedWasSentAndHasTimeIsCopied() {
+        assertEquals(Ruling.COPY, rule(FINE, MOVED));
+        assertEquals(Ruling.NOT_SAFE, rule(new ShadowRules.Asked(false, false, 0, true, 1, 0.9, false), MOVED));
+        assertEquals(Ruling.NOT_SAFE, rule(new ShadowRules.Asked(true, true, 0, true, 1, 0.9, false), MOVED));
+        assertEquals(Ruling.NOT_SENT, rule(new ShadowRules.Asked(true, false, 0, false, 1, 0.9, false), MOVED));
+        assertEquals(Ruling.NOT_SENT, rule(new ShadowRules.Asked(true, false, 1, true, 1, 0.9, false), MOVED));
+        assertEquals(Ruling.SHORT_OF_TIME, rule(new ShadowRules.Asked(true, false, 0, true, 1, 0.25, false), MOVED));
+        assertEquals(Ruling.COPY, rule(new ShadowRules.Asked(true, false, 0, true, 1, 0.26, false), MOVED));
+    }
+
+    @Test
+    void onlyToAnotherOwner() {
+        assertEquals(Ruling.NOT_MOVED, rule(FINE, new ShadowRules.Owners(1, 1, 1)));
+        // Spilled: the real one went past its owner, where the candidate leaves the key.
+        assertEquals(Ruling.NOT_MOVED, rule(FINE, new ShadowRules.Owners(3, 2, 2)));
+        assertEquals(Ruling.NOT_MOVED, rule(FINE, new ShadowRules.Owners(2, 1, 2)));
+        assertEquals(Ruling.NOT_MOVED, rule(FINE, new ShadowRules.Owners(1, 1, -1)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"ABSENT", "DRAINING", "COLD", "CROWDED", "OPEN"})
+    void neverToAServerThatHasToBeSpared(Fitness fitness) {
+        assertEquals(Ruling.NOT_FIT, new ShadowRules(CandidateFileTest.good(), 1).rule(10, FINE, MOVED, true, router(false, false),
+                fitness));
+    }
+
+    @Test
+    void neverWhileTheRouterHasOtherCares() {
+        ShadowRules rules = new ShadowRules(CandidateFileTest.good(), 1);
+        assertEquals(Ruling.NOT_NOW, rules.rule(10, FINE, MOVED, false, router(false, false), Fitness.FIT));
+        assertEquals(Ruling.NOT_NOW, rules.rule(10, FINE, MOVED, true, router(true, false), Fitness.FIT));
+        assertEquals(Ruling.NOT_NOW, rules.rule(10, FINE, MOVED, true, router(false, true), Fitness.FIT));
+        rules.refused(10);
+        assertEquals(Ruling.NOT_NOW, rules.rule(10.9, FINE, MOVED, true, router(false, false), Fitness.FIT));
+        assertEquals(Ruling.COPY, rules.rule(11.1, FINE, MOVED, true, router(false, false), Fitness.FIT));
+    }
+
+    /** P10: over all routers, and over any of them, whatever is asked and when; also those that have just started. */
+    @ParameterizedTest
+    @CsvSource({"14, 100", "14, 28", "200, 500", "3, 1000"})
+    void allSharesTogetherStayWithinTheBudgetOverAnySecond(int fleet, double budget) {
+        Random random = new Random(fleet);
+        List<Double> spent = new ArrayList<>();
+        for (int router = 0; router < fleet; router++) {
+            Pace pace = new Pace(budget, fleet);
+            List<Double> own = new ArrayList<>();
+            for (double now = 0; now < 20; now += random.nextDouble() * 0.002 * (random.nextInt(2000) == 0 ? 500 : 0.2)) {
+                if (pace.has(now)) {
+                    pace.spend(now);
+                    own.add(now);
+                }
+            }
+            assertTrue(mostWithin(own, 1) <= budget / fleet + 1e-9, "a router alone");
+            spent.addAll(own);
+        }
+        spent.sort(null);
+        assertTrue(mostWithin(spent, 1) <= budget, () -> mostWithin(spent, 1) + " in a second");
+        assertTrue(spent.size() > 0.3 * budget * 20, () -> "hardly any: " + spent.size());
+    }
+
+    private static int mostWithin(List<Double> sorted, double span) {
+        int most = 0;
+        int from = 0;
+        for (int i = 0; i < sorted.size(); i++) {
+            while (sorted.get(i) - sorted.get(from) >= span) {
+                from++;
+            }
+            most = Math.max(most, i - from + 1);
+        }
+        return most;
+    }
+
+    /** A share below one in a second. */
+    @Test
+    void aSmallShareIsKeptOverTheTimeThatIsStated() {
+        Pace pace = new Pace(5, 14);
+        double share = 5.0 / 14;
+        List<Double> own = new ArrayList<>();
+        for (double now = 0; now < 300; now += 0.01) {
+            if (pace.has(now)) {
+                pace.spend(now);
+                own.add(now);
+            }
+        }
+        assertTrue(mostWithin(own, 2 / share) <= 2, () -> mostWithin(own, 2 / share) + "");
+        assertTrue(own.size() > 40);
+    }
+
+    @Test
+    void whatWasFetchedUnforeseenIsPaidBack() {
+        ShadowRules rules = new ShadowRules(CandidateFileTest.good(), 1);
+        assertEquals(Ruling.OVER_BUDGET, rules.afford(0, true));
+        assertEquals(Ruling.OVER_FETCHES, rules.afford(0.5, true));
+        assertEquals(Ruling.COPY, rules.afford(1, true));
+        for (int i = 0; i < 7; i++) {
+            rules.fetched(1);
+        }
+        assertEquals(Ruling.OVER_FETCHES, rules.afford(2, true));
+        assertEquals(Ruling.COPY, rules.afford(2.1, false));
+        assertEquals(Ruling.COPY, rules.afford(5, true));
+    }
+
+    @Test
+    void slicesAreNestedAndOfTheStatedSizeAndDifferBySalt() {
+        Slice a = new Slice("a");
+        Slice b = new Slice("b");
+        int inA = 0;
+        int inBoth = 0;
+        Random random = new Random(4);
+        for (int i = 0; i < 100_000; i++) {
+            long key = random.nextLong();
+            assertFalse(a.holds(key, 500) && !a.holds(key, 501));
+            inA += a.holds(key, 500) ? 1 : 0;
+            inBoth += a.holds(key, 500) && b.holds(key, 500) ? 1 : 0;
+        }
+        assertEquals(5000, inA, 300);
+        assertEquals(250, inBoth, 60);
+    }
+}
--- /dev/null
+++ b/router/src/test/java/stagepier/shadow/VerdictTest.java
@@ -0,0 +1,92 @@
+package stagepier.shadow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The sequential test over scores of pairs, looked at after each one. */
+@Timeout(60)
+class VerdictTest {
+    private static final int PLAYS = 200;
+    private static final int COPIES_MOST = 60_000;
+    private static final double MARGIN = Math.log1p(0.02);
+
+    /** A pair's score: both times are lognormal, one in fifty answers waits for the origin, and the copy's is so many times as long. */
+    private static double score(Random random, double times) {
+        double real = time(random);
+        double copy = time(random) * times;
+        return Math.max(-Comparison.RATIO_MOST, Math.min(Comparison.RATIO_MOST, Math.log(copy / real)));
+    }
+
+    private static double time(Random random) {
+        double usual = 0.004 * Math.exp(0.4 * random.nextGaussian());
+        return random.nextInt(50) == 0 ? usual + 0.06 : usual;
+    }
+
+    /** What was said first, and after how many copies; looked at after each one. */
+    private static Verdict play(long seed, double times) {
+        Random random = new Random(seed);
+        double sum = 0;
+        double squares = 0;
+        Verdict verdict = null;
+        for (int n = 1; n <= COPIES_MOST; n++) {
+            double score = score(random, times);
+            sum += score;
+            squares += score * score;
+            verdict = Verdict.of(n, sum, squares, MARGIN, true);
+            if (verdict.kind() != Verdict.Kind.NOT_ENOUGH) {
+                break;
+            }
+        }
+        return verdict;
+    }
+
+    private static long said(Verdict.Kind kind, double times) {
+        return java.util.stream.LongStream.range(0, PLAYS).filter(seed -> play(seed, times).kind() == kind).count();
+    }
+
+    @Test
+    void anEqualCandidateIsCalledBetterOrWorseNoMoreOftenThanStated() {
+        long wrong = said(Verdict.Kind.BETTER, 1) + said(Verdict.Kind.WORSE, 1);
+        System.err.println("verdicts: equal called different " + wrong + " of " + PLAYS);
+        assertTrue(wrong <= Verdict.ERROR * PLAYS, () -> wrong + " of " + PLAYS);
+        assertEquals(PLAYS - wrong, said(Verdict.Kind.NO_DIFFERENCE, 1));
+    }
+
+    /** The figures of the table in the notes on measurements. */
+    @Test
+    void aDifferenceIsFoundAndTheLargerTheSooner() {
+        long before = Long.MAX_VALUE;
+        for (double percent : new double[] {5, 10, 20}) {
+            long[] worse = copies(1 + percent / 100, Verdict.Kind.WORSE);
+            long[] better = copies(1 / (1 + percent / 100), Verdict.Kind.BETTER);
+            System.err.printf("verdicts: %.0f%% slower: median %d, 95%% within %d; as much faster: median %d, 95%% within %d%n", percent,
+                    worse[PLAYS / 2], worse[PLAYS * 95 / 100], better[PLAYS / 2], better[PLAYS * 95 / 100]);
+            assertTrue(worse[PLAYS / 2] < before);
+            before = worse[PLAYS / 2];
+        }
+    }
+
+    private static long[] copies(double times, Verdict.Kind kind) {
+        long[] copies = new long[PLAYS];
+        for (int seed = 0; seed < PLAYS; seed++) {
+            Verdict verdict = play(seed, times);
+            assertEquals(kind, verdict.kind(), "seed " + seed);
+            copies[seed] = verdict.copies();
+        }
+        Arrays.sort(copies);
+        return copies;
+    }
+
+    @Test
+    void fewCopiesOrAMinorityNeverDecide() {
+        assertEquals(Verdict.Kind.NOT_ENOUGH, Verdict.of(0, 0, 0, MARGIN, true).kind());
+        assertEquals(Verdict.Kind.NOT_ENOUGH, Verdict.of(Verdict.LEAST - 1, 1000, 5000, MARGIN, true).kind());
+        assertEquals(Verdict.Kind.NOT_ENOUGH, Verdict.of(100_000, 50_000, 60_000, MARGIN, false).kind());
+        assertEquals(Verdict.Kind.WORSE, Verdict.of(100_000, 50_000, 60_000, MARGIN, true).kind());
+    }
+}
