Play copies beside the real module in virtual time and compare request by request

Need: nothing of a real request may change because something is tried beside it.

Measured: 21 pairs of plays of 1,500 requests with the same sends, times, outcomes and answers; a wrong candidate stops within 1 s of its first copy; no copy over budget in any second; copies are gone 60 ms after pressure, a drain, a stop or the end of the lease.

--- /dev/null
+++ b/router/src/test/java/stagepier/shadow/ShadowCopiesTest.java
@@ -0,0 +1,177 @@
+package stagepier.shadow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import stagepier.Api;
+
+/** Copies beside real requests, in virtual time. */
+@Timeout(60)
+class ShadowCopiesTest {
+    /** All keys, four servers of eight. */
+    private static CandidateMap map(double budget, double fetches) {
+        StringBuilder text = new StringBuilder("version = 1\nslice = 10000\nclasses = [\"read\", \"put\"]\n[budget]\ncopies_per_second = "
+                + budget + "\nfetches_per_second = " + fetches + "\n");
+        for (int i = 1; i <= 4; i++) {
+            text.append("[[servers]]\nname = \"s-0000000").append(i).append("\"\n");
+        }
+        try {
+            return CandidateFile.parse("test", text.toString()).map();
+        } catch (CandidateException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static ShadowWorld play(long seed, ShadowWorld.Candidate candidate, CandidateMap map) {
+        ShadowWorld world = new ShadowWorld(seed, candidate, map);
+        world.play(seed, 1500, 200);
+        return world;
+    }
+
+    /** P9: each request has the same sends, at the same servers and times, the same outcomes and the same answer. */
+    @ParameterizedTest
+    @EnumSource(ShadowWorld.Candidate.class)
+    void withCopiesEachRequestFaresAsWithout(ShadowWorld.Candidate candidate) {
+        for (long seed = 1; seed <= 3; seed++) {
+            ShadowWorld with = play(seed, candidate, map(100, 100));
+            assertEquals(play(seed, candidate, null).log, with.log);
+            assertTrue(!with.copiesAt.isEmpty(), "copies");
+            assertEquals(0, with.host.unanswered());
+        }
+    }
+
+    @Test
+    void copiesAreReadsWithIdsOfTheirOwnAndTheTimeThatIsLeft() {
+        ShadowWorld world = play(1, ShadowWorld.Candidate.GOOD, map(100, 100));
+        assertEquals(world.copyLines.size(), world.copyLines.stream().map(l -> l.split(" ")[3]).distinct().count());
+        assertTrue(world.copyLines.stream().allMatch(l -> l.matches("mg [0-9a-f]{16} v Oshadow[0-9a-f]+ Pc=read,d=[0-9]+\r\n")));
+        assertTrue(world.copyLines.stream().allMatch(l -> Integer.parseInt(l.replaceAll(".*d=|\r\n", "")) <= 900));
+    }
+
+    @Test
+    void aGoodCandidateGivesTheSameAndTimesAreCounted() {
+        ShadowWorld world = play(1, ShadowWorld.Candidate.GOOD, map(100, 100));
+        assertTrue(world.counter("same") > 50, () -> world.last().counters().toString());
+        assertEquals(0, world.counter("wrong"));
+        assertTrue(world.counter(Counts.SCORES) > 50);
+        assertEquals(world.counter("copies"), world.copiesAt.size());
+        assertEquals(world.last().times().get("read.copy").getTotalCount(), world.last().times().get("read.real").getTotalCount());
+    }
+
+    @Test
+    void aSlowOneIsSeenToBeSlow() {
+        ShadowWorld world = new ShadowWorld(1, ShadowWorld.Candidate.SLOW, map(100, 100));
+        world.play(1, 4000, 200);
+        Verdict v = Verdict.of(world.counter(Counts.SCORES), world.counter(Counts.SCORE_SUM) / Counts.SCORE_UNIT,
+                world.counter(Counts.SCORE_SQUARES) / Counts.SCORE_UNIT, 0.02, true);
+        assertEquals(Verdict.Kind.WORSE, v.kind(), v::words);
+    }
+
+    @Test
+    void aWrongOneIsStoppedHereAtOnce() {
+        ShadowWorld world = play(1, ShadowWorld.Candidate.WRONG, map(100, 100));
+        assertEquals(1, world.counter("wrong"), () -> world.last().counters().toString());
+        double last = world.copiesAt.get(world.copiesAt.size() - 1);
+        assertTrue(last - world.copiesAt.get(0) < 1, "copies went on for " + (last - world.copiesAt.get(0)) + " s");
+    }
+
+    /** A write that came in between, of which another router's copy tells: it differs once, and no more when asked again. */
+    @Test
+    void whatDiffersOnceIsNotWrong() {
+        ShadowWorld world = play(1, ShadowWorld.Candidate.RACES, map(100, 100));
+        assertTrue(world.counter("in_doubt") > 0, () -> world.last().counters().toString());
+        assertEquals(0, world.counter("wrong"), () -> world.last().counters().toString());
+        assertTrue(world.counter("older") + world.counter("newer") > 0);
+    }
+
+    /** P10 for one router, over any second. */
+    @Test
+    void copiesStayWithinTheBudget() {
+        ShadowWorld world = play(2, ShadowWorld.Candidate.GOOD, map(20, 100));
+        List<Double> at = world.copiesAt;
+        assertTrue(at.size() > 50);
+        for (int i = 20; i < at.size(); i++) {
+            assertTrue(at.get(i) - at.get(i - 20) >= 1, "21 within " + (at.get(i) - at.get(i - 20)) + " s");
+        }
+    }
+
+    @Test
+    void withoutAnAllowanceForFetchesNoKeyIsCopiedForTheFirstTime() {
+        ShadowWorld world = play(2, ShadowWorld.Candidate.GOOD, map(100, 0.02));
+        assertTrue(world.copiesAt.size() <= 1, () -> world.copiesAt.size() + " copies");
+        assertTrue(world.counter("ruled_over_fetches") > 50);
+    }
+
+    /** Whatever is out ends, its connections are closed, and nothing new goes out. */
+    @Test
+    void copiesGiveWayAtOnce() {
+        for (int cause = 0; cause < 4; cause++) {
+            ShadowWorld world = new ShadowWorld(3, ShadowWorld.Candidate.SILENT, map(100, 100));
+            world.play(3, 200, 200);
+            for (int i = 0; i < 40; i++) {
+                world.ask("mg " + String.format("%016x", i + 1) + " v Oq" + i + " Pc=read,d=900\r\n");
+                world.run(0.01);
+            }
+            int before = world.copiesAt.size();
+            assertTrue(world.copies.links() > 0);
+            switch (cause) {
+                case 0 -> world.pressed = true;
+                case 1 -> world.draining = true;
+                case 2 -> {
+                    ShadowOrders o = world.orders;
+                    world.orders = new ShadowOrders(o.map(), o.slice(), o.ring(), o.present(), o.fleet(), o.until(), false);
+                }
+                default -> {
+                    ShadowOrders o = world.orders;
+                    world.orders = new ShadowOrders(o.map(), o.slice(), o.ring(), o.present(), o.fleet(), -1, true);
+                }
+            }
+            world.run(0.06);
+            assertEquals(0, world.copies.links(), "cause " + cause);
+            world.play(4, 200, 200);
+            assertEquals(before, world.copiesAt.size(), "cause " + cause);
+        }
+    }
+
+    @Test
+    void aServerThatDrainsLosesItsCopiesAndGetsNoMore() {
+        ShadowWorld world = new ShadowWorld(3, ShadowWorld.Candidate.GOOD, map(100, 100));
+        world.play(3, 500, 200);
+        for (long id = 1; id <= 4; id++) {
+            world.servers.listed(new Api.Member(id, 0, 0, 0, Api.MemberState.DRAINING, 1, 0), new InetSocketAddress("127.0.0.1", 20_000));
+        }
+        world.run(0.06);
+        assertEquals(0, world.copies.links());
+        int before = world.copiesAt.size();
+        world.play(4, 300, 200);
+        assertEquals(before, world.copiesAt.size());
+        assertTrue(world.counter("ruled_not_fit") > 0);
+    }
+
+    @Test
+    void coldCrowdedAndFailingServersAreSpared() {
+        ServerStates states = new ServerStates(2, (now, server) -> server == 4 ? Fitness.CROWDED : Fitness.FIT);
+        Stream.of(1, 2, 3, 4).forEach(id -> states.listed(new Api.Member(id, 0, 0, 0, Api.MemberState.READY, 1, id == 1 ? 99 : 0), null));
+        assertEquals(Fitness.COLD, states.of(100, 1));
+        assertEquals(Fitness.FIT, states.of(101, 1));
+        states.ended(100, 2, Api.Outcome.FULL);
+        assertEquals(Fitness.CROWDED, states.of(100.5, 2));
+        assertEquals(Fitness.FIT, states.of(101, 2));
+        for (int i = 0; i < 3; i++) {
+            assertEquals(Fitness.FIT, states.of(100, 3));
+            states.ended(100, 3, Api.Outcome.TIMEOUT);
+        }
+        assertEquals(Fitness.OPEN, states.of(101, 3));
+        states.ended(101, 3, Api.Outcome.OK);
+        assertEquals(Fitness.FIT, states.of(101, 3));
+        assertEquals(Fitness.CROWDED, states.of(101, 4));
+        assertEquals(Fitness.ABSENT, states.of(101, 5));
+    }
+}
--- /dev/null
+++ b/router/src/test/java/stagepier/shadow/ShadowWorld.java
@@ -0,0 +1,255 @@
+package stagepier.shadow;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import stagepier.Api;
+import stagepier.Brain;
+import stagepier.exchange.Carrier;
+import stagepier.exchange.Clock;
+import stagepier.exchange.Exchange;
+import stagepier.exchange.Ids;
+import stagepier.exchange.ModuleHost;
+import stagepier.memcache.CommandParser;
+import stagepier.memcache.MalformedException;
+import stagepier.memcache.RingBuffer;
+import stagepier.overload.LoopDelay;
+import stagepier.settings.SettingsParser;
+
+/**
+ * One router with the real module in virtual time, its cache servers scripted: what a server does with a request depends on the key,
+ * the server and the attempt alone, so that a play with copies and one without can be compared request by request.
+ */
+final class ShadowWorld implements Carrier {
+    static final String SETTINGS = """
+            {"Siblings":4,"Classes":[{"Name":"read","Deadline":1,"GoalTime":0.5,"Repeat":"idempotent"},
+            {"Name":"put","Deadline":1,"Repeat":"deduplicated","DedupWindow":5}],"FamilyInfo":{"Mode":"through"},
+            "Areas":["a","b"],"Flavors":["m1"],"Obligations":{"Cold":2,"ColdFrom":0.3,"FallMultiple":4},
+            "Limits":{"MaxAttempts":3,"MayDuplicate":true,"Cancel":true,"MaxRetryAfter":1}}""";
+    static final int SERVERS = 8;
+    private static final double START = 1_000_000;
+    private static final double STEP = 0.001;
+
+    /** How servers answer copies. */
+    enum Candidate { GOOD, SLOW, WRONG, FAILS, SILENT, BREAKS, RACES }
+
+    final List<String> log = new ArrayList<>();
+    final Map<String, Long> status = new TreeMap<>();
+    final List<Double> copiesAt = new ArrayList<>();
+    final List<String> copyLines = new ArrayList<>();
+    final ServerStates servers = new ServerStates(2, (now, server) -> Fitness.FIT);
+    final List<Counts.Snapshot> told = new ArrayList<>();
+    final ModuleHost host;
+    ShadowCopies copies;
+    boolean pressed;
+    boolean draining;
+    ShadowOrders orders;
+    private final EmbeddedChannel main = new EmbeddedChannel();
+    private final EventLoop loop = main.eventLoop();
+    private final Candidate candidate;
+    private final Map<String, Integer> versions = new HashMap<>();
+    private final SettingsParser.Parsed settings = SettingsParser.parse(SETTINGS);
+    private double now = START;
+    private final Clock clock = new Clock() {
+        @Override
+        public double now() {
+            return now;
+        }
+    };
+
+    ShadowWorld(long seed, Candidate candidate, CandidateMap map) {
+        this.candidate = candidate;
+        main.freezeTime();
+        host = new ModuleHost(loop, clock, new LoopDelay(), settings);
+        host.connect(new Brain(settings.settings(), seed, host), this);
+        List<Api.Member> members = new ArrayList<>();
+        for (int i = 1; i <= SERVERS; i++) {
+            Api.Member m = new Api.Member(i, i % 2, 0, 0, Api.MemberState.READY, 1, 0);
+            members.add(m);
+            servers.listed(m, new InetSocketAddress("127.0.0.1", 20_000 + i));
+        }
+        host.members(true, members);
+        if (map != null) {
+            orders = new ShadowOrders(map, new Slice(map.salt()), ShardRing.of(map), ShardRing.of(servers.members(), false), 1,
+                    Long.MAX_VALUE / 2, true);
+            copies = new ShadowCopies(new ShadowCopies.Parts(loop, clock, this::connect, settings, 32, "shadow", new RouterState() {
+                @Override
+                public boolean isPressed() {
+                    return pressed;
+                }
+
+                @Override
+                public boolean isDraining() {
+                    return draining;
+                }
+            }, servers, () -> 0, () -> orders, told::add, (event, values) -> {
+                if (event.equals("shadow.copy")) {
+                    copiesAt.add(now);
+                }
+            }));
+            copies.start();
+            host.connectShadow(copies);
+        }
+    }
+
+    double seconds() {
+        return now - START;
+    }
+
+    Counts.Snapshot last() {
+        return told.get(told.size() - 1);
+    }
+
+    long counter(String name) {
+        return told.isEmpty() ? 0 : last().counter(name);
+    }
+
+    /** Requests at random for keys of which few are asked for often. */
+    void play(long seed, int requests, double perSecond) {
+        Random random = new Random(seed);
+        for (int i = 0; i < requests; i++) {
+            run(-Math.log(1 - random.nextDouble()) / perSecond);
+            String key = String.format("%016x", 1 + (long) (300 * random.nextDouble() * random.nextDouble()));
+            boolean write = random.nextInt(20) == 0;
+            ask(write ? "ms " + key + " 1 Or" + i + " Pc=put,d=900,k=" + i + "\r\nx\r\n" : "mg " + key + " v Or" + i + " Pc=read,d=900\r\n");
+        }
+        run(3);
+    }
+
+    void ask(String line) {
+        RingBuffer ring = new RingBuffer();
+        ring.put(line.getBytes(StandardCharsets.ISO_8859_1));
+        try {
+            host.take((x, reply) -> log.add(time() + " answer " + x.command().id() + " " + reply.kind() + " "
+                    + new String(reply.body(), StandardCharsets.ISO_8859_1)), CommandParser.next(ring), Double.POSITIVE_INFINITY);
+        } catch (MalformedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private String time() {
+        return String.format("%.3f", seconds());
+    }
+
+    void run(double seconds) {
+        double until = now + seconds;
+        while (now < until) {
+            double step = Math.min(STEP, until - now);
+            now += step;
+            main.advanceTimeBy((long) (step * 1e9), TimeUnit.NANOSECONDS);
+            main.runPendingTasks();
+            main.runScheduledPendingTasks();
+            main.checkException();
+        }
+    }
+
+    // ---- the real servers ---------------------------------------------------------------------------------
+    /** What becomes of it is drawn from what is asked alone. */
+    private static SplittableRandom draw(String id, long server, int attempt) {
+        return new SplittableRandom(id.hashCode() * 1_000_003L + server * 31 + attempt);
+    }
+
+    @Override
+    public Sending send(Exchange x, int attempt, long server, double timeout) {
+        double sentAt = now;
+        String id = x.command().id();
+        log.add(time() + " send " + id + " " + attempt + " " + server);
+        SplittableRandom draw = draw(id, server, attempt);
+        int fate = draw.nextInt(100);
+        Api.Outcome outcome = fate < 2 ? Api.Outcome.ERROR : fate < 4 ? Api.Outcome.FULL : fate < 5 ? Api.Outcome.TIMEOUT : Api.Outcome.OK;
+        double takes = outcome == Api.Outcome.TIMEOUT ? timeout : Math.min(timeout, 0.002 + 0.01 * draw.nextDouble());
+        boolean[] over = new boolean[1];
+        if (x.command().isWrite()) {
+            versions.merge(x.command().key(), 1, Integer::sum);
+        }
+        loop.schedule(() -> end(x, attempt, server, outcome, sentAt, over), (long) (takes * 1e6), TimeUnit.MICROSECONDS);
+        return () -> end(x, attempt, server, Api.Outcome.CANCELLED, sentAt, over);
+    }
+
+    private void end(Exchange x, int attempt, long server, Api.Outcome outcome, double sentAt, boolean[] over) {
+        if (!over[0]) {
+            over[0] = true;
+            log.add(time() + " end " + x.command().id() + " " + attempt + " " + server + " " + outcome);
+            String body = value(x.command().key());
+            host.ended(x, attempt, server, outcome, sentAt, Api.Lookup.HIT, body.getBytes(StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    private String value(String key) {
+        return key + "." + versions.getOrDefault(key, 0);
+    }
+
+    @Override
+    public void probe(long server) {
+    }
+
+    @Override
+    public void closeIdle(long server) {
+    }
+
+    // ---- the connections for copies -----------------------------------------------------------------------
+    private ChannelFuture connect(ChannelHandler setUp, InetSocketAddress address) {
+        long server = address.getPort() - 20_000;
+        EmbeddedChannel channel = new EmbeddedChannel(setUp);
+        hear(channel, server, 0, "");
+        return channel.newSucceededFuture();
+    }
+
+    /** Looks again and again for what was written, which may come in pieces. */
+    private void hear(EmbeddedChannel channel, long server, int heard, String begun) {
+        if (!channel.isOpen()) {
+            return;
+        }
+        StringBuilder all = new StringBuilder(begun);
+        for (ByteBuf out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+            all.append(out.toString(StandardCharsets.ISO_8859_1));
+        }
+        boolean whole = all.indexOf("\r\n") >= 0;
+        if (whole) {
+            answer(channel, server, all.toString(), heard);
+        }
+        loop.schedule(() -> hear(channel, server, whole ? heard + 1 : heard, whole ? "" : all.toString()), 100, TimeUnit.MICROSECONDS);
+    }
+
+    private void answer(EmbeddedChannel channel, long server, String line, int heard) {
+        copyLines.add(line);
+        String[] words = line.trim().split(" ");
+        String key = words[1];
+        String id = words[3].substring(1);
+        double takes = (candidate == Candidate.SLOW ? 0.03 : 0.002) + 0.01 * draw(id, server, 0).nextDouble();
+        String value = value(key);
+        boolean fromCandidate = orders.ring().owner(Ids.ofKey(key)) == server;
+        String said = switch (candidate) {
+            case WRONG -> fromCandidate ? "wrong" : value;
+            case RACES -> heard % 5 == 4 ? value + "!" : value;
+            default -> value;
+        };
+        String text = candidate == Candidate.FAILS ? "SERVER_ERROR failed\r\n" : "VA " + said.length() + " O" + id + " h1\r\n" + said + "\r\n";
+        if (candidate == Candidate.SILENT) {
+            return;
+        }
+        loop.schedule(() -> {
+            if (!channel.isOpen()) {
+                return;
+            }
+            if (candidate == Candidate.BREAKS && heard % 3 == 2) {
+                channel.close();
+            } else {
+                channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+            }
+        }, (long) (takes * 1e6), TimeUnit.MICROSECONDS);
+    }
+}
