--- a/router/src/main/java/stagepier/shadow/ShadowPart.java
+++ b/router/src/main/java/stagepier/shadow/ShadowPart.java
@@ -352,6 +352,11 @@
         return words;
     }
 
+    /** Null where nothing can be promoted. */
+    Promotion promotion() {
+        return promotion;
+    }
+
     /** What is known, for tests and the lab. */
     ShadowState state() {
         return state;
