Put the shadow's two halves together in app, and try them over sockets and threads

Need: what the router has to do to switch the shadow on is to be a few lines.

Change: app.ShadowWork makes part, copies and server states of what the fleet's work and the router have.

Measured: at one router with two stand-in caches copies of 50 keys are compared and called the same, each request has its answer, and the links for copies are closed once a drain begins.

--- /dev/null
+++ b/router/src/main/java/stagepier/app/ShadowWork.java
@@ -0,0 +1,109 @@
+package stagepier.app;
+
+import io.netty.channel.EventLoop;
+import java.util.function.ObjLongConsumer;
+import java.util.function.Supplier;
+import stagepier.Api;
+import stagepier.discovery.HostGroup;
+import stagepier.drain.Drain;
+import stagepier.exchange.Clock;
+import stagepier.exchange.ModuleHost;
+import stagepier.fleet.Calls;
+import stagepier.fleet.FleetConfig;
+import stagepier.fleet.FleetPart;
+import stagepier.fleet.FleetView;
+import stagepier.fleet.History;
+import stagepier.freeze.Calendar;
+import stagepier.overload.Pressure;
+import stagepier.server.ServerPools;
+import stagepier.settings.SettingsParser;
+import stagepier.shadow.Agreement;
+import stagepier.shadow.Fitness;
+import stagepier.shadow.RouterState;
+import stagepier.shadow.ServerStates;
+import stagepier.shadow.ShadowCopies;
+import stagepier.shadow.ShadowPart;
+import stagepier.tasks.Tasks;
+
+/**
+ * The two halves of the shadow put together: copies on the event loop, and the part beside it. Made only where {@code fleet.toml} names
+ * a candidate. All that is not said otherwise is called on the event loop.
+ */
+final class ShadowWork {
+    /** Part of the descriptors for cache servers that copies may take besides, and how many at the least and the most. */
+    private static final double LINKS_PART = 0.02;
+    private static final int LINKS_LEAST = 4;
+    private static final int LINKS_MOST = 64;
+
+    private final ShadowPart part;
+    private final ServerStates servers;
+    private final ShadowCopies copies;
+
+    /** What it has of the part of the router that the fleet's work is. */
+    record Fleet(Tasks tasks, Calls calls, FleetConfig config, Supplier<FleetView> view, Supplier<Calendar> calendar,
+            Agreement agreement, History history) {
+    }
+
+    /** What it has of the router itself. */
+    record Own(EventLoop loop, Clock clock, SettingsParser.Parsed settings, int sockets, ModuleHost host, Pressure pressure, Drain drain) {
+    }
+
+    ShadowWork(Fleet fleet, Own own) {
+        Api.Settings settings = own.settings().settings();
+        long incarnation = fleet.tasks().wall().millis();
+        servers = new ServerStates(settings.protection().warmUp(),
+                (now, server) -> own.host().spares(now, server) ? Fitness.CROWDED : Fitness.FIT);
+        part = new ShadowPart(new ShadowPart.Parts(fleet.tasks(), fleet.calls(), fleet.config(), incarnation, fleet.view(),
+                fleet.calendar(), fleet.agreement(), servers::members, settings.weights() == Api.WeightMeaning.SIZE,
+                own.settings().names().zones(), own.settings().names().kinds(), fleet.history()));
+        RouterState router = new RouterState() {
+            @Override
+            public boolean isPressed() {
+                return own.pressure().state() != Pressure.State.NORMAL;
+            }
+
+            @Override
+            public boolean isDraining() {
+                return !own.drain().isReady();
+            }
+        };
+        int links = Math.max(LINKS_LEAST, Math.min(LINKS_MOST, (int) (LINKS_PART * own.sockets())));
+        // Ids of copies differ by router and by process; clients' ids are not known to look like this.
+        String ids = "s" + Long.toHexString(fleet.config().self().hashCode() & 0xffffffffL) + Long.toHexString(incarnation) + "x";
+        copies = new ShadowCopies(new ShadowCopies.Parts(own.loop(), own.clock(),
+                ServerPools.sockets(own.loop(), settings.limits().connectTimeout()), own.settings(), links, ids, router, servers,
+                fleet.tasks()::nanoTime, part::orders, part::counted, part::promoted, own.host()::promoted, fleet.history()));
+        own.host().connectShadow(copies);
+    }
+
+    /** To be started, asked for its lines and told of files with the others. */
+    FleetPart part() {
+        return part;
+    }
+
+    void start() {
+        copies.start();
+    }
+
+    /** What discovery or staff have changed of the list, as it is taken up. */
+    void changed(HostGroup.Change change) {
+        for (HostGroup.Host h : change.hosts()) {
+            servers.listed(h.member(), h.address());
+        }
+        change.left().forEach(h -> servers.left(h.member().id()));
+    }
+
+    /** Version of the candidate, for the view; from any thread. */
+    long version() {
+        return part.version();
+    }
+
+    void count(ObjLongConsumer<String> to) {
+        to.accept("shadow_links", copies.links());
+    }
+
+    /** Gives back all links for copies. */
+    void stop() {
+        copies.stop();
+    }
+}
--- /dev/null
+++ b/router/src/test/java/stagepier/app/ShadowWorkTest.java
@@ -0,0 +1,195 @@
+package stagepier.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import stagepier.Api;
+import stagepier.Brain;
+import stagepier.discovery.HostGroup;
+import stagepier.drain.Drain;
+import stagepier.exchange.Clock;
+import stagepier.exchange.ModuleHost;
+import stagepier.fleet.Calls;
+import stagepier.fleet.FleetConfig;
+import stagepier.fleet.FleetView;
+import stagepier.fleet.Message;
+import stagepier.freeze.Calendar;
+import stagepier.memcache.CommandParser;
+import stagepier.memcache.RingBuffer;
+import stagepier.overload.LoopDelay;
+import stagepier.overload.Pressure;
+import stagepier.server.ServerPools;
+import stagepier.settings.SettingsParser;
+import stagepier.tasks.LiveTasks;
+
+/** The shadow over sockets and threads, at one router with two cache servers. */
+@Timeout(60)
+class ShadowWorkTest {
+    private static final String SETTINGS = """
+            {"Classes":[{"Name":"read","Deadline":5,"Repeat":"idempotent"}],"Areas":["a"],"Flavors":["m"],"Limits":{"MaxAttempts":3}}""";
+    private static final String CANDIDATE = """
+            version = 1
+            slice = 10000
+            classes = ["read"]
+            [budget]
+            copies_per_second = 400
+            fetches_per_second = 400
+            [[servers]]
+            name = "s-00000002"
+            """;
+
+    @TempDir
+    private Path folder;
+    private final Set<String> served = ConcurrentHashMap.newKeySet();
+
+    private static final Calls NOBODY = new Calls() {
+        @Override
+        public void answer(String part, Answerer answerer) {
+        }
+
+        @Override
+        public void start() {
+        }
+
+        @Override
+        public Message call(String member, Message message, Duration most) throws SilentException {
+            throw new SilentException("nobody is there");
+        }
+    };
+
+    @Test
+    void copiesGoToTheCandidatesOwnerAndGiveWayToADrain() throws Exception {
+        Path file = Files.writeString(folder.resolve("candidate.toml"), CANDIDATE);
+        InetSocketAddress self = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+        FleetConfig config = new FleetConfig(file, "", "n0", self, new TreeMap<>(java.util.Map.of("n0", self)), null,
+                Duration.ofSeconds(3), Duration.ofSeconds(2), file);
+        FleetView view = new FleetView("n0", 1, true, List.of());
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        LiveTasks tasks = new LiveTasks(java.time.Clock.systemUTC());
+        try (StandInCache one = new StandInCache(); StandInCache two = new StandInCache()) {
+            EventLoop loop = group.next();
+            Clock clock = new Clock();
+            SettingsParser.Parsed settings = SettingsParser.parse(SETTINGS);
+            ModuleHost host = new ModuleHost(loop, clock, new LoopDelay(), settings);
+            Drain drain = new Drain();
+            drain.started();
+            ServerPools pools = new ServerPools(loop, clock, new LoopDelay(), host, ServerPools.sockets(loop, 1), 50,
+                    settings.settings(), 0);
+            host.connect(new Brain(settings.settings(), 1, host), pools);
+            ShadowWork work = on(loop, () -> new ShadowWork(
+                    new ShadowWork.Fleet(tasks, NOBODY, config, () -> view, () -> Calendar.NONE, null, (event, values) -> { }),
+                    new ShadowWork.Own(loop, clock, settings, 400, host, new Pressure(), drain)));
+            on(loop, () -> {
+                List<HostGroup.Host> hosts = List.of(host("s-00000001", 1, one), host("s-00000002", 2, two));
+                hosts.forEach(h -> pools.ready(h.member().id(), h.address(), 0));
+                host.members(true, hosts.stream().map(HostGroup.Host::member).toList());
+                work.changed(new HostGroup.Change(true, hosts, List.of()));
+                work.start();
+                return null;
+            });
+            work.part().start();
+            await(() -> work.version() == 1);
+            int asked = 0;
+            for (long till = System.nanoTime() + TimeUnit.SECONDS.toNanos(20); count(work, "same") < 20; asked++) {
+                assertTrue(System.nanoTime() < till, () -> work.part().status().toString());
+                ask(loop, host, asked);
+            }
+            assertTrue(work.part().status().stream().anyMatch(l -> l.startsWith("shadow: candidate 1-") && l.contains(" on, ")),
+                    () -> work.part().status().toString());
+            assertEquals(asked, served.size(), "each request has its answer");
+            assertTrue(one.answered() + two.answered() > asked, "copies beside them");
+            on(loop, () -> {
+                drain.pause(clock.now());
+                return null;
+            });
+            await(() -> links(loop, work) == 0);
+            on(loop, () -> {
+                work.stop();
+                return null;
+            });
+        } finally {
+            tasks.stop();
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
+    private static HostGroup.Host host(String name, long id, StandInCache cache) {
+        return new HostGroup.Host(name, new Api.Member(id, 0, 0, 0, Api.MemberState.READY, 1, 0),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), cache.port()));
+    }
+
+    /** Sums as the lines for staff have them. */
+    private static long count(ShadowWork work, String counter) {
+        return work.part().status().stream().filter(l -> l.startsWith("shadow counts:")).flatMap(l -> List.of(l.split(" ")).stream())
+                .filter(w -> w.startsWith(counter + "=")).mapToLong(w -> Long.parseLong(w.substring(counter.length() + 1))).sum();
+    }
+
+    private void ask(EventLoop loop, ModuleHost host, int i) throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        on(loop, () -> {
+            RingBuffer ring = new RingBuffer();
+            ring.put(("mg " + String.format("%016x", 1 + i % 50) + " v Or" + i + " Pc=read,d=4000\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            host.take((x, reply) -> {
+                if (new String(reply.body(), StandardCharsets.ISO_8859_1).equals("hi")) {
+                    served.add(x.command().id());
+                }
+                answered.countDown();
+            }, CommandParser.next(ring), Double.POSITIVE_INFINITY);
+            return null;
+        });
+        assertTrue(answered.await(5, TimeUnit.SECONDS));
+    }
+
+    private static int links(EventLoop loop, ShadowWork work) {
+        int[] links = new int[1];
+        try {
+            on(loop, () -> {
+                work.count((name, n) -> links[0] = (int) n);
+                return null;
+            });
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+        return links[0];
+    }
+
+    private static void await(BooleanSupplier what) throws InterruptedException {
+        for (int i = 0; !what.getAsBoolean(); i++) {
+            assertTrue(i < 2000, "it did not come to that");
+            Thread.sleep(5);
+        }
+    }
+
+    private static <T> T on(EventLoop loop, java.util.concurrent.Callable<T> what) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                done.complete(what.call());
+            } catch (Exception e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get(10, TimeUnit.SECONDS);
+    }
+}
