--- a/router/src/main/java/stagepier/app/ShadowWork.java
+++ b/router/src/main/java/stagepier/app/ShadowWork.java
@@ -26,8 +26,8 @@
 import stagepier.tasks.Tasks;
 
 /**
- * The two halves of the shadow put together: copies on the event loop, and the part beside it. Made only where {@code fleet.toml} names
- * a candidate. All that is not said otherwise is called on the event loop.
+ * The two halves of the shadow put together: copies on the event loop, and the part beside it. Made only where {@code fleet.toml}
+ * names a candidate. All that is not said otherwise is called on the event loop.
  */
 final class ShadowWork {
     /** Part of the descriptors for cache servers that copies may take besides, and how many at the least and the most. */
@@ -45,7 +45,8 @@
     }
 
     /** What it has of the router itself. */
-    record Own(EventLoop loop, Clock clock, SettingsParser.Parsed settings, int sockets, ModuleHost host, Pressure pressure, Drain drain) {
+    record Own(EventLoop loop, Clock clock, SettingsParser.Parsed settings, int sockets, ModuleHost host, Pressure pressure,
+            Drain drain) {
     }
 
     ShadowWork(Fleet fleet, Own own) {
--- a/router/src/main/java/stagepier/exchange/ShadowTap.java
+++ b/router/src/main/java/stagepier/exchange/ShadowTap.java
@@ -3,8 +3,8 @@
 import stagepier.Api;
 
 /**
- * Is told of the real requests, so that something can be tried beside them. Changes nothing of them and never throws: {@link ModuleHost}
- * calls it in the middle of its own work, on the event loop.
+ * Is told of the real requests, so that something can be tried beside them. Changes nothing of them and never throws:
+ * {@link ModuleHost} calls it in the middle of its own work, on the event loop.
  */
 public interface ShadowTap {
     /** An execution was given to its server's links; whether it has gone out, {@link Exchange#sending} tells. */
@@ -16,7 +16,8 @@
      * @param served  the answer; null where there is none
      * @param elapsed seconds since it was sent, with what this router was late by
      */
-    void ended(Exchange x, int attempt, long server, Api.Outcome outcome, Api.Lookup lookup, Reply served, double elapsed, double now);
+    void ended(Exchange x, int attempt, long server, Api.Outcome outcome, Api.Lookup lookup, Reply served, double elapsed,
+            double now);
 
     /** The final answer of the request is given. */
     void answered(Exchange x, Reply reply, double now);
--- a/router/src/main/java/stagepier/shadow/CandidateFile.java
+++ b/router/src/main/java/stagepier/shadow/CandidateFile.java
@@ -79,8 +79,8 @@
         promotion.end();
         TreeMap<String, Double> servers = servers(root);
         root.end();
-        CandidateMap map = new CandidateMap(version, salt, nodes, servers, classes, prefixes, slice, copies, fetches, margin, steps,
-                stepSeconds, backSeconds);
+        CandidateMap map = new CandidateMap(version, salt, nodes, servers, classes, prefixes, slice, copies, fetches, margin,
+                steps, stepSeconds, backSeconds);
         return new Read(map, wish.isEmpty() ? Wish.TRY : Wish.valueOf(wish.toUpperCase(Locale.ROOT)));
     }
 
--- a/router/src/main/java/stagepier/shadow/CandidateTable.java
+++ b/router/src/main/java/stagepier/shadow/CandidateTable.java
@@ -9,8 +9,8 @@
 import org.tomlj.TomlTable;
 
 /**
- * A table of {@code candidate.toml} that is read key by key. What is wrong is noted with file, line and key, and reading goes on, so
- * that all of it is told at once.
+ * A table of {@code candidate.toml} that is read key by key. What is wrong is noted with file, line and key, and reading goes on,
+ * so that all of it is told at once.
  */
 final class CandidateTable {
     private final String file;
--- a/router/src/main/java/stagepier/shadow/Comparison.java
+++ b/router/src/main/java/stagepier/shadow/Comparison.java
@@ -56,8 +56,8 @@
     }
 
     /**
-     * How the copy fared against the real answer: the logarithm of the ratio of their times, above 0 where the copy was slower, within
-     * {@link #RATIO_MOST}; a failure counts as the most. NaN where the two say nothing about the map.
+     * How the copy fared against the real answer: the logarithm of the ratio of their times, above 0 where the copy was slower,
+     * within {@link #RATIO_MOST}; a failure counts as the most. NaN where the two say nothing about the map.
      *
      * @param steady the copy went out on a connection that had served before
      */
@@ -65,7 +65,8 @@
         return switch (result) {
             case ERROR, TIMEOUT, TURNED_AWAY -> RATIO_MOST;
             case REAL_FAILED -> real.outcome() == Api.Outcome.CANCELLED ? Double.NaN : -RATIO_MOST;
-            case SAME, OLDER, NEWER -> real.alone() && copy.alone() && steady ? ratio(copy.elapsed(), real.elapsed()) : Double.NaN;
+            case SAME, OLDER, NEWER -> real.alone() && copy.alone() && steady ? ratio(copy.elapsed(), real.elapsed())
+                    : Double.NaN;
             default -> Double.NaN;
         };
     }
--- a/router/src/main/java/stagepier/shadow/Counts.java
+++ b/router/src/main/java/stagepier/shadow/Counts.java
@@ -6,8 +6,8 @@
 import org.HdrHistogram.IntCountsHistogram;
 
 /**
- * What this process has counted of one candidate map since it began. Owned by the event loop; what others read is a snapshot, which
- * holds all so far, so that one that is lost is made good by the next.
+ * What this process has counted of one candidate map since it began. Owned by the event loop; what others read is a snapshot,
+ * which holds all so far, so that one that is lost is made good by the next.
  */
 public final class Counts {
     /** In microseconds; 10 s and more fall together. */
@@ -60,7 +60,8 @@
     }
 
     /** All that was counted up to a moment. Nobody changes it any more. */
-    public record Snapshot(String map, long sequence, SortedMap<String, Long> counters, SortedMap<String, IntCountsHistogram> times) {
+    public record Snapshot(String map, long sequence, SortedMap<String, Long> counters,
+            SortedMap<String, IntCountsHistogram> times) {
         long counter(String name) {
             return counters.getOrDefault(name, 0L);
         }
--- a/router/src/main/java/stagepier/shadow/Lease.java
+++ b/router/src/main/java/stagepier/shadow/Lease.java
@@ -6,10 +6,11 @@
 import java.util.Set;
 
 /**
- * Until when this router may go on without hearing that the shadow was stopped. For each other router it keeps as of when it knows
- * what that one knew: when a call began to which it replied, and, passed on, what the one that replied knew of a third. Whoever knows
- * what a majority knew a moment ago would know of a stop that a majority had been told of. A process that has started and not yet heard
- * a majority may have forgotten a stop that it was told of: nobody relies on what it says. Pure; times in nanoseconds of {@code Tasks}.
+ * Until when this router may go on without hearing that the shadow was stopped. For each other router it keeps as of when it
+ * knows what that one knew: when a call began to which it replied, and, passed on, what the one that replied knew of a third.
+ * Whoever knows what a majority knew a moment ago would know of a stop that a majority had been told of. A process that has
+ * started and not yet heard a majority may have forgotten a stop that it was told of: nobody relies on what it says. Pure; times
+ * in nanoseconds of {@code Tasks}.
  */
 final class Lease {
     private final String self;
--- a/router/src/main/java/stagepier/shadow/MergedCounts.java
+++ b/router/src/main/java/stagepier/shadow/MergedCounts.java
@@ -11,8 +11,8 @@
 
 /**
  * The counts of all routers that were heard, one entry for each process: a state-based, grow-only counter (Shapiro, Preguiça,
- * Baquero and Zawirski, <i>Conflict-free replicated data types</i>, 2011). Each entry has one writer and a sequence, and of two the
- * higher sequence stays, so that what is heard twice, late, or from somebody else changes nothing. Not shared between tasks.
+ * Baquero and Zawirski, <i>Conflict-free replicated data types</i>, 2011). Each entry has one writer and a sequence, and of two
+ * the higher sequence stays, so that what is heard twice, late, or from somebody else changes nothing. Not shared between tasks.
  */
 final class MergedCounts {
     /** Processes of one router that are remembered. Guards against memory that grows with every restart. */
--- a/router/src/main/java/stagepier/shadow/Pace.java
+++ b/router/src/main/java/stagepier/shadow/Pace.java
@@ -1,12 +1,12 @@
 package stagepier.shadow;
 
 /**
- * This router's share of a budget that is counted over the fleet: budget by configured routers, whoever is up, so that each side of a
- * partition stays within its own routers' share. A token bucket that holds one token and is empty at the start.
+ * This router's share of a budget that is counted over the fleet: budget by configured routers, whoever is up, so that each side
+ * of a partition stays within its own routers' share. A token bucket that holds one token and is empty at the start.
  *
- * <p>In any time of {@code T} seconds at most {@code rate * T + 1} are spent. The rate is the share less one a second, and half of the
- * share where that is more: within the share over any second where the share is 2 or more, otherwise over any {@code 2 / share}
- * seconds. Free of I/O and clock; times in seconds.
+ * <p>In any time of {@code T} seconds at most {@code rate * T + 1} are spent. The rate is the share less one a second, and half
+ * of the share where that is more: within the share over any second where the share is 2 or more, otherwise over any {@code 2 /
+ * share} seconds. Free of I/O and clock; times in seconds.
  */
 public final class Pace {
     private final double rate;
--- a/router/src/main/java/stagepier/shadow/Promotion.java
+++ b/router/src/main/java/stagepier/shadow/Promotion.java
@@ -59,7 +59,8 @@
         if (frozen != null) {
             return "not promoted: " + frozen;
         }
-        return agreement.propose(TOPIC, wanted.text(), AGREED_WITHIN) ? "promotion agreed, first step in " + lead.toSeconds() + " s"
+        return agreement.propose(TOPIC, wanted.text(), AGREED_WITHIN)
+                ? "promotion agreed, first step in " + lead.toSeconds() + " s"
                 : "promotion not agreed in time; it may yet be";
     }
 
@@ -128,7 +129,7 @@
         }
         String stragglers = view.get().members().stream().filter(m -> m.counts() && m.facts().candidate() != map.version())
                 .map(FleetView.Member::name).reduce((a, b) -> a + " " + b).orElse("none");
-        return "promotion: candidate " + map.id() + (plan.isBack() ? " rolled back" : "") + ", serves " + share() + " of 10000, due "
-                + plan.share(tasks.wall().millis()) + ", stragglers " + stragglers;
+        return "promotion: candidate " + map.id() + (plan.isBack() ? " rolled back" : "") + ", serves " + share()
+                + " of 10000, due " + plan.share(tasks.wall().millis()) + ", stragglers " + stragglers;
     }
 }
--- a/router/src/main/java/stagepier/shadow/PromotionPlan.java
+++ b/router/src/main/java/stagepier/shadow/PromotionPlan.java
@@ -7,10 +7,10 @@
 import java.util.List;
 
 /**
- * By when which part of the keys is served by the candidate: agreed by a majority, and from there on a function of time alone, so that
- * routers whose clocks are alike serve alike. A key goes over when the share passes its place in {@link Slice}, and never back but by
- * a rollback: two routers whose clocks differ by no more than the stated skew differ only in the keys of one step, and only within
- * that skew of its moment. Pure; times in milliseconds of the wall clock.
+ * By when which part of the keys is served by the candidate: agreed by a majority, and from there on a function of time alone, so
+ * that routers whose clocks are alike serve alike. A key goes over when the share passes its place in {@link Slice}, and never
+ * back but by a rollback: two routers whose clocks differ by no more than the stated skew differ only in the keys of one step,
+ * and only within that skew of its moment. Pure; times in milliseconds of the wall clock.
  *
  * @param map    canonical text of the candidate
  * @param start  share before the first step, in parts per ten thousand
--- a/router/src/main/java/stagepier/shadow/RouterCounts.java
+++ b/router/src/main/java/stagepier/shadow/RouterCounts.java
@@ -9,8 +9,8 @@
 import org.HdrHistogram.IntCountsHistogram;
 
 /**
- * What one process of one router has counted, as it travels. Written by that process alone: of two, the one of the higher sequence
- * holds all that the other holds.
+ * What one process of one router has counted, as it travels. Written by that process alone: of two, the one of the higher
+ * sequence holds all that the other holds.
  *
  * @param router      its name
  * @param incarnation of the process
--- a/router/src/main/java/stagepier/shadow/SecondLook.java
+++ b/router/src/main/java/stagepier/shadow/SecondLook.java
@@ -3,9 +3,9 @@
 import java.util.function.Consumer;
 
 /**
- * Asks once more where a copy's value differs and nothing explains it: first the real owner, then the candidate's, both by links for
- * copies and within the budget. Only where both stand by their values is the candidate wrong: a write may have come in between. One at
- * a time. On the event loop.
+ * Asks once more where a copy's value differs and nothing explains it: first the real owner, then the candidate's, both by links
+ * for copies and within the budget. Only where both stand by their values is the candidate wrong: a write may have come in
+ * between. One at a time. On the event loop.
  */
 final class SecondLook {
     /** What it is made with. */
--- a/router/src/main/java/stagepier/shadow/ServerStates.java
+++ b/router/src/main/java/stagepier/shadow/ServerStates.java
@@ -7,8 +7,8 @@
 import stagepier.Api;
 
 /**
- * The cache servers as the list has them, and how the real executions at them end: what tells whether a copy may go there. Owned by the
- * event loop; others read {@link #members}. Times in seconds.
+ * The cache servers as the list has them, and how the real executions at them end: what tells whether a copy may go there. Owned
+ * by the event loop; others read {@link #members}. Times in seconds.
  */
 public final class ServerStates {
     /** Seconds after a 'full' in which a server counts as crowded. */
@@ -61,7 +61,8 @@
     }
 
     private void publish() {
-        members = servers.values().stream().map(s -> s.member).sorted(java.util.Comparator.comparingLong(Api.Member::id)).toList();
+        members = servers.values().stream().map(s -> s.member)
+                .sorted(java.util.Comparator.comparingLong(Api.Member::id)).toList();
     }
 
     /** All on the list; from any thread. */
--- a/router/src/main/java/stagepier/shadow/ShadowCopies.java
+++ b/router/src/main/java/stagepier/shadow/ShadowCopies.java
@@ -48,8 +48,8 @@
      * @param promoted   the ring that has part of the keys; null for none
      * @param promote    gives that to the module
      */
-    public record Parts(EventLoop loop, Clock clock, Connector connector, SettingsParser.Parsed settings, int linksMost, String ids,
-            RouterState router, ServerStates servers, LongSupplier nanoTime, Supplier<ShadowOrders> orders,
+    public record Parts(EventLoop loop, Clock clock, Connector connector, SettingsParser.Parsed settings, int linksMost,
+            String ids, RouterState router, ServerStates servers, LongSupplier nanoTime, Supplier<ShadowOrders> orders,
             Predicate<Counts.Snapshot> tell, Supplier<Api.Promoted> promoted, Consumer<Api.Promoted> promote, History history) {
     }
 
@@ -248,7 +248,10 @@
         return ruling;
     }
 
-    /** Requests by zone and kind, as they are and as the candidate would have them: with {@link Spread}, the load that is foretold. */
+    /**
+     * Requests by zone and kind, as they are and as the candidate would have them: with {@link Spread}, the load that is
+     * foretold.
+     */
     private void load(long server, String when) {
         Api.Member member = parts.servers().member(server);
         if (member != null) {
--- a/router/src/main/java/stagepier/shadow/ShadowLink.java
+++ b/router/src/main/java/stagepier/shadow/ShadowLink.java
@@ -9,8 +9,8 @@
 import stagepier.overload.SharedRoom;
 
 /**
- * A connection to a cache server for copies alone: one copy at a time, so that its time is the server's own. Shares nothing with the
- * connections of real requests.
+ * A connection to a cache server for copies alone: one copy at a time, so that its time is the server's own. Shares nothing with
+ * the connections of real requests.
  */
 final class ShadowLink extends Link {
     /** What the link tells its owner. */
--- a/router/src/main/java/stagepier/shadow/ShadowPart.java
+++ b/router/src/main/java/stagepier/shadow/ShadowPart.java
@@ -23,9 +23,9 @@
 import stagepier.tasks.Tasks;
 
 /**
- * The shadow beside the event loop: takes the candidate from its file or from other routers, merges counts, says what the verdict is,
- * stops a wrong candidate in the whole fleet, and has a good one promoted. One task talks to a random member four times a second, one
- * takes what the loop has counted.
+ * The shadow beside the event loop: takes the candidate from its file or from other routers, merges counts, says what the verdict
+ * is, stops a wrong candidate in the whole fleet, and has a good one promoted. One task talks to a random member four times a
+ * second, one takes what the loop has counted.
  */
 public final class ShadowPart implements FleetPart {
     private static final Logger LOG = LoggerFactory.getLogger(ShadowPart.class);
@@ -52,8 +52,8 @@
      * @param kinds       their names, by index
      */
     public record Parts(Tasks tasks, Calls calls, FleetConfig config, long incarnation, Supplier<FleetView> view,
-            Supplier<Calendar> calendar, Agreement agreement, Supplier<List<Api.Member>> members, boolean sizes, List<String> zones,
-            List<String> kinds, History history) {
+            Supplier<Calendar> calendar, Agreement agreement, Supplier<List<Api.Member>> members, boolean sizes,
+            List<String> zones, List<String> kinds, History history) {
     }
 
     private final Parts parts;
@@ -161,7 +161,8 @@
         }
         if (promotion != null && read.wish() != CandidateFile.Wish.TRY) {
             wish = read.wish() == CandidateFile.Wish.PROMOTE
-                    ? promotion.promote(read.map(), state.verdict(parts.view().get().majority()), state.stopped()) : promotion.back();
+                    ? promotion.promote(read.map(), state.verdict(parts.view().get().majority()), state.stopped())
+                    : promotion.back();
             LOG.info("{}", wish);
             parts.history().write("promotion.asked", "wish", read.wish().name(), "what", wish);
         }
@@ -371,8 +372,8 @@
                     LOG.warn("times of {} cannot be read: {}", c.router(), e.getMessage());
                 }
             }
-            words.add("shadow times of " + which + ": n " + h.getTotalCount() + ", p50 " + h.getValueAtPercentile(50) + " us, p99 "
-                    + h.getValueAtPercentile(99) + " us");
+            words.add("shadow times of " + which + ": n " + h.getTotalCount() + ", p50 " + h.getValueAtPercentile(50)
+                    + " us, p99 " + h.getValueAtPercentile(99) + " us");
         });
         return words;
     }
--- a/router/src/main/java/stagepier/shadow/ShadowState.java
+++ b/router/src/main/java/stagepier/shadow/ShadowState.java
@@ -6,8 +6,8 @@
 import stagepier.fleet.Message;
 
 /**
- * What one router knows of the shadow: the candidate, whether it was stopped, all counts heard, and the lease. Tasks share it; it waits
- * for nobody. Nothing here reads a clock.
+ * What one router knows of the shadow: the candidate, whether it was stopped, all counts heard, and the lease. Tasks share it; it
+ * waits for nobody. Nothing here reads a clock.
  */
 final class ShadowState {
     private final String self;
@@ -61,7 +61,8 @@
     }
 
     private boolean take(RouterCounts heard) {
-        return merged.take(heard) && heard.counter(Result.WRONG.counter()) > 0 && stop("wrong answers, seen by " + heard.router());
+        return merged.take(heard) && heard.counter(Result.WRONG.counter()) > 0 && stop("wrong answers, seen by "
+                + heard.router());
     }
 
     private boolean stop(String why) {
@@ -79,9 +80,9 @@
             throw new Message.MalformedException("an ask without a map or what is known");
         }
         boolean same = ask.map().equals(id);
-        return new Talk.Known(id, map == null ? 0 : map.version(), same || map == null || ask.version() > map.version() ? "" : map.text(),
-                stopped, lease.hasCaughtUp(), lease.ages(now), merged.known(),
-                same ? merged.lackedBy(ask.knows(), Talk.COUNTS_MOST) : List.of());
+        boolean knowsMap = same || map == null || ask.version() > map.version();
+        return new Talk.Known(id, map == null ? 0 : map.version(), knowsMap ? "" : map.text(), stopped,
+                lease.hasCaughtUp(), lease.ages(now), merged.known(), same ? merged.lackedBy(ask.knows(), Talk.COUNTS_MOST) : List.of());
     }
 
     /** Takes the reply of a member; returns whether that has stopped the candidate just now. */
@@ -164,7 +165,8 @@
         }
         long scores = merged.sum(Counts.SCORES);
         boolean heard = majority && merged.routersWith(Counts.SCORES) > fleet / 2;
-        return Verdict.of(scores, merged.sum(Counts.SCORE_SUM) / Counts.SCORE_UNIT, merged.sum(Counts.SCORE_SQUARES) / Counts.SCORE_UNIT,
+        return Verdict.of(scores, merged.sum(Counts.SCORE_SUM) / Counts.SCORE_UNIT,
+                merged.sum(Counts.SCORE_SQUARES) / Counts.SCORE_UNIT,
                 Math.log1p(map.margin()), heard);
     }
 
--- a/router/src/main/java/stagepier/shadow/Spread.java
+++ b/router/src/main/java/stagepier/shadow/Spread.java
@@ -11,8 +11,8 @@
 import stagepier.Api;
 
 /**
- * What a candidate would change, foretold from the two rings alone: keys that move, and parts of all keys by server, zone and kind.
- * By a sample of keys, the same at all routers: parts are within some 0.3% of the whole. Pure.
+ * What a candidate would change, foretold from the two rings alone: keys that move, and parts of all keys by server, zone and
+ * kind. By a sample of keys, the same at all routers: parts are within some 0.3% of the whole. Pure.
  *
  * @param moved    part of the keys that change their owner
  * @param present  part of the keys by server
@@ -54,7 +54,8 @@
 
     /** For staff. */
     public String words(List<Api.Member> members, List<String> zones, List<String> kinds) {
-        return String.format(Locale.ROOT, "keys moved %.1f%%, largest server %.2f -> %.2f of the mean, zones %s, kinds %s", 100 * moved,
+        return String.format(Locale.ROOT, "keys moved %.1f%%, largest server %.2f -> %.2f of the mean, zones %s, kinds %s",
+                100 * moved,
                 largest(present), largest(foretold), change(members, m -> name(zones, m.zone())),
                 change(members, m -> name(kinds, m.kind())));
     }
--- a/router/src/main/java/stagepier/shadow/StepGate.java
+++ b/router/src/main/java/stagepier/shadow/StepGate.java
@@ -5,9 +5,10 @@
 import stagepier.freeze.Change;
 
 /**
- * The share of keys that this router lets the candidate serve: that of the plan, but no step up is taken while the calendar is not open;
- * it is made good once it is, and a
- * wall clock that is set back takes no key back. Steps down always pass: a rollback goes to what was there before. Not shared between tasks.
+ * The share of keys that this router lets the candidate serve: that of the plan, but no step up is taken while the calendar is
+ * not open; it is made good once it is, and a
+ * wall clock that is set back takes no key back. Steps down always pass: a rollback goes to what was there before. Not shared
+ * between tasks.
  */
 final class StepGate {
     private static final Change PROMOTE = new Change(Change.Kind.PROMOTE, "", "");
--- a/router/src/main/java/stagepier/shadow/Verdict.java
+++ b/router/src/main/java/stagepier/shadow/Verdict.java
@@ -3,15 +3,15 @@
 import java.util.Locale;
 
 /**
- * What the fleet thinks of a candidate: a confidence interval for the mean score of {@link Comparison#score}, good at all times at
- * once, so that it may be looked at whenever one likes.
+ * What the fleet thinks of a candidate: a confidence interval for the mean score of {@link Comparison#score}, good at all times
+ * at once, so that it may be looked at whenever one likes.
  *
  * <p>The interval is that of Robbins' normal mixture (Robbins, <i>Statistical methods related to the law of the iterated
  * logarithm</i>, 1970) with the variance seen in place of the true one (Waudby-Smith, Arbour, Sinha, Kennedy and Ramdas,
- * <i>Time-uniform central limit theory and asymptotic confidence sequences</i>, 2021, theorem 2.2; the test that goes with it is the
- * mixture sequential test of Johari, Pekelis and Walsh, <i>Always valid inference</i>, 2015). The chance that an equal candidate is
- * ever called better or worse is at most {@link #ERROR}. For few scores the variance seen says little: no word before
- * {@link #LEAST} of them.
+ * <i>Time-uniform central limit theory and asymptotic confidence sequences</i>, 2021, theorem 2.2; the test that goes with it is
+ * the mixture sequential test of Johari, Pekelis and Walsh, <i>Always valid inference</i>, 2015). The chance that an equal
+ * candidate is ever called better or worse is at most {@link #ERROR}. For few scores the variance seen says little: no word
+ * before {@link #LEAST} of them.
  *
  * @param copies scores that it rests on
  * @param mean   of the scores: above 0 for a candidate that is slower
@@ -38,7 +38,8 @@
     private static final double RHO_SQUARED = (-2 * Math.log(ERROR) + Math.log(-2 * Math.log(ERROR) + 1)) / BEST_AT;
 
     /**
-     * @param heard  routers whose scores are in the sums are a majority of the configured ones, and so are those that hear each other
+     * @param heard  routers whose scores are in the sums are a majority of the configured ones, and so are those that hear each
+     *               other
      * @param margin mean, on either side of 0, within which a candidate is no different
      */
     public static Verdict of(long copies, double sum, double squares, double margin, boolean heard) {
@@ -48,7 +49,7 @@
         double mean = sum / copies;
         double variance = Math.max(1e-9, (squares - sum * mean) / (copies - 1));
         double grown = copies * RHO_SQUARED + 1;
-        double half = Math.sqrt(variance * 2 * grown / (copies * (double) copies * RHO_SQUARED) * Math.log(Math.sqrt(grown) / ERROR));
+        double half = Math.sqrt(2 * variance * grown / RHO_SQUARED * Math.log(Math.sqrt(grown) / ERROR)) / copies;
         Kind kind = heard && copies >= LEAST ? kind(mean - half, mean + half, margin) : Kind.NOT_ENOUGH;
         return new Verdict(kind, copies, mean, mean - half, mean + half);
     }
