Write down copies and real ends as the checker reads them, and keep each second within a small share

Need: the lab's checker reads shadow.copy, shadow.real, shadow.counters and shadow.promoted, and counts copies in any second.

Change: a share of 1.43 a second now lets one copy go each 1.05 s, where two could fall into a second before.

Measured: at 14 routers and 20 a second no second has more than 14 of them.

--- a/router/src/main/java/stagepier/app/ShadowWork.java
+++ b/router/src/main/java/stagepier/app/ShadowWork.java
@@ -39,8 +39,12 @@
     private final ServerStates servers;
     private final ShadowCopies copies;
 
-    /** What it has of the part of the router that the fleet's work is. */
-    record Fleet(Tasks tasks, Calls calls, FleetConfig config, Supplier<FleetView> view, Supplier<Calendar> calendar,
+    /**
+     * What it has of the part of the router that the fleet's work is.
+     *
+     * @param incarnation of this process, as its histories have it: above 0, and never that of another one of its name
+     */
+    record Fleet(Tasks tasks, Calls calls, FleetConfig config, long incarnation, Supplier<FleetView> view, Supplier<Calendar> calendar,
             Agreement agreement, History history) {
     }
 
@@ -51,10 +55,9 @@
 
     ShadowWork(Fleet fleet, Own own) {
         Api.Settings settings = own.settings().settings();
-        long incarnation = fleet.tasks().wall().millis();
         servers = new ServerStates(settings.protection().warmUp(),
                 (now, server) -> own.host().spares(now, server) ? Fitness.CROWDED : Fitness.FIT);
-        part = new ShadowPart(new ShadowPart.Parts(fleet.tasks(), fleet.calls(), fleet.config(), incarnation, fleet.view(),
+        part = new ShadowPart(new ShadowPart.Parts(fleet.tasks(), fleet.calls(), fleet.config(), fleet.incarnation(), fleet.view(),
                 fleet.calendar(), fleet.agreement(), servers::members, settings.weights() == Api.WeightMeaning.SIZE,
                 own.settings().names().zones(), own.settings().names().kinds(), fleet.history()));
         RouterState router = new RouterState() {
@@ -70,7 +73,7 @@
         };
         int links = Math.max(LINKS_LEAST, Math.min(LINKS_MOST, (int) (LINKS_PART * own.sockets())));
         // Ids of copies differ by router and by process; clients' ids are not known to look like this.
-        String ids = "s" + Long.toHexString(fleet.config().self().hashCode() & 0xffffffffL) + Long.toHexString(incarnation) + "x";
+        String ids = "s" + Long.toHexString(fleet.config().self().hashCode() & 0xffffffffL) + Long.toHexString(fleet.incarnation()) + "x";
         copies = new ShadowCopies(new ShadowCopies.Parts(own.loop(), own.clock(),
                 ServerPools.sockets(own.loop(), settings.limits().connectTimeout()), own.settings(), links, ids, router, servers,
                 fleet.tasks()::nanoTime, part::orders, part::counted, part::promoted, own.host()::promoted, fleet.history()));
--- a/router/src/main/java/stagepier/shadow/Pace.java
+++ b/router/src/main/java/stagepier/shadow/Pace.java
@@ -4,11 +4,13 @@
  * This router's share of a budget that is counted over the fleet: budget by configured routers, whoever is up, so that each side
  * of a partition stays within its own routers' share. A token bucket that holds one token and is empty at the start.
  *
- * <p>In any time of {@code T} seconds at most {@code rate * T + 1} are spent. The rate is the share less one a second, and half
- * of the share where that is more: within the share over any second where the share is 2 or more, otherwise over any {@code 2 /
- * share} seconds. Free of I/O and clock; times in seconds.
+ * <p>Two are never closer than one by the rate. The rate is the whole number in the share where that is 1 or more: in any second no
+ * more than the share are spent. Below 1 it is the share: no more than one in any {@code 1 / share} seconds. In both cases a twentieth
+ * less, so that it also holds for who sees it by another clock. Free of I/O and clock; times in seconds.
  */
 public final class Pace {
+    private static final double MARGIN = 0.95;
+
     private final double rate;
     private double tokens;
     private double at = Double.NaN;
@@ -16,7 +18,7 @@
     /** @param fleet number of configured routers */
     public Pace(double budget, int fleet) {
         double share = budget / fleet;
-        rate = Math.max(share - 1, share / 2);
+        rate = MARGIN * (share >= 1 ? Math.floor(share) : share);
     }
 
     private void refill(double now) {
--- a/router/src/main/java/stagepier/shadow/Promotion.java
+++ b/router/src/main/java/stagepier/shadow/Promotion.java
@@ -26,7 +26,7 @@
     private Agreement.Accepted read;
     private PromotionPlan plan;
     private CandidateMap map;
-    private int told = -1;
+    private int told;
 
     /** @param lead from the agreement to the first step: the time in which all hear of it, with what clocks may differ by */
     Promotion(Tasks tasks, Agreement agreement, Supplier<Calendar> calendar, Supplier<FleetView> view, Duration lead,
@@ -116,8 +116,8 @@
         int share = gate.look(plan(), calendar.get(), tasks.wall().instant(), tasks.nanoTime());
         if (share != told) {
             told = share;
-            history.write("promotion.share", "share", share, "calendar", calendar.get().version(),
-                    "agreed", read == null ? 0 : read.version());
+            history.write("shadow.promoted", "version", map.version(), "share", share, "rollback", String.valueOf(plan.isBack()), "calendar",
+                    calendar.get().version());
         }
         return share;
     }
--- a/router/src/main/java/stagepier/shadow/ShadowCopies.java
+++ b/router/src/main/java/stagepier/shadow/ShadowCopies.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -62,6 +63,7 @@
         private boolean first;
         private long candidate;
         private boolean copied;
+        private int attempts = 1;
         private Seen seen;
         private Seen copy;
 
@@ -76,6 +78,15 @@
     private final Parts parts;
     private final ShadowLinks links;
     private final Map<Long, Pair> pairs = new HashMap<>();
+    /** Requests that were copied and have no answer yet: for the history. Those whose client left fall out. */
+    private final Map<Long, Pair> copied = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Pair> eldest) {
+            return size() > PAIRS_MOST;
+        }
+    };
     private ShadowOrders orders;
     private ShadowRules rules;
     private KeyMemory memory;
@@ -107,6 +118,10 @@
     // ---- what is heard of the real requests --------------------------------------------------------------
     @Override
     public void sent(Exchange x, int attempt, long server, double now) {
+        Pair p = copied.get(x.id());
+        if (p != null) {
+            p.attempts = attempt + 1;
+        }
         if (attempt == 0 && !broken) {
             guarded(() -> look(x, server));
         }
@@ -131,6 +146,11 @@
 
     @Override
     public void answered(Exchange x, Reply reply, double now) {
+        Pair p = copied.remove(x.id());
+        if (p != null) {
+            guarded(() -> parts.history().write("shadow.real", "id", x.command().id(), "server", Long.toString(p.server), "attempts",
+                    p.attempts, "answer", reply.kind().name() + " " + Long.toHexString(Seen.checksum(reply.body()))));
+        }
         if (!broken && reply.kind() == Reply.Kind.THROTTLE && rules != null) {
             guarded(() -> {
                 rules.refused(now);
@@ -240,6 +260,10 @@
         ruling = link == null ? Ruling.NO_LINK : rules.afford(now, p.first);
         if (ruling == Ruling.COPY) {
             p.copied = true;
+            String real = p.real.command().id();
+            parts.history().write("shadow.copy", "map", id, "id", real, "key", p.real.command().key(), "server",
+                    Long.toString(p.candidate));
+            copied.put(p.real.id(), p);
             send(link, p.real.command(), left, seen -> {
                 p.copy = seen;
                 complete(p);
@@ -268,7 +292,6 @@
     private void send(ShadowLink link, Command command, double left, Consumer<Seen> done) {
         String copyId = parts.ids() + Long.toHexString(++lastId);
         counts.add("copies", 1);
-        parts.history().write("shadow.copy", "map", id, "server", link.server(), "id", copyId);
         links.ask(link, new ShadowAsk(copyId, command, left, seen -> guarded(() -> done.accept(seen))));
     }
 
@@ -324,6 +347,7 @@
             return false;
         }
         int index = parts.settings().names().classes().indexOf(command.attribute("c"));
+        parts.history().write("shadow.copy", "map", id, "id", "", "key", command.key(), "server", Long.toString(server));
         send(link, command, parts.settings().settings().classes().get(index).deadline(), done);
         return true;
     }
--- a/router/src/main/java/stagepier/shadow/ShadowPart.java
+++ b/router/src/main/java/stagepier/shadow/ShadowPart.java
@@ -195,10 +195,25 @@
             order();
             if (turn % LINES_EVERY == 0) {
                 lines = lines();
+                tellHistory();
             }
         }
     }
 
+    /** What this router has merged, for whoever checks it against what was sent. */
+    private void tellHistory() {
+        List<String> counts = new ArrayList<>();
+        long total = 0;
+        for (RouterCounts c : state.counts()) {
+            counts.add(c.router() + ":" + c.incarnation() + ":" + c.counter("copies"));
+            total += c.counter("copies");
+        }
+        if (!counts.isEmpty()) {
+            parts.history().write("shadow.counters", "map", state.id(), "epoch", parts.view().get().epoch(), "counts", counts,
+                    "total", total);
+        }
+    }
+
     private String other(int turn) {
         List<String> others = others();
         if (turn % ANYONE != 0) {
--- a/router/src/test/java/stagepier/app/ShadowWorkTest.java
+++ b/router/src/test/java/stagepier/app/ShadowWorkTest.java
@@ -98,7 +98,7 @@
                     settings.settings(), 0);
             host.connect(new Brain(settings.settings(), 1, host), pools);
             ShadowWork work = on(loop, () -> new ShadowWork(
-                    new ShadowWork.Fleet(tasks, NOBODY, config, () -> view, () -> Calendar.NONE, null, (event, values) -> { }),
+                    new ShadowWork.Fleet(tasks, NOBODY, config, 1, () -> view, () -> Calendar.NONE, null, (event, values) -> { }),
                     new ShadowWork.Own(loop, clock, settings, 400, host, new Pressure(), drain)));
             on(loop, () -> {
                 List<HostGroup.Host> hosts = List.of(host("s-00000001", 1, one), host("s-00000002", 2, two));
--- a/router/src/test/java/stagepier/shadow/ShadowCopiesTest.java
+++ b/router/src/test/java/stagepier/shadow/ShadowCopiesTest.java
@@ -56,6 +56,26 @@
         assertTrue(world.copyLines.stream().allMatch(l -> Integer.parseInt(l.replaceAll(".*d=|\r\n", "")) <= 900));
     }
 
+    /** What a checker reads: one real end for each copied request, at its first server, which is not the copy's. */
+    @Test
+    void copiesAndWhatBecameOfTheirRequestsAreWrittenDown() {
+        ShadowWorld world = play(1, ShadowWorld.Candidate.GOOD, map(100, 100));
+        assertTrue(world.history.size() > 100);
+        java.util.Map<Object, List<Object>> copies = new java.util.HashMap<>();
+        for (List<Object> line : world.history) {
+            Object id = line.get(line.indexOf("id") + 1);
+            Object server = line.get(line.indexOf("server") + 1);
+            if (line.get(0).equals("shadow.copy")) {
+                copies.put(id, line);
+            } else {
+                List<Object> copy = copies.remove(id);
+                assertTrue(!copy.get(copy.indexOf("server") + 1).equals(server), () -> line + " " + copy);
+                assertTrue(world.log.stream().anyMatch(l -> l.endsWith(" send " + id + " 0 " + server)), line::toString);
+            }
+        }
+        assertEquals(java.util.Map.of(), copies);
+    }
+
     @Test
     void aGoodCandidateGivesTheSameAndTimesAreCounted() {
         ShadowWorld world = play(1, ShadowWorld.Candidate.GOOD, map(100, 100));
--- a/router/src/test/java/stagepier/shadow/ShadowRulesTest.java
+++ b/router/src/test/java/stagepier/shadow/ShadowRulesTest.java
@@ -76,7 +76,7 @@
 
     /** P10: over all routers, and over any of them, whatever is asked and when; also those that have just started. */
     @ParameterizedTest
-    @CsvSource({"14, 100", "14, 28", "200, 500", "3, 1000"})
+    @CsvSource({"14, 100", "14, 20", "200, 500", "3, 1000"})
     void allSharesTogetherStayWithinTheBudgetOverAnySecond(int fleet, double budget) {
         Random random = new Random(fleet);
         List<Double> spent = new ArrayList<>();
@@ -121,7 +121,7 @@
                 own.add(now);
             }
         }
-        assertTrue(mostWithin(own, 2 / share) <= 2, () -> mostWithin(own, 2 / share) + "");
+        assertEquals(1, mostWithin(own, 1 / share));
         assertTrue(own.size() > 40);
     }
 
--- a/router/src/test/java/stagepier/shadow/ShadowWorld.java
+++ b/router/src/test/java/stagepier/shadow/ShadowWorld.java
@@ -49,6 +49,7 @@
     final List<String> log = new ArrayList<>();
     final Map<String, Long> status = new TreeMap<>();
     final List<Double> copiesAt = new ArrayList<>();
+    final List<List<Object>> history = new ArrayList<>();
     final List<String> copyLines = new ArrayList<>();
     final ServerStates servers = new ServerStates(2, this::judge);
     final List<Counts.Snapshot> told = new ArrayList<>();
@@ -101,6 +102,9 @@
                 if (event.equals("shadow.copy")) {
                     copiesAt.add(now);
                 }
+                List<Object> line = new ArrayList<>(List.of(event));
+                line.addAll(List.of(values));
+                history.add(line);
             }));
             copies.start();
             host.connectShadow(copies);
