Agree on promotions by the calendar's register under a name of its own

Need: a promotion has to be agreed by the same majority as the calendar, in a sequence of its own.

Change: freeze.AgreedTexts runs a second register whose calls and events are renamed on their way; app.ShadowWork makes an Agreement of it.

Measured: five routers in virtual time learn one sequence, two of them cut off agree on nothing, one that forgot learns it again.

--- a/router/src/main/java/stagepier/app/ShadowWork.java
+++ b/router/src/main/java/stagepier/app/ShadowWork.java
@@ -1,6 +1,8 @@
 package stagepier.app;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.Optional;
 import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
 import stagepier.Api;
@@ -13,6 +15,7 @@
 import stagepier.fleet.FleetPart;
 import stagepier.fleet.FleetView;
 import stagepier.fleet.History;
+import stagepier.freeze.AgreedTexts;
 import stagepier.freeze.Calendar;
 import stagepier.overload.Pressure;
 import stagepier.server.ServerPools;
@@ -80,6 +83,21 @@
         own.host().connectShadow(copies);
     }
 
+    /** What the fleet agrees on, as promotions need it: one sequence, whatever the topic. */
+    static Agreement agreement(AgreedTexts texts) {
+        return new Agreement() {
+            @Override
+            public boolean propose(String topic, String text, Duration most) throws InterruptedException {
+                return texts.propose(text, most);
+            }
+
+            @Override
+            public Optional<Accepted> latest(String topic) {
+                return Optional.ofNullable(texts.last()).map(last -> new Accepted(last.version(), last.text()));
+            }
+        };
+    }
+
     /** To be started, asked for its lines and told of files with the others. */
     FleetPart part() {
         return part;
--- /dev/null
+++ b/router/src/test/java/stagepier/freeze/AgreedTextsTest.java
@@ -0,0 +1,85 @@
+package stagepier.freeze;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import stagepier.fleet.Calls;
+import stagepier.fleet.FleetConfig;
+import stagepier.fleet.MemoryNet;
+import stagepier.fleet.VirtualWorld;
+
+/** A second sequence beside the calendar, in virtual time. */
+@Timeout(60)
+class AgreedTextsTest {
+    private static final List<String> NAMES = List.of("n0", "n1", "n2", "n3", "n4");
+
+    private final VirtualWorld world = new VirtualWorld(1);
+    private final MemoryNet net = new MemoryNet(world);
+    private final TreeMap<String, VirtualWorld.Node> nodes = new TreeMap<>();
+    private final TreeMap<String, AgreedTexts> texts = new TreeMap<>();
+    private final List<String> events = new ArrayList<>();
+    private long seed;
+
+    private void start(String name) {
+        TreeMap<String, InetSocketAddress> members = new TreeMap<>();
+        NAMES.forEach(n -> members.put(n, new InetSocketAddress("127.0.0.1", 1)));
+        FleetConfig config = new FleetConfig(null, "", name, members.get(name), members, null, Duration.ofSeconds(3),
+                Duration.ofSeconds(2), null);
+        VirtualWorld.Node node = world.node(name, Duration.ZERO);
+        Calls calls = net.calls(node);
+        AgreedTexts agreed = new AgreedTexts("promotion", node, calls, config, (event, values) -> events.add(event), ++seed);
+        agreed.start();
+        calls.start();
+        nodes.put(name, node);
+        texts.put(name, agreed);
+    }
+
+    @AfterEach
+    void close() {
+        world.close();
+    }
+
+    private Boolean propose(String at, String text) {
+        AtomicReference<Boolean> said = new AtomicReference<>();
+        nodes.get(at).start("propose", () -> said.set(texts.get(at).propose(text, Duration.ofSeconds(5))));
+        assertTrue(world.runUntil(() -> said.get() != null, Duration.ofSeconds(10)));
+        return said.get();
+    }
+
+    private boolean all(String text) {
+        return texts.values().stream().allMatch(t -> t.last() != null && t.last().text().equals(text));
+    }
+
+    @Test
+    void allLearnOneSequenceAndAMinorityAgreesOnNothing() {
+        NAMES.forEach(this::start);
+        world.run(Duration.ofSeconds(10));
+        texts.values().forEach(t -> assertNull(t.last()));
+        assertTrue(propose("n1", "a"));
+        assertTrue(world.runUntil(() -> all("a"), Duration.ofSeconds(3)));
+        long first = texts.get("n0").last().version();
+        net.partition(NAMES.subList(0, 2), NAMES.subList(2, 5), true);
+        assertFalse(propose("n0", "b"), "two of five");
+        assertTrue(propose("n4", "c"));
+        assertEquals("a", texts.get("n1").last().text());
+        world.run(Duration.ofSeconds(10));
+        net.heal();
+        assertTrue(world.runUntil(() -> all("c"), Duration.ofSeconds(3)));
+        assertTrue(texts.get("n0").last().version() > first);
+        nodes.get("n3").kill();
+        start("n3");
+        assertTrue(world.runUntil(() -> all("c"), Duration.ofSeconds(5)), "one that has forgotten learns it again");
+        assertTrue(events.stream().allMatch(e -> e.startsWith("promotion.")), events::toString);
+    }
+}
