--- a/router/src/main/java/stagepier/shadow/Promotion.java
+++ b/router/src/main/java/stagepier/shadow/Promotion.java
@@ -54,6 +54,11 @@
         if (!view.get().majority()) {
             return "not promoted: this router is in no majority";
         }
+        PromotionPlan now = plan();
+        if (now != null && (!now.isBack() || share() > 0)) {
+            // Guards against a file that is read again for another reason, and against keys that fall back to the real map at once.
+            return "not promoted: candidate " + map().id() + " is promoted or being rolled back; roll it back first";
+        }
         PromotionPlan wanted = PromotionPlan.of(candidate, tasks.wall().millis() + lead.toMillis());
         String frozen = frozen(wanted);
         if (frozen != null) {
--- a/router/src/main/java/stagepier/shadow/ShadowPart.java
+++ b/router/src/main/java/stagepier/shadow/ShadowPart.java
@@ -85,7 +85,7 @@
     @Override
     public void start() {
         parts.calls().answer("shadow", this::answer);
-        tasks.start("shadow-file", () -> readFile());
+        tasks.start("shadow-file", () -> readFile(false));
         tasks.start("shadow-talk", this::talk);
         tasks.start("shadow-counts", this::count);
         if (promotion != null) {
@@ -95,7 +95,7 @@
 
     @Override
     public void reload() {
-        tasks.start("shadow-file", () -> readFile());
+        tasks.start("shadow-file", () -> readFile(true));
     }
 
     /** What the event loop may do now; null before anything is known. From any thread. */
@@ -139,7 +139,8 @@
     }
 
     // ---- the file -----------------------------------------------------------------------------------------
-    private void readFile() throws InterruptedException {
+    /** @param wishes whether what staff want done is done: not at a start, or each one would ask for it again */
+    private void readFile(boolean wishes) throws InterruptedException {
         if (parts.config().candidate() == null) {
             return;
         }
@@ -159,7 +160,7 @@
             LOG.error("{}: line 1: key version: {}", parts.config().candidate(), e.getMessage());
             return;
         }
-        if (promotion != null && read.wish() != CandidateFile.Wish.TRY) {
+        if (wishes && promotion != null && read.wish() != CandidateFile.Wish.TRY) {
             wish = read.wish() == CandidateFile.Wish.PROMOTE
                     ? promotion.promote(read.map(), state.verdict(parts.view().get().majority()), state.stopped())
                     : promotion.back();
--- a/router/src/test/java/stagepier/shadow/PromotionTest.java
+++ b/router/src/test/java/stagepier/shadow/PromotionTest.java
@@ -121,6 +121,8 @@
             assertShares(fleet, 100);
             fleet.run(1);
             assertShares(fleet, 10_000);
+            assertTrue(promote(fleet, GOOD, "").contains("roll it back first"), "asked for once more");
+            assertShares(fleet, 10_000);
             ShadowFleet.Router r = fleet.router(2);
             r.node.start("back", () -> r.part.promotion().back());
             fleet.run(LEAD - 0.5);
