Wire the shadow into the router where fleet.toml names a candidate map

Need: the shadow's two halves have to be made, told of the list, counted and ended by the router that runs.

A shard ring is put in order where it is made, since several threads read it later.

--- a/router/src/main/java/stagepier/app/FleetWork.java
+++ b/router/src/main/java/stagepier/app/FleetWork.java
@@ -1,12 +1,14 @@
 package stagepier.app;
 
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ObjLongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.discovery.HostGroup;
@@ -18,10 +20,14 @@
 import stagepier.fleet.History;
 import stagepier.fleet.Membership;
 import stagepier.fleet.TcpCalls;
+import stagepier.freeze.AgreedTexts;
 import stagepier.freeze.Calendar;
 import stagepier.freeze.Change;
 import stagepier.freeze.FreezePart;
 import stagepier.freeze.HeldChanges;
+import stagepier.settings.SettingsException;
+import stagepier.shadow.CandidateException;
+import stagepier.shadow.CandidateFile;
 import stagepier.tasks.LiveTasks;
 import stagepier.tasks.Tasks;
 
@@ -45,19 +51,29 @@
     private final FreezePart freeze;
     /** Null where there is no calendar. */
     private final HeldChanges<Runnable> held;
+    private final long seed;
+    /** Null where there is no candidate map. */
+    private ShadowWork shadow;
+    private AgreedTexts promotions;
     private final List<FleetPart> parts = new ArrayList<>();
 
     /** @throws Config.BadConfigException one line: file, line, key and what is wrong */
     static FleetWork read(String file, String self, long seed) throws Config.BadConfigException {
         try {
-            return new FleetWork(FleetConfigReader.read(Path.of(file), self), seed);
-        } catch (BadFleetException e) {
+            FleetConfig config = FleetConfigReader.read(Path.of(file), self);
+            if (config.candidate() != null) {
+                // A slip in it is told before anything starts, as those in the other files are.
+                CandidateFile.read(config.candidate());
+            }
+            return new FleetWork(config, seed);
+        } catch (BadFleetException | SettingsException | CandidateException | IOException e) {
             throw new Config.BadConfigException(e.getMessage());
         }
     }
 
     private FleetWork(FleetConfig config, long seed) {
         this.config = config;
+        this.seed = seed;
         tasks = new LiveTasks(Clock.offset(Clock.systemUTC(), Duration.ofMillis(Long.getLong(OFFSET, 0))));
         calls = new TcpCalls(tasks, config, seed);
         view = new Membership(tasks, calls, config, history, seed + 1);
@@ -73,12 +89,40 @@
         return freeze == null ? Calendar.NONE : freeze.calendar();
     }
 
+    /** Before the start, once the router's parts are there: tries the candidate map beside the real one, where there is one. */
+    void tryCandidate(ShadowWork.Own own) {
+        if (config.candidate() == null) {
+            return;
+        }
+        promotions = new AgreedTexts("promotion", tasks, calls, config, history, seed + 3);
+        shadow = new ShadowWork(new ShadowWork.Fleet(tasks, calls, config, HistoryLog.STARTED, view::view, this::calendar,
+                ShadowWork.agreement(promotions), history), own);
+        parts.add(shadow.part());
+    }
+
+    /** What is taken up of the list. */
+    void changed(HostGroup.Change change) {
+        if (shadow != null) {
+            shadow.changed(change);
+        }
+    }
+
+    void count(ObjLongConsumer<String> to) {
+        if (shadow != null) {
+            shadow.count(to);
+        }
+    }
+
     /** @param zones names of zones, as the settings number them */
     void start(EventLoop loop, HostGroup hosts, List<String> zones, TopologyGate.Later later) {
         if (freeze != null) {
             hosts.holdBy(new TopologyGate(this, zones, later));
         }
         parts.forEach(FleetPart::start);
+        if (shadow != null) {
+            promotions.start();
+            shadow.start();
+        }
         calls.start();
         loop.scheduleWithFixedDelay(() -> look(hosts), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
@@ -87,7 +131,8 @@
         if (held != null) {
             held.due(tasks.wall().instant(), tasks.nanoTime()).forEach(Runnable::run);
         }
-        view.facts(new FleetView.Facts(BUILD, config.hash(), hosts.generation(), freeze == null ? 0 : freeze.version(), 0));
+        view.facts(new FleetView.Facts(BUILD, config.hash(), hosts.generation(), freeze == null ? 0 : freeze.version(),
+                shadow == null ? 0 : shadow.version()));
     }
 
     @Override
@@ -129,6 +174,9 @@
 
     /** The process ends. Does not wait: a task that hangs keeps nothing from draining. */
     void stop() {
+        if (shadow != null) {
+            shadow.stop();
+        }
         Thread end = new Thread(tasks::stop, "fleet-stop");
         end.setDaemon(true);
         end.start();
--- a/router/src/main/java/stagepier/app/HistoryLog.java
+++ b/router/src/main/java/stagepier/app/HistoryLog.java
@@ -11,7 +11,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("history");
 
     /** Of this process, by a clock that all processes of a machine share. */
-    private static final long STARTED = System.nanoTime();
+    static final long STARTED = System.nanoTime();
 
     private HistoryLog() {
     }
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -92,6 +92,9 @@
         }
         staff = config.console() == null ? null : new StaffCalls(clock, drain, hosts, this::changed, clients::sendAway,
                 fleet);
+        if (fleet != null) {
+            fleet.tryCandidate(new ShadowWork.Own(loop, clock, config.settings(), config.sockets(), host, pressure, drain));
+        }
         console = config.console() == null ? null : new ConsoleListener(loop, config.console(), staff);
     }
 
@@ -186,6 +189,9 @@
         }
         // The module first: what a retired server ends must not be sent to another that is on its way out.
         host.members(change.complete(), members);
+        if (fleet != null) {
+            fleet.changed(change);
+        }
         for (HostGroup.Host h : change.hosts()) {
             if (h.member().state() != Api.MemberState.READY) {
                 servers.retire(h.member().id());
@@ -329,6 +335,9 @@
         if (peers != null) {
             peers.count(to);
         }
+        if (fleet != null) {
+            fleet.count(to);
+        }
         if (console != null) {
             console.count(to);
             staff.count(to);
--- a/router/src/main/java/stagepier/shadow/ShardRing.java
+++ b/router/src/main/java/stagepier/shadow/ShardRing.java
@@ -22,6 +22,8 @@
             double weight = Math.min(WEIGHT_MOST, weights.get(servers.get(slot)));
             ring.add(slot, servers.get(slot), (int) Math.max(1, Math.rint(virtualNodes * weight)));
         }
+        // A ring is put in order when it is first read: here, for later several threads read it.
+        ring.owner(0);
     }
 
     /** The candidate's ring. */
