--- a/router/src/main/java/stagepier/freeze/Clocks.java
+++ b/router/src/main/java/stagepier/freeze/Clocks.java
@@ -38,7 +38,10 @@
     Offset offset(Collection<Reply> replies, Duration skew) {
         long took = (tasks.nanoTime() - startNano) / 1_000_000;
         long[] ahead = replies.stream().mapToLong(r -> r.wall() - startMs - took / 2).sorted().toArray();
-        long middle = ahead[ahead.length / 2];
+        // Of an even number both in the middle: of two that differ nobody can tell which is right.
+        long lower = ahead[(ahead.length - 1) / 2];
+        long upper = ahead[ahead.length / 2];
+        long middle = Math.abs(lower) > Math.abs(upper) ? lower : upper;
         return new Offset(middle, Math.abs(middle) <= skew.toMillis() + took / 2 + 1);
     }
 }
