--- a/router/src/main/java/stagepier/freeze/FreezePart.java
+++ b/router/src/main/java/stagepier/freeze/FreezePart.java
@@ -42,7 +42,7 @@
      *
      * @param config with a calendar's file
      * @param seed   for what is drawn: waits after ballots that met another, low bits of the incarnation
-     * @throws SettingsException where the file cannot be read or makes no sense: one line
+     * @throws IllegalArgumentException where the file cannot be read or makes no sense: one line
      */
     public FreezePart(Tasks tasks, Calls calls, FleetConfig config, History history, long seed) {
         this(tasks, calls, config, history, seed, () -> CalendarFile.read(config.calendar()),
@@ -57,7 +57,11 @@
         this.acceptor = acceptor;
         this.source = source;
         file = config.calendar();
-        own = source.get();
+        try {
+            own = source.get();
+        } catch (SettingsException e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
+        }
         register = new Register(tasks, calls, config, history, acceptor, new Register.Listener() {
             @Override
             public void confirmed(Entry accepted, long startNano, long startWallMs, Clocks.Offset offset) {
--- a/router/src/main/java/stagepier/freeze/HeldChanges.java
+++ b/router/src/main/java/stagepier/freeze/HeldChanges.java
@@ -107,18 +107,26 @@
         drop(server, Line.RESTORE);
     }
 
+    /** What was asked for is not wanted any more, such as another discovery after the file was set back. */
+    public void withdrawn(Change change) {
+        drop(Place.of(change));
+    }
+
     private void drop(String server, Line only) {
-        if (server.isEmpty() || held.isEmpty()) {
-            return;
-        }
         for (Line line : new Line[] {Line.LIST, Line.RESTORE}) {
-            Held<T> before = only == null || only == line ? held.remove(new Place(line, server)) : null;
-            if (before != null) {
-                overtaken++;
-                write("topology.overtaken", before.change(), calendar.get(), "");
+            if (!server.isEmpty() && (only == null || only == line)) {
+                drop(new Place(line, server));
             }
         }
-        size = held.size();
+    }
+
+    private void drop(Place place) {
+        Held<T> before = held.remove(place);
+        if (before != null) {
+            overtaken++;
+            size = held.size();
+            write("topology.overtaken", before.change(), calendar.get(), "");
+        }
     }
 
     /**
--- a/router/src/test/java/stagepier/freeze/CalendarFileTest.java
+++ b/router/src/test/java/stagepier/freeze/CalendarFileTest.java
@@ -170,6 +170,11 @@
         assertEquals(1, said.lines().count());
     }
 
+    @Test
+    void theFileThatIsDeliveredMakesSense() {
+        assertEquals(2, CalendarFile.read(Path.of("..", "deploy", "calendar.toml")).windows().size());
+    }
+
     @Test
     void aFileThatIsNotThereIsRefused(@TempDir Path dir) throws java.io.IOException {
         assertThrows(SettingsException.class, () -> CalendarFile.read(dir.resolve("none.toml")));
--- a/router/src/test/java/stagepier/freeze/HeldChangesTest.java
+++ b/router/src/test/java/stagepier/freeze/HeldChangesTest.java
@@ -94,6 +94,18 @@
         assertTrue(held.offer(add("s5"), "s5", at(40), nano(40)), "the line is empty again");
     }
 
+    @Test
+    void whatIsNotWantedAnyMoreIsNeverDone() {
+        HeldChanges<String> held = held();
+        Change move = new Change(Change.Kind.MOVE_DISCOVERY, "", "");
+        held.offer(move, "move", at(0), nano(0));
+        held.overtaken("");
+        assertEquals(1, held.size());
+        held.withdrawn(move);
+        permit = Calendar.Permit.OPEN;
+        assertEquals(List.of(), drain(held, 1, 10));
+    }
+
     @Test
     void whileSomethingIsHeldWhatComesNewGetsInLine() {
         HeldChanges<String> held = held();
