--- a/router/src/main/java/stagepier/fleet/MemberTable.java
+++ b/router/src/main/java/stagepier/fleet/MemberTable.java
@@ -40,6 +40,9 @@
     static final int MOST_CONFIRM = 3;
     /** Members heard of within this make up a majority or do not. */
     static final long MAJORITY_NS = ms(2_000);
+    /** By what it is longer for one that is heard of through others only, for so long at least. */
+    private static final double BRIDGED = 1.35;
+    private static final long BRIDGED_NS = ms(300);
     /** The part of that from which it is called out of turn. */
     private static final double REFRESH = 0.45;
     private static final long SILENT_AGAIN_NS = ms(500);
@@ -167,6 +170,7 @@
     void silent(String name, long sentAt, int stallsThen) {
         if (stalls == stallsThen) {
             Peer p = peers.get(name);
+            p.failsSince = p.failsHere() ? p.failsSince : sentAt;
             p.failedAt = sentAt;
             if (isIn(p)) {
                 lastCalls <<= 1;
@@ -311,7 +315,7 @@
         for (Peer p : all) {
             long silence = now - p.silentFrom();
             boolean found = p.failsHere() || cutOff;
-            if (p.state == State.ALIVE && silence > doubt * factor && found) {
+            if (p.state == State.ALIVE && silence > doubt * factor * (isBridged(p) ? BRIDGED : 1) && found) {
                 take(p, p.incarnation, State.SUSPECT, now);
                 confirm(p, self.name);
             } else if (p.state == State.SUSPECT) {
@@ -328,6 +332,11 @@
         majority = now1;
     }
 
+    /** This router cannot call it, but has heard of it since: that comes a longer way. */
+    private static boolean isBridged(Peer p) {
+        return p.failsHere() && p.heardAt - p.failsSince > BRIDGED_NS;
+    }
+
     private void suspect(Peer p, long silence, double factor, boolean found, long now) {
         if (silence < doubt) {
             // It answers somebody; it has to learn of this, to contradict.
--- a/router/src/main/java/stagepier/fleet/Peer.java
+++ b/router/src/main/java/stagepier/fleet/Peer.java
@@ -23,6 +23,8 @@
     long failedAt;
     /** When this router's own call to it was sent that it answered last. */
     long answeredAt;
+    /** When the first call was sent of those that went unanswered without one that was answered among them. */
+    long failsSince;
     long hintedAt;
     /** How often its news is still to be told on, and its facts. */
     int tell;
@@ -37,6 +39,7 @@
         countsFrom = never;
         failedAt = never;
         answeredAt = never;
+        failsSince = never;
         hintedAt = never;
         suspectSince = never;
     }
