Copy a hot key only where its count is sure and fetches are admitted

A router among many sees some nine requests a second, and a key that came three times by chance among sixty counted for five copies. Change: two deviations off the count in place of one, and no copies while fetches are shed, as with second attempts.

--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -33,6 +33,8 @@
     private static final double GATE_OPENS = 12;
     /** A key is hot from this part of a server's fair share of all requests. */
     private static final double HOT_SHARE = 0.3;
+    /** Deviations that the count of a hot key is taken to be too high by. */
+    private static final double HOT_DEVIATIONS = 2;
     private static final int COPIES_MOST = 40;
     /** By own answers, some of which waited for the origin: crowded from here, most is shed so much later. */
     private static final double CROWD_FROM_THROUGH = 0.33;
@@ -303,8 +305,10 @@
     private Server pick(double now, Pending p) {
         // Guards against a key that is more than one server can bear: ring servers are passed over.
         double bearable = HOT_SHARE * requests.at(now, POPULARITY_FADES * deadline) / servers.size();
-        // One deviation off the count: where calls are rare, a key asked for twice is not yet a crowd.
-        int copies = (int) Math.min(COPIES_MOST, Math.ceil((p.heat - Math.sqrt(p.heat)) / bearable));
+        // Where calls are rare, a key asked for twice or thrice is not yet a crowd, and each copy is a fetch.
+        double sure = p.heat - HOT_DEVIATIONS * Math.sqrt(p.heat);
+        int copies = fetches.admitted < COPY_WHILE_ADMITTED ? 1
+                : (int) Math.min(COPIES_MOST, Math.ceil(sure / bearable));
         int skip = copies > 1 && servers.size() > 1 ? random.nextInt(copies) : 0;
         Server s = skip > 0 ? pick(now, p, skip) : null;
         return s != null ? s : pick(now, p, 0);
