--- a/lab/src/main/java/stagepier/lab/fleet/Experiment.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Experiment.java
@@ -175,9 +175,9 @@
                     router.reload();
                 }
                 case ROUTER_PAUSE -> pause(fault, r);
-                case ROUTER_FREEZE -> {
-                    recorder.add(new Event.Frozen(clock.now(), r, true));
-                    router.freeze(true);
+                case ROUTER_STALL -> {
+                    recorder.add(new Event.Stalled(clock.now(), r, true));
+                    router.stall(true);
                     later(fault.lasts(), () -> thaw(r));
                 }
                 case ROUTER_UPGRADE -> {
@@ -218,9 +218,9 @@
 
     private void thaw(int r) {
         try {
-            routers.get(r).freeze(false);
+            routers.get(r).stall(false);
             // What lay there unread has to be read first.
-            later(THAW_TAKES, () -> recorder.add(new Event.Frozen(clock.now(), r, false)));
+            later(THAW_TAKES, () -> recorder.add(new Event.Stalled(clock.now(), r, false)));
         } catch (IOException e) {
             stray(r, "it cannot be told to go on: " + e.getMessage());
         }
--- a/lab/src/main/java/stagepier/lab/fleet/RouterProcess.java
+++ b/lab/src/main/java/stagepier/lab/fleet/RouterProcess.java
@@ -247,7 +247,7 @@
     }
 
     /** Its process stands still until it is told to go on. */
-    void freeze(boolean still) throws IOException {
+    void stall(boolean still) throws IOException {
         signal(still ? "STOP" : "CONT");
     }
 
--- a/lab/src/main/java/stagepier/lab/ledger/Event.java
+++ b/lab/src/main/java/stagepier/lab/ledger/Event.java
@@ -47,7 +47,7 @@
     }
 
     /** A router's process stands still from now on, or goes on: it owes no answers meanwhile, and remembers all it was told. */
-    record Frozen(double at, int router, boolean frozen) implements Event {
+    record Stalled(double at, int router, boolean stalled) implements Event {
     }
 
     /** A cold node was pushed over. */
--- a/lab/src/main/java/stagepier/lab/ledger/Ledger.java
+++ b/lab/src/main/java/stagepier/lab/ledger/Ledger.java
@@ -91,8 +91,8 @@
                 // What its next process is told is told anew.
                 unusableSince.remove(e.router());
             }
-        } else if (event instanceof Event.Frozen e) {
-            goesOn.computeIfAbsent(e.router(), r -> new TreeMap<>()).put(e.at(), !e.frozen());
+        } else if (event instanceof Event.Stalled e) {
+            goesOn.computeIfAbsent(e.router(), r -> new TreeMap<>()).put(e.at(), !e.stalled());
         } else if (event instanceof Event.Stray e) {
             breach(Rule.ONE_ANSWER, e.at(), "router %d said '%s', which answers nothing".formatted(e.router(), e.line()));
         } else if (event instanceof Event.Fell e) {
--- a/lab/src/main/java/stagepier/lab/scenario/Fault.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Fault.java
@@ -45,7 +45,7 @@
         /** Routers are told to read their configuration again. */
         ROUTER_RELOAD,
         /** A router's process stands still (SIGSTOP), and goes on (SIGCONT) as if nothing had been. */
-        ROUTER_FREEZE,
+        ROUTER_STALL,
         /** Staff send a router's clients away, to the next router, and let them come again. */
         ROUTER_PAUSE,
         /** A new process is started beside a router's under load, and the old one told to end. */
--- a/lab/src/test/java/stagepier/lab/LedgerTest.java
+++ b/lab/src/test/java/stagepier/lab/LedgerTest.java
@@ -136,10 +136,10 @@
     /** Who stands still owes no answers, but remembers what it was told: a send when it goes on is held against it. */
     @Test
     void aRouterThatStoodStill() {
-        events.add(new Event.Frozen(5, 0, true));
+        events.add(new Event.Stalled(5, 0, true));
         asked(6, 1, 0);
         events.add(new Event.Told(6, 0, 3, false));
-        events.add(new Event.Frozen(8, 0, false));
+        events.add(new Event.Stalled(8, 0, false));
         ended(8.1, 1, End.UNANSWERED, 0);
         assertEquals(List.of(), broken());
         ranFrom(8.2, 2);
