--- /dev/null
+++ b/lab/src/main/java/stagepier/lab/check/HistoryLines.java
@@ -0,0 +1,54 @@
+package stagepier.lab.check;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads a router's history, a JSON object a line. */
+public final class HistoryLines {
+    private static final double NANOS = 1e9;
+
+    private HistoryLines() {
+    }
+
+    /**
+     * Adds the lines of one router's file to those of the others. The last line may have been broken off when its process was
+     * killed; any other line that makes no sense is told.
+     *
+     * @param router the one whose file it is, for lines that do not name it
+     * @param zero   monotonic nanoseconds at which the lab's clock began
+     * @return what is wrong with the file, a line each
+     */
+    public static List<String> read(String router, List<String> lines, long zero, List<Told> into) {
+        List<String> wrong = new ArrayList<>();
+        for (int i = 0; i < lines.size(); i++) {
+            if (lines.get(i).isBlank()) {
+                continue;
+            }
+            try {
+                into.add(told(router, lines.get(i), zero));
+            } catch (JsonParseException | IllegalStateException | UnsupportedOperationException | NumberFormatException e) {
+                // A killed process leaves half a line, to which the next one's first is joined.
+                if (i < lines.size() - 1 && !lines.get(i).contains("}{") && lines.get(i).endsWith("}")) {
+                    wrong.add("history of " + router + ":" + (i + 1) + ": no event: " + e.getMessage());
+                }
+            }
+        }
+        return wrong;
+    }
+
+    private static Told told(String router, String line, long zero) {
+        JsonObject o = JsonParser.parseString(line).getAsJsonObject();
+        JsonElement event = o.get("event");
+        JsonElement nano = o.get("nano");
+        if (event == null || nano == null) {
+            throw new JsonParseException("event or nano is missing");
+        }
+        return new Told((nano.getAsLong() - zero) / NANOS, o.has("at") ? o.get("at").getAsLong() : 0,
+                o.has("router") ? o.get("router").getAsString() : router,
+                o.has("incarnation") ? o.get("incarnation").getAsLong() : 0, event.getAsString(), o, line);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/stagepier/lab/check/ShadowPromises.java
@@ -0,0 +1,193 @@
+package stagepier.lab.check;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** P9 to P12: what the shadow map promises. */
+final class ShadowPromises {
+    /** Seconds after which a side of a partition knows how large it is. */
+    private static final double KNOWN_AFTER = 4;
+    /** Seconds for which two routers may serve from two maps: the step. */
+    private static final double STEP_TAKES = 3;
+
+    private final Evidence evidence;
+    private final Timeline timeline;
+
+    ShadowPromises(Evidence evidence) {
+        this.evidence = evidence;
+        timeline = evidence.timeline();
+    }
+
+    private static String outcome(Told real) {
+        return real.text("server") + " " + real.text("attempts") + " " + real.text("answer");
+    }
+
+    Verdict nothingReal() {
+        Map<String, Told> real = new HashMap<>();
+        for (Told t : evidence.of("shadow.real")) {
+            Told first = real.putIfAbsent(t.text("id"), t);
+            if (first != null) {
+                return Verdict.broken(Promise.P9, "request " + t.text("id") + " has two real ends", List.of(first, t));
+            }
+        }
+        int looks = real.size();
+        for (Told copy : evidence.of("shadow.copy")) {
+            Told of = real.get(copy.text("id"));
+            if (of != null && of.text("server").equals(copy.text("server"))) {
+                return Verdict.broken(Promise.P9, "the copy of request %s went where the real one was served".formatted(copy.text("id")),
+                        List.of(copy, of));
+            }
+        }
+        for (Told without : evidence.seen().without()) {
+            Told with = without.is("shadow.real") ? real.get(without.text("id")) : null;
+            if (with != null && !outcome(with).equals(outcome(without))) {
+                return Verdict.broken(Promise.P9, "request %s ends otherwise with the shadow off".formatted(with.text("id")),
+                        List.of(with, without));
+            }
+        }
+        return Verdict.kept(Promise.P9, looks);
+    }
+
+    Verdict withinBudget() {
+        double budget = evidence.limits().copiesBudget();
+        List<Told> copies = evidence.of("shadow.copy");
+        int first = 0;
+        for (int i = 0; i < copies.size(); i++) {
+            Told copy = copies.get(i);
+            while (copies.get(first).at() <= copy.at() - 1) {
+                first++;
+            }
+            List<Told> second = copies.subList(first, i + 1);
+            if (second.size() > Math.ceil(budget)) {
+                return Verdict.broken(Promise.P10, "%d copies within a second, the budget is %.1f".formatted(second.size(), budget), second);
+            }
+            BitSet side = steadySide(evidence.number(copy.router()), copy.at());
+            if (side.isEmpty() || side.cardinality() == timeline.routers()) {
+                continue;
+            }
+            boolean minority = side.cardinality() <= timeline.routers() / 2;
+            double share = minority ? 0 : budget * side.cardinality() / timeline.routers();
+            List<Told> ofSide = second.stream().filter(t -> side.get(evidence.number(t.router()))).toList();
+            if (ofSide.size() > Math.ceil(share)) {
+                return Verdict.broken(Promise.P10, "%d copies within a second on a side of %d of %d".formatted(ofSide.size(),
+                        side.cardinality(), timeline.routers()), ofSide);
+            }
+        }
+        return Verdict.kept(Promise.P10, copies.size());
+    }
+
+    /** The side that a router has been on for so long that it knows; empty where it changed meanwhile. */
+    private BitSet steadySide(int router, double at) {
+        BitSet side = timeline.side(router, timeline.step(at));
+        for (int i = timeline.step(Math.max(0, at - KNOWN_AFTER)); i < timeline.step(at); i++) {
+            if (!timeline.side(router, i).equals(side)) {
+                return new BitSet();
+            }
+        }
+        return side;
+    }
+
+    Verdict countersAreSums() {
+        Map<String, List<Told>> copies = new HashMap<>();
+        evidence.of("shadow.copy").forEach(t -> copies.computeIfAbsent(t.router() + ":" + t.incarnation(), k -> new ArrayList<>()).add(t));
+        Map<String, Map<String, Long>> before = new HashMap<>();
+        Map<String, Told> last = new HashMap<>();
+        int looks = 0;
+        for (Told t : evidence.of("shadow.counters")) {
+            String process = t.router() + ":" + t.incarnation();
+            Map<String, Long> counts = counts(t);
+            long sum = counts.values().stream().mapToLong(n -> n).sum();
+            if (sum != (long) t.number("total", sum)) {
+                return Verdict.broken(Promise.P11, "%s's total is not the sum of its counts, %d".formatted(t.router(), sum), List.of(t));
+            }
+            for (var count : counts.entrySet()) {
+                long made = copies.getOrDefault(count.getKey(), List.of()).stream().filter(c -> c.at() <= t.at()).count();
+                if (count.getValue() > made) {
+                    return Verdict.broken(Promise.P11, "%s counts %d copies of %s, which had made %d".formatted(t.router(), count.getValue(),
+                            count.getKey(), made), List.of(t));
+                }
+                long earlier = before.getOrDefault(process, Map.of()).getOrDefault(count.getKey(), 0L);
+                if (count.getValue() < earlier) {
+                    return Verdict.broken(Promise.P11, "%s forgets copies of %s".formatted(t.router(), count.getKey()),
+                            List.of(last.get(process), t));
+                }
+                looks++;
+            }
+            before.put(process, counts);
+            last.put(process, t);
+        }
+        return Verdict.kept(Promise.P11, looks);
+    }
+
+    /** Copies by process, from {@code router:incarnation:copies}. */
+    private static Map<String, Long> counts(Told t) {
+        Map<String, Long> all = new HashMap<>();
+        for (String one : t.texts("counts")) {
+            int colon = one.lastIndexOf(':');
+            if (colon > 0) {
+                all.put(one.substring(0, colon), Long.parseLong(one.substring(colon + 1)));
+            }
+        }
+        return all;
+    }
+
+    Verdict oneMap() {
+        Windows windows = new Windows(evidence);
+        List<Told> steps = new ArrayList<>();
+        List<String> order = new ArrayList<>();
+        Map<String, Integer> reached = new HashMap<>();
+        int looks = 0;
+        for (Told t : evidence.of("shadow.promoted")) {
+            String state = state(t);
+            if (!order.contains(state)) {
+                order.add(state);
+                steps.add(t);
+            }
+            int index = order.indexOf(state);
+            Integer before = reached.put(t.router() + ":" + t.incarnation(), index);
+            if (before != null && before > index) {
+                return Verdict.broken(Promise.P12, t.router() + " goes back to an earlier step", List.of(steps.get(before), t));
+            }
+            Told by = t.flag("rollback") ? null
+                    : windows.forbids("PROMOTE", "", t, evidence.limits().lease() + evidence.limits().skew());
+            if (by != null) {
+                return Verdict.broken(Promise.P12, t.router() + " promotes inside a freeze", List.of(by, t));
+            }
+            looks++;
+        }
+        for (int i = 0; i < steps.size(); i++) {
+            Told straggler = straggler(steps.get(i), order.subList(i, order.size()));
+            if (straggler != null) {
+                return Verdict.broken(Promise.P12, "%s is not at the step of %s %.0f s after it".formatted(straggler.router(),
+                        steps.get(i).router(), STEP_TAKES), List.of(steps.get(i), straggler));
+            }
+        }
+        return Verdict.kept(Promise.P12, looks);
+    }
+
+    private static String state(Told t) {
+        return t.text("version") + "/" + t.text("share") + "/" + t.flag("rollback");
+    }
+
+    /** The last word, of any kind, of a router that had heard the one who took a step all the time and is still before it. */
+    private Told straggler(Told step, List<String> thereOrLater) {
+        double due = step.at() + STEP_TAKES + ViewPromises.SLACK;
+        int first = evidence.number(step.router());
+        for (int r = 0; r < timeline.routers() && due <= evidence.until(); r++) {
+            if (r == first || !timeline.together(first, r, step.at(), due)) {
+                continue;
+            }
+            int router = r;
+            boolean isThere = evidence.of("shadow.promoted").stream().anyMatch(t -> evidence.number(t.router()) == router && t.at() <= due
+                    && thereOrLater.contains(state(t)));
+            Told last = Evidence.at(evidence.byRouter(t -> true).getOrDefault(r, List.of()), due);
+            if (!isThere && last != null) {
+                return last;
+            }
+        }
+        return null;
+    }
+}
