Let a lab fleet decide together: its links, its histories, and verdicts on its promises

A scenario's table [together] gives each router a fleet.toml of its own, in which every other member is behind a relay, so that link faults lie on their calls too (links = fleet).

--- a/lab/src/main/java/stagepier/lab/cli/Lab.java
+++ b/lab/src/main/java/stagepier/lab/cli/Lab.java
@@ -61,6 +61,7 @@
             to.println(json ? summary.json() : summary.line());
             if (!json) {
                 summary.breaches().stream().limit(5).forEach(b -> to.println("  " + b));
+                summary.promises().forEach(p -> to.println("  " + p));
             }
             to.flush();
             clean &= summary.clean();
--- a/lab/src/main/java/stagepier/lab/fleet/Experiment.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Experiment.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -14,6 +15,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import stagepier.lab.check.Verdict;
 import stagepier.lab.ledger.Breach;
 import stagepier.lab.ledger.Event;
 import stagepier.lab.ledger.Ledger;
@@ -25,6 +27,7 @@
 import stagepier.lab.report.RunResult;
 import stagepier.lab.scenario.Fault;
 import stagepier.lab.scenario.Scenario;
+import stagepier.lab.scenario.Together;
 import stagepier.lab.standin.Clients;
 import stagepier.lab.standin.Fleet;
 import stagepier.lab.standin.LabClock;
@@ -64,6 +67,8 @@
     private final ScheduledExecutorService script = new ScheduledThreadPoolExecutor(2);
     private final List<RouterProcess> routers = new ArrayList<>();
     private final Thread atExit = new Thread(this::killAll, "end-routers");
+    private final FleetFiles files;
+    private final Judgement judgement;
     private Fleet fleet;
     private Clients clients;
 
@@ -77,6 +82,8 @@
         this.command = command;
         this.folder = folder;
         randoms = new Randoms(seed);
+        files = new FleetFiles(scenario, folder);
+        judgement = new Judgement(scenario, folder);
         // Whatever ends this process, no router outlives it.
         Runtime.getRuntime().addShutdownHook(atExit);
     }
@@ -89,8 +96,11 @@
     public RunResult run(Consumer<Progress> watcher) throws IOException, InterruptedException {
         fleet = new Fleet(worldLoop, clock, recorder, scenario, randoms);
         fleet.start(Ports.freeForDatagrams(scenario.routers()));
+        if (scenario.together() != null) {
+            fleet.link(Ports.free(scenario.routers()));
+        }
         for (int r = 0; r < scenario.routers(); r++) {
-            RouterProcess router = new RouterProcess(r, command, folder, scenario.hasStaff());
+            RouterProcess router = process(r);
             routers.add(router);
             router.start(fleet.config(r, router.port(), seed * 31 + r));
         }
@@ -107,6 +117,7 @@
         scenario.faults().forEach(f -> later(f.at(), () -> befall(f)));
         double from = clock.now();
         fleet.withNemesis(n -> n.starts(from));
+        proposeLater(Instant.now());
         long[] fetchesBefore = {0};
         script.scheduleAtFixedRate(() -> look(clients, from, fetchesBefore, watcher), 1, 1, TimeUnit.SECONDS);
         boolean ended = over.await((long) scenario.demand().seconds() + 60, TimeUnit.SECONDS);
@@ -123,6 +134,7 @@
             fetches.put(cause, fleet.fetches(cause));
         }
         List<Long> totals = fleet.totals();
+        Map<Integer, List<Long>> traffic = fleet.traffic();
         endRouters();
         fleet.stop();
         Series series = clients.series();
@@ -132,9 +144,35 @@
             }
         });
         List<Breach> breaches = new Ledger(scenario.kinds(), Scenario.DRAIN_GRACE).judge(recorder.all(), until);
+        List<Verdict> verdicts = scenario.together() == null ? List.of()
+                : judgement.verdicts(clock.zero(), from, until, fleet::hears, recorder.all(), breaches, traffic);
         boolean valid = ended && clients.starved() == 0 && clients.lag().getValueAtPercentile(99) <= LAG_MOST_US;
         return new RunResult(scenario, seed, series, breaches, valid, clients.lag(), ready, cpu, resident, counters,
-                totals, fetches);
+                totals, fetches, verdicts);
+    }
+
+    private RouterProcess process(int r) throws IOException {
+        if (scenario.together() == null) {
+            return new RouterProcess(r, command, Map.of(), folder, scenario.hasStaff());
+        }
+        return new RouterProcess(r, HistoryCommand.of(command, r, folder, scenario.together().clockOffset(r)), files.write(r, fleet),
+                folder, scenario.hasStaff());
+    }
+
+    private void proposeLater(Instant startOfLoad) {
+        for (Together.Proposal p : scenario.together() == null ? List.<Together.Proposal>of() : scenario.together().proposals()) {
+            later(p.at(), () -> p.routers().forEach(r -> propose(p, r, startOfLoad)));
+        }
+    }
+
+    private void propose(Together.Proposal proposal, int r, Instant startOfLoad) {
+        try {
+            files.propose(r, proposal.windows(), startOfLoad);
+            judgement.proposed(clock.now(), r);
+            routers.get(r).reload();
+        } catch (IOException e) {
+            stray(r, "a calendar cannot be proposed: " + e.getMessage());
+        }
     }
 
     private void look(Clients clients, double from, long[] fetchesBefore, Consumer<Progress> watcher) {
--- /dev/null
+++ b/lab/src/main/java/stagepier/lab/fleet/FleetFiles.java
@@ -0,0 +1,66 @@
+package stagepier.lab.fleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.format.DateTimeFormatter;
+import java.util.List;
+import java.util.Map;
+import stagepier.lab.scenario.Scenario;
+import stagepier.lab.scenario.Together;
+import stagepier.lab.standin.Fleet;
+
+/** The operators' files of a fleet that decides together, a set for each router: what is between two routers differs by router. */
+final class FleetFiles {
+    private static final DateTimeFormatter LOCAL = DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss").withZone(ZoneId.of("Africa/Cairo"));
+
+    private final Scenario scenario;
+    private final Path folder;
+
+    FleetFiles(Scenario scenario, Path folder) {
+        this.scenario = scenario;
+        this.folder = folder.toAbsolutePath();
+    }
+
+    /** Writes those of one router, and tells what its process has to find in its environment. */
+    Map<String, String> write(int router, Fleet doors) throws IOException {
+        Together t = scenario.together();
+        StringBuilder text = new StringBuilder("listen = \"127.0.0.1:%d\"%nlease_ms = %d%nskew_ms = %d%ncalendar = \"%s\"%n".formatted(
+                doors.door(router, router), Math.round(t.lease() * 1e3), Math.round(t.skew() * 1e3), calendar(router).getFileName()));
+        if (!t.candidate().isEmpty()) {
+            Files.writeString(folder.resolve("candidate.toml"), t.candidate());
+            text.append("candidate = \"candidate.toml\"\n");
+        }
+        for (int other = 0; other < scenario.routers(); other++) {
+            text.append("%n[[member]]%nname = \"n%d\"%naddress = \"127.0.0.1:%d\"%n".formatted(other, doors.door(router, other)));
+        }
+        Files.writeString(calendar(router), t.calendar());
+        Path file = Files.writeString(folder.resolve("fleet-" + router + ".toml"), text);
+        return Map.of("GW_FLEET", file.toString());
+    }
+
+    private Path calendar(int router) {
+        return folder.resolve("calendar-" + router + ".toml");
+    }
+
+    /** Writes a router's calendar anew, for when it reads it next. */
+    void propose(int router, List<Together.Window> windows, Instant startOfLoad) throws IOException {
+        Files.writeString(calendar(router), text(windows, startOfLoad));
+    }
+
+    /** Windows begin and end at whole seconds: the first is rounded down, the last up. */
+    static String text(List<Together.Window> windows, Instant startOfLoad) {
+        StringBuilder text = new StringBuilder();
+        for (Together.Window w : windows) {
+            String[] scope = w.scope().split(":", 2);
+            text.append("[[window]]%nname = \"%s\"%nzone = \"Africa/Cairo\"%nstart = \"%s\"%nend = \"%s\"%nscope = \"%s\"%nreason = \"%s\"%n"
+                    .formatted(w.name(), LOCAL.format(startOfLoad.plusMillis((long) (w.from() * 1e3))),
+                            LOCAL.format(startOfLoad.plusMillis((long) (w.until() * 1e3) + 999)),
+                            scope.length == 2 ? scope[0] + " " + scope[1] : scope[0], "played by the lab"));
+        }
+        return text.toString();
+    }
+
+}
--- a/lab/src/main/java/stagepier/lab/fleet/PassedSocket.java
+++ b/lab/src/main/java/stagepier/lab/fleet/PassedSocket.java
@@ -50,11 +50,12 @@
     private final BlockingQueue<Long> started = new LinkedBlockingQueue<>();
 
     /** @param shared the folder that the router's processes share */
-    PassedSocket(List<String> command, Path shared) throws IOException {
+    PassedSocket(List<String> command, Map<String, String> environment, Path shared) throws IOException {
         Path script = Files.writeString(shared.resolve("passed-socket.pl"), PERL);
         List<String> words = new ArrayList<>(List.of("perl", script.toString()));
         words.addAll(command);
         ProcessBuilder builder = new ProcessBuilder(words);
+        builder.environment().putAll(environment);
         builder.environment().put("TMPDIR", shared.toString());
         builder.redirectError(shared.resolve("passed-socket.log").toFile());
         perl = builder.start();
--- a/lab/src/main/java/stagepier/lab/fleet/RouterProcess.java
+++ b/lab/src/main/java/stagepier/lab/fleet/RouterProcess.java
@@ -35,18 +35,24 @@
 
     private final int number;
     private final List<String> command;
+    private final Map<String, String> environment;
     private final Path folder;
     private final int port;
     /** Null where no staff call and no version is put in another's place. */
     private final PassedSocket socket;
     private Running running;
 
-    /** @param staff whether it has a console, and its clients' socket is held outside of it */
-    RouterProcess(int number, List<String> command, Path folder, boolean staff) throws IOException {
+    /**
+     * @param environment what it finds there besides its configuration
+     * @param staff       whether it has a console, and its clients' socket is held outside of it
+     */
+    RouterProcess(int number, List<String> command, Map<String, String> environment, Path folder, boolean staff) throws IOException {
         this.number = number;
         this.command = List.copyOf(command);
+        this.environment = Map.copyOf(environment);
         this.folder = folder;
-        socket = staff ? new PassedSocket(command, Files.createDirectories(folder.resolve("router-" + number + ".shared"))) : null;
+        socket = staff ? new PassedSocket(command, environment,
+                Files.createDirectories(folder.resolve("router-" + number + ".shared"))) : null;
         port = staff ? socket.port() : Ports.free();
     }
 
@@ -91,6 +97,7 @@
             return socket.start(file.toAbsolutePath(), Ports.free(), log.toAbsolutePath());
         }
         ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().putAll(environment);
         builder.environment().put("GW_CONFIG", file.toString());
         builder.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
--- a/lab/src/main/java/stagepier/lab/nemesis/Link.java
+++ b/lab/src/main/java/stagepier/lab/nemesis/Link.java
@@ -5,7 +5,9 @@
     /** Datagrams from router to router. */
     PEERS,
     /** A router's connection to its agent of discovery. */
-    DISCOVERY;
+    DISCOVERY,
+    /** Calls from router to router, of a fleet that decides together. */
+    FLEET;
 
     /** The party at the other end of a router's link to discovery; routers have their numbers, from 0 on. */
     public static final int AGENT = -1;
--- a/lab/src/main/java/stagepier/lab/report/Page.java
+++ b/lab/src/main/java/stagepier/lab/report/Page.java
@@ -19,13 +19,18 @@
                 .append(escape(s.scenario())).append(" <small>seed ").append(s.seed()).append("</small></h1><p>")
                 .append(escape(s.about())).append("</p>");
         b.append(s.clean() ? "<h2 class=\"clean\">All rules kept</h2>" : "<h2 class=\"broken\">"
-                + (s.valid() ? r.breaches().size() + " broken rules" : "Not valid: the load was not sent as planned")
+                + (s.valid() ? s.breaches().size() + " broken rules or promises" : "Not valid: the load was not sent as planned")
                 + "</h2>");
         if (!s.breaches().isEmpty()) {
             b.append("<ul>");
             s.breaches().forEach(x -> b.append("<li>").append(escape(x)).append("</li>"));
             b.append("</ul>");
         }
+        if (!s.promises().isEmpty()) {
+            b.append("<h2>What the fleet promises</h2><pre>");
+            s.promises().forEach(x -> b.append(escape(x)).append('\n'));
+            b.append("</pre>");
+        }
         b.append("<table><tr><th>figure</th><th>value</th></tr>");
         row(b, "Service (worth in time / asked)", "%.4f".formatted(s.service()));
         row(b, "Lowest second", "%.3f".formatted(s.lowestService()));
--- a/lab/src/main/java/stagepier/lab/report/RunResult.java
+++ b/lab/src/main/java/stagepier/lab/report/RunResult.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
+import stagepier.lab.check.Verdict;
 import stagepier.lab.ledger.Breach;
 import stagepier.lab.model.OriginModel;
 import stagepier.lab.measure.Series;
@@ -20,12 +21,13 @@
  * @param counters       each router's own counters at the end; the verdict uses none of them
  * @param nodeTotals     connections opened, most at one node, requests turned away
  * @param fetches        fetches by cause
+ * @param verdicts       on what a fleet that decides together promises; empty where it does not
  */
 public record RunResult(Scenario scenario, long seed, Series series, List<Breach> breaches, boolean valid,
         Histogram lag, List<Double> readySeconds, List<Double> cpuSeconds, List<Double> residentMb,
-        List<Map<String, Long>> counters, List<Long> nodeTotals, Map<OriginModel.Cause, Long> fetches) {
+        List<Map<String, Long>> counters, List<Long> nodeTotals, Map<OriginModel.Cause, Long> fetches, List<Verdict> verdicts) {
     public boolean isClean() {
-        return breaches.isEmpty() && valid;
+        return breaches.isEmpty() && valid && verdicts.stream().noneMatch(Verdict::isBroken);
     }
 
     /** The lowest second of service between the first full second and the last. */
--- a/lab/src/main/java/stagepier/lab/report/Summary.java
+++ b/lab/src/main/java/stagepier/lab/report/Summary.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
+import stagepier.lab.check.Verdict;
 import stagepier.lab.ledger.Breach;
 import stagepier.lab.measure.Series;
 
@@ -15,13 +17,15 @@
  * A run in figures, as {@code summary.json} keeps it. Times in milliseconds, shares as parts of one.
  *
  * @param service      worth served in time over worth asked for
+ * @param promises     a verdict each, with the first counterexample's lines; null in a summary of before there were any
  * @param recoverySeconds until service is back at 95%; null where it does not come back
  */
 public record Summary(String scenario, String about, long seed, boolean clean, boolean valid, List<String> breaches,
         long offered, Map<String, Long> fates, double service, double lowestService, Double recoverySeconds,
         double attempts, double worstAttempts, double p50, double p99, double p999, long fetches,
         Map<String, Long> fetchesByCause, double generatorLagP99, List<Double> readySeconds, List<Double> cpuSeconds,
-        List<Double> residentMb, long nodeConnectionsOpened, long nodeConnectionsMost, long nodeTurnedAway) {
+        List<Double> residentMb, long nodeConnectionsOpened, long nodeConnectionsMost, long nodeTurnedAway,
+        List<String> promises) {
     private static final Gson GSON = new GsonBuilder().setPrettyPrinting().serializeNulls()
             .serializeSpecialFloatingPointValues().create();
     private static final int BREACHES_KEPT = 50;
@@ -35,13 +39,15 @@
         r.fetches().forEach((cause, n) -> causes.put(cause.name().toLowerCase(java.util.Locale.ROOT), n));
         double recovery = r.recovery();
         return new Summary(r.scenario().name(), r.scenario().about(), r.seed(), r.isClean(), r.valid(),
-                r.breaches().stream().limit(BREACHES_KEPT).map(Breach::toString).toList(), r.series().offered(), fates,
+                Stream.concat(r.verdicts().stream().filter(Verdict::isBroken).map(Verdict::toString), r.breaches().stream()
+                        .limit(BREACHES_KEPT).map(Breach::toString)).toList(), r.series().offered(), fates,
                 r.series().service(0, Integer.MAX_VALUE), r.lowestService(),
                 Double.isNaN(recovery) ? null : recovery,
                 (double) r.series().executions() / Math.max(1, r.series().offered()), r.worstAttempts(),
                 ms(r, 50), ms(r, 99), ms(r, 99.9), causes.values().stream().mapToLong(n -> n).sum(), causes,
                 r.lag().getValueAtPercentile(99) / 1e3, r.readySeconds(), r.cpuSeconds(), r.residentMb(),
-                r.nodeTotals().get(0), r.nodeTotals().get(1), r.nodeTotals().get(2));
+                r.nodeTotals().get(0), r.nodeTotals().get(1), r.nodeTotals().get(2),
+                r.verdicts().stream().flatMap(v -> Stream.concat(Stream.of(v.toString()), v.lines().stream().map(l -> "    " + l))).toList());
     }
 
     private static double ms(RunResult r, double percentile) {
--- a/lab/src/main/java/stagepier/lab/scenario/Scenario.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Scenario.java
@@ -21,11 +21,12 @@
  * @param value     bytes of a value
  * @param linkFaults what goes wrong between processes
  * @param peers     whether routers tell each other anything
+ * @param together  how the fleet decides together, or null where it does not
  */
 public record Scenario(String name, String about, int nodes, int routers, int zones, int sockets,
         NodeModel.Traits node, OriginModel.Traits origin, double notice, double silentNotice, Arrivals.Demand demand,
         List<RequestKind> kinds, Retries retries, int retryMost, int value, List<Fault> faults, List<LinkFault> linkFaults,
-        boolean peers) {
+        boolean peers, Together together) {
     /** What clients do when they are refused. */
     public enum Retries { NONE, AT_ONCE, WAIT }
 
--- a/lab/src/main/java/stagepier/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/stagepier/lab/scenario/ScenarioReader.java
@@ -79,9 +79,10 @@
         for (Table t : root.subs("link_fault")) {
             linkFaults.add(linkFault(t, routers, seconds));
         }
+        Together together = TogetherReader.read(root, routers, seconds);
         root.end();
         return new Scenario(name, about, nodes, routers, zones, sockets, node, origin, notice, silentNotice, demand,
-                kinds, retries, retryMost, value, List.copyOf(faults), List.copyOf(linkFaults), peers);
+                kinds, retries, retryMost, value, List.copyOf(faults), List.copyOf(linkFaults), peers, together);
     }
 
     private static NodeModel.Traits node(Table t) {
@@ -154,11 +155,12 @@
             t.error("via", "is missing: the routers that hear both sides");
         }
         Set<Link> links = EnumSet.noneOf(Link.class);
-        for (String word : t.words("links", List.of("peers", "discovery"))) {
+        for (String word : t.words("links", List.of("peers", "discovery", "fleet"))) {
             switch (word) {
                 case "peers" -> links.add(Link.PEERS);
                 case "discovery" -> links.add(Link.DISCOVERY);
-                default -> t.error("links", "must hold some of peers, discovery");
+                case "fleet" -> links.add(Link.FLEET);
+                default -> t.error("links", "must hold some of peers, discovery, fleet");
             }
         }
         LinkFault fault = new LinkFault(shape, at, lasts, a, b, via, links, t.number("part", 0.3, 0, 1),
--- a/lab/src/main/java/stagepier/lab/standin/Fleet.java
+++ b/lab/src/main/java/stagepier/lab/standin/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +41,8 @@
     private final List<StreamRelay> toAgents = new ArrayList<>();
     /** Null where routers tell each other nothing. */
     private DatagramRelay peers;
+    /** Null where routers do not decide together. */
+    private FleetLinks links;
 
     public Fleet(EventLoop loop, LabClock clock, Recorder recorder, Scenario scenario, Randoms randoms) {
         this.scenario = scenario;
@@ -90,6 +93,31 @@
         });
     }
 
+    /**
+     * Brings up what lies between routers that decide together. Waits; not on the event loop.
+     *
+     * @param ports where each router listens for calls of the others
+     */
+    public void link(int[] ports) throws InterruptedException {
+        links = new FleetLinks(world, nemesis, ports);
+        links.listen();
+    }
+
+    /** The port at which a router calls another one; for itself, at which it listens. */
+    public int door(int caller, int called) {
+        return links.door(caller, called);
+    }
+
+    /** Whether calls of a router reach another one at a moment; of a run that is over. */
+    public boolean hears(int to, int from, double at) {
+        return !nemesis.treatment(Link.FLEET, from, to, at).isSilence();
+    }
+
+    /** Bytes that each router sent to others, by the second. */
+    public Map<Integer, List<Long>> traffic() throws InterruptedException {
+        return onLoop(() -> links == null ? Map.of() : links.traffic());
+    }
+
     /** Nodes that have been running for long hold what was asked for lately. */
     private void prefill() {
         Arrivals.Demand d = scenario.demand();
@@ -357,6 +385,9 @@
             if (peers != null) {
                 peers.close();
             }
+            if (links != null) {
+                links.close();
+            }
             return null;
         });
     }
--- a/lab/src/main/java/stagepier/lab/standin/LabClock.java
+++ b/lab/src/main/java/stagepier/lab/standin/LabClock.java
@@ -4,6 +4,11 @@
 public final class LabClock {
     private final long from = System.nanoTime();
 
+    /** Monotonic nanoseconds of the machine at second 0. */
+    public long zero() {
+        return from;
+    }
+
     public double now() {
         return (System.nanoTime() - from) / 1e9;
     }
--- a/lab/src/main/java/stagepier/lab/standin/StreamRelay.java
+++ b/lab/src/main/java/stagepier/lab/standin/StreamRelay.java
@@ -35,21 +35,36 @@
     private final int near;
     private final int far;
     private final int target;
+    private final Passed passed;
     private final Set<Channel> open = new LinkedHashSet<>();
     private Channel listening;
 
+    /** Hears of all that is passed on. */
+    @FunctionalInterface
+    interface Passed {
+        Passed NONE = (from, bytes) -> { };
+
+        void bytes(int from, int bytes);
+    }
+
     /**
      * @param near   who connects
      * @param far    to whom
      * @param target the port of the latter
+     * @param passed hears of all that is passed on
      */
-    StreamRelay(World world, Nemesis nemesis, Link link, int near, int far, int target) {
+    StreamRelay(World world, Nemesis nemesis, Link link, int near, int far, int target, Passed passed) {
         this.world = world;
         this.nemesis = nemesis;
         this.link = link;
         this.near = near;
         this.far = far;
         this.target = target;
+        this.passed = passed;
+    }
+
+    StreamRelay(World world, Nemesis nemesis, Link link, int near, int far, int target) {
+        this(world, nemesis, link, near, far, target, Passed.NONE);
     }
 
     /** Waits; not on the event loop. */
@@ -163,6 +178,7 @@
                     drop();
                     return;
                 }
+                passed.bytes(from, bytes.readableBytes());
                 out.writeAndFlush(bytes);
                 in.config().setAutoRead(true);
             }
--- a/lab/src/test/java/stagepier/lab/WrongRouter.java
+++ b/lab/src/test/java/stagepier/lab/WrongRouter.java
@@ -32,6 +32,9 @@
         int port = Integer.parseInt(config.get("listen").getAsString().split(":")[1]);
         WrongRouter router = new WrongRouter(args[0], config.getAsJsonObject("known").getAsJsonArray("instances"));
         watch(config.get("discovery").getAsString());
+        if (System.getenv("GW_FLEET") != null) {
+            WrongMember.start(config.get("name").getAsString(), args[0].equals("faithless"));
+        }
         try (ServerSocket listening = new ServerSocket(port, 200, InetAddress.getByName("127.0.0.1"))) {
             while (true) {
                 Socket client = listening.accept();
