--- a/lab/src/main/java/stagepier/lab/cli/Lab.java
+++ b/lab/src/main/java/stagepier/lab/cli/Lab.java
@@ -24,14 +24,15 @@
 import stagepier.lab.standin.RelayCost;
 
 /** Runs scenarios, and shows and compares what they came to. */
-@Command(name = "lab", mixinStandardHelpOptions = true, description = "Runs scenarios against real routers.")
+@Command(name = "lab", mixinStandardHelpOptions = true, description = "Runs scenarios against real routers.",
+        subcommands = HuntCommand.class)
 final class Lab implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "run, list, report or compare?");
+        throw new CommandLine.ParameterException(spec.commandLine(), "run, hunt, list, report or compare?");
     }
 
     /** Where the router is: what the launcher says, or what the build makes. */
@@ -69,7 +70,7 @@
         return clean ? 0 : Cli.BROKEN;
     }
 
-    private static Summary one(Scenario scenario, long seed, Path router, Path folder)
+    static Summary one(Scenario scenario, long seed, Path router, Path folder)
             throws IOException, InterruptedException {
         try (ResultFolder results = new ResultFolder(folder);
                 Experiment experiment = new Experiment(scenario, seed,
--- a/lab/src/test/java/stagepier/lab/ArchitectureTest.java
+++ b/lab/src/test/java/stagepier/lab/ArchitectureTest.java
@@ -12,12 +12,14 @@
 class ArchitectureTest {
     /** A later model in virtual time reuses these: they know neither sockets nor clocks nor files. */
     @ArchTest
-    static final ArchRule PURE = noClasses().that().resideInAnyPackage("..lab.model..", "..lab.ledger..", "..lab.nemesis..")
+    static final ArchRule PURE = noClasses().that().resideInAnyPackage("..lab.model..", "..lab.ledger..", "..lab.nemesis..",
+            "..lab.check..", "..lab.hunt..")
             .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..",
                     "java.util.concurrent..", "..lab.standin..", "..lab.fleet..", "..lab.measure..", "..lab.report..", "..lab.cli..");
 
     @ArchTest
-    static final ArchRule NO_CLOCK = noClasses().that().resideInAnyPackage("..lab.model..", "..lab.ledger..", "..lab.nemesis..")
+    static final ArchRule NO_CLOCK = noClasses().that().resideInAnyPackage("..lab.model..", "..lab.ledger..", "..lab.nemesis..",
+            "..lab.check..", "..lab.hunt..")
             .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
             .orShould().callMethod(Math.class, "random");
 
