--- a/lab/src/test/java/stagepier/lab/ScenarioReaderTest.java
+++ b/lab/src/test/java/stagepier/lab/ScenarioReaderTest.java
@@ -1,6 +1,7 @@
 package stagepier.lab;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -14,6 +15,7 @@
 import stagepier.lab.scenario.Fault;
 import stagepier.lab.scenario.Scenario;
 import stagepier.lab.scenario.ScenarioReader;
+import stagepier.lab.scenario.Together;
 
 class ScenarioReaderTest {
     @Test
@@ -72,6 +74,37 @@
         assertEquals(9, message.lines().count(), message);
     }
 
+    @Test
+    void aFleetThatDecidesTogetherIsReadAndItsErrorsTold() throws Exception {
+        String text = """
+                [together]
+                lease_ms = 500
+                clock_offsets_ms = [0, 1500]
+                [[together.proposal]]
+                at_s = 2
+                routers = [1]
+                [[together.proposal.window]]
+                from_s = 4
+                scope = "kind:RESTORE"
+                """;
+        Together t = ScenarioReader.parse("x", text).together();
+        assertEquals(new Together.Proposal(2, List.of(1), List.of(new Together.Window("window", 4, 86_400, "kind:RESTORE"))),
+                t.proposals().get(0));
+        assertEquals(List.of(0.5, 2.0), List.of(t.lease(), t.skew()));
+        assertEquals(List.of(0, 1500, 0), List.of(t.clockOffset(0), t.clockOffset(1), t.clockOffset(2)));
+        assertNull(ScenarioReader.parse("x", "").together());
+        assertNull(ScenarioReader.parse("x", "[together]\non = false\n").together());
+        String bad = text.replace("[0, 1500]", "[0, 1, 2]").replace("[1]", "[2]").replace("kind:RESTORE", "some")
+                .replace("from_s = 4", "from_s = 4\nuntil_s = 3") + "lenght = 3\n";
+        String message = assertThrows(BadScenarioException.class, () -> ScenarioReader.parse("f", bad)).getMessage();
+        for (String line : List.of("f:3: together.clock_offsets_ms: names more", "f:6: together.proposal[0].routers: must hold",
+                "f:9: together.proposal[0].window[0].until_s: must be above", "f:10: together.proposal[0].window[0].scope: must be",
+                "f:11: together.proposal[0].window[0].lenght: is unknown")) {
+            assertTrue(message.contains(line), line + " in" + System.lineSeparator() + message);
+        }
+        assertEquals(5, message.lines().count(), message);
+    }
+
     @Test
     void whatIsNoTomlIsToldByLine() {
         for (var bad : Map.of("a = ", 1, "[x\n", 1, "a = 1\na = 2\n", 2).entrySet()) {
