--- a/lab/src/main/java/stagepier/lab/check/CalendarPromises.java
+++ b/lab/src/main/java/stagepier/lab/check/CalendarPromises.java
@@ -11,7 +11,8 @@
     private static final double ACCEPTED_WITHIN = 2;
     private static final double KNOWN_WITHIN = 3;
     /** All changes that may wait; whatever else is held is held wrongly. */
-    private static final Set<String> VOLUNTARY = Set.of("ADD_SERVER", "WEIGHT", "ZONE", "ADDRESS", "MOVE_DISCOVERY", "RESTORE", "PROMOTE");
+    private static final Set<String> VOLUNTARY = Set.of("ADD_SERVER", "WEIGHT", "ZONE", "ADDRESS", "MOVE_DISCOVERY", "RESTORE",
+            "PROMOTE");
 
     private final Evidence evidence;
     private final Timeline timeline;
@@ -37,7 +38,8 @@
             }
             Told first = byVersion.putIfAbsent(Version.of(t), t);
             if (first != null && !first.text("hash").equals(t.text("hash"))) {
-                return Verdict.broken(Promise.P5, "%s and %s hold different calendars as version %s".formatted(first.router(), t.router(),
+                return Verdict.broken(Promise.P5, "%s and %s hold different calendars as version %s".formatted(first.router(),
+                        t.router(),
                         t.text("version")), List.of(first, t));
             }
             Told before = byProcess.put(t.router() + ":" + t.incarnation(), t);
@@ -55,7 +57,8 @@
         for (Told t : evidence.of("topology.admitted")) {
             Told by = windows.forbids(t.text("kind"), t.text("zone"), t, evidence.limits().lease() + evidence.limits().skew());
             if (by != null) {
-                return Verdict.broken(Promise.P6, "%s admits %s of '%s' inside a window that was accepted %.1f s before".formatted(
+                return Verdict.broken(Promise.P6, "%s admits %s of '%s' inside a window that was accepted %.1f s before"
+                        .formatted(
                         t.router(), t.text("kind"), t.text("server"), t.at() - by.at()), List.of(by, t));
             }
             looks++;
@@ -75,7 +78,8 @@
             }
             boolean waits = t.is("topology.held") || t.is("topology.refused");
             if (waits && !VOLUNTARY.contains(t.text("kind"))) {
-                return Verdict.broken(Promise.P7, "%s lets %s of '%s' wait".formatted(t.router(), t.text("kind"), t.text("server")), List.of(t));
+                return Verdict.broken(Promise.P7, "%s lets %s of '%s' wait".formatted(t.router(), t.text("kind"), t.text(
+                        "server")), List.of(t));
             }
             looks++;
         }
@@ -91,7 +95,8 @@
                 continue;
             }
             if (taken.getOrDefault(p.router(), List.of()).stream().noneMatch(t -> t.at() >= p.at() && t.at() <= due)) {
-                return Verdict.broken(Promise.P8, "what staff proposed at n%d at %.1f s, in a majority, was not accepted within 2 s".formatted(
+                return Verdict.broken(Promise.P8,
+                        "what staff proposed at n%d at %.1f s, in a majority, was not accepted within 2 s".formatted(
                         p.router(), p.at()), taken.getOrDefault(p.router(), List.of()));
             }
             looks++;
@@ -104,7 +109,8 @@
                 }
                 Told last = Evidence.at(ofItsProcess(taken.getOrDefault(r, List.of()), r, due), due);
                 if (last == null || Version.of(last).compareTo(Version.of(first)) < 0) {
-                    return Verdict.broken(Promise.P8, "n%d does not know version %s at %.1f s".formatted(r, first.text("version"), due),
+                    return Verdict.broken(Promise.P8, "n%d does not know version %s at %.1f s".formatted(r, first.text("version"),
+                            due),
                             last == null ? List.of(first) : List.of(first, last));
                 }
                 looks++;
--- a/lab/src/main/java/stagepier/lab/check/ShadowPromises.java
+++ b/lab/src/main/java/stagepier/lab/check/ShadowPromises.java
@@ -37,7 +37,8 @@
         for (Told copy : evidence.of("shadow.copy")) {
             Told of = real.get(copy.text("id"));
             if (of != null && of.text("server").equals(copy.text("server"))) {
-                return Verdict.broken(Promise.P9, "the copy of request %s went where the real one was served".formatted(copy.text("id")),
+                return Verdict.broken(Promise.P9, "the copy of request %s went where the real one was served".formatted(copy.text(
+                        "id")),
                         List.of(copy, of));
             }
         }
@@ -62,7 +63,8 @@
             }
             List<Told> second = copies.subList(first, i + 1);
             if (second.size() > Math.ceil(budget)) {
-                return Verdict.broken(Promise.P10, "%d copies within a second, the budget is %.1f".formatted(second.size(), budget), second);
+                return Verdict.broken(Promise.P10, "%d copies within a second, the budget is %.1f".formatted(second.size(),
+                        budget), second);
             }
             BitSet side = steadySide(evidence.number(copy.router()), copy.at());
             if (side.isEmpty() || side.cardinality() == timeline.routers()) {
@@ -92,7 +94,8 @@
 
     Verdict countersAreSums() {
         Map<String, List<Told>> copies = new HashMap<>();
-        evidence.of("shadow.copy").forEach(t -> copies.computeIfAbsent(t.router() + ":" + t.incarnation(), k -> new ArrayList<>()).add(t));
+        evidence.of("shadow.copy").forEach(t -> copies.computeIfAbsent(t.router() + ":" + t.incarnation(),
+                k -> new ArrayList<>()).add(t));
         Map<String, Map<String, Long>> before = new HashMap<>();
         Map<String, Told> last = new HashMap<>();
         int looks = 0;
@@ -101,12 +104,14 @@
             Map<String, Long> counts = counts(t);
             long sum = counts.values().stream().mapToLong(n -> n).sum();
             if (sum != (long) t.number("total", sum)) {
-                return Verdict.broken(Promise.P11, "%s's total is not the sum of its counts, %d".formatted(t.router(), sum), List.of(t));
+                return Verdict.broken(Promise.P11, "%s's total is not the sum of its counts, %d".formatted(t.router(), sum),
+                        List.of(t));
             }
             for (var count : counts.entrySet()) {
                 long made = copies.getOrDefault(count.getKey(), List.of()).stream().filter(c -> c.at() <= t.at()).count();
                 if (count.getValue() > made) {
-                    return Verdict.broken(Promise.P11, "%s counts %d copies of %s, which had made %d".formatted(t.router(), count.getValue(),
+                    return Verdict.broken(Promise.P11, "%s counts %d copies of %s, which had made %d".formatted(t.router(),
+                            count.getValue(),
                             count.getKey(), made), List.of(t));
                 }
                 long earlier = before.getOrDefault(process, Map.of()).getOrDefault(count.getKey(), 0L);
@@ -181,7 +186,8 @@
                 continue;
             }
             int router = r;
-            boolean isThere = evidence.of("shadow.promoted").stream().anyMatch(t -> evidence.number(t.router()) == router && t.at() <= due
+            boolean isThere = evidence.of("shadow.promoted").stream().anyMatch(t -> evidence.number(t.router()) == router
+                    && t.at() <= due
                     && thereOrLater.contains(state(t)));
             Told last = Evidence.at(evidence.byRouter(t -> true).getOrDefault(r, List.of()), due);
             if (!isThere && last != null) {
--- a/lab/src/main/java/stagepier/lab/check/Timeline.java
+++ b/lab/src/main/java/stagepier/lab/check/Timeline.java
@@ -98,7 +98,8 @@
     }
 
     /**
-     * The side of a clean partition that a router is on: all in it hear each other, none of them hears or is heard by any other one
+     * The side of a clean partition that a router is on: all in it hear each other, none of them hears or is heard by any other
+     * one
      * that runs. Empty where there is no such side, as with a bridge or silence one way.
      */
     BitSet side(int router, int step) {
@@ -113,7 +114,8 @@
 
     private boolean hearsOneWay(int router, int step) {
         for (int other = 0; other < routers; other++) {
-            if (runs(other, step) && hears.get(step).get(router * routers + other) != hears.get(step).get(other * routers + router)) {
+            if (runs(other, step) && hears.get(step).get(router * routers + other) != hears.get(step).get(other * routers
+                    + router)) {
                 return true;
             }
         }
--- a/lab/src/main/java/stagepier/lab/check/Verdict.java
+++ b/lab/src/main/java/stagepier/lab/check/Verdict.java
@@ -31,7 +31,8 @@
     /** What it is, in one line. */
     @Override
     public String toString() {
-        return "%s %s: %s".formatted(promise, state == State.NOT_SEEN ? "not seen" : state.name().toLowerCase(java.util.Locale.ROOT),
+        return "%s %s: %s".formatted(promise, state == State.NOT_SEEN ? "not seen"
+                : state.name().toLowerCase(java.util.Locale.ROOT),
                 state == State.BROKEN ? what : promise.words() + " (" + what + ")");
     }
 }
--- a/lab/src/main/java/stagepier/lab/check/ViewPromises.java
+++ b/lab/src/main/java/stagepier/lab/check/ViewPromises.java
@@ -46,7 +46,8 @@
             for (int other = around.nextSetBit(r + 1); other >= 0; other = around.nextSetBit(other + 1)) {
                 Told there = Evidence.at(views.getOrDefault(other, List.of()), settled);
                 if (there != null && !members(here).equals(members(there))) {
-                    return Verdict.broken(Promise.P1, "n%d and n%d hear each other and differ %.1f s after the last fault".formatted(r,
+                    return Verdict.broken(Promise.P1, "n%d and n%d hear each other and differ %.1f s after the last fault"
+                            .formatted(r,
                             other, SETTLES), List.of(here, there));
                 }
             }
@@ -85,7 +86,8 @@
                     boolean isNew = isCalledGone(member.getValue()) && !isCalledGone(before.getOrDefault(member.getKey(), ""));
                     int gone = evidence.number(member.getKey());
                     if (isNew && gone >= 0 && isUnbroken(gone, of.getKey(), view.at())) {
-                        return Verdict.broken(Promise.P2, "n%d calls %s gone, which ran and was heard for %.0f s".formatted(of.getKey(),
+                        return Verdict.broken(Promise.P2, "n%d calls %s gone, which ran and was heard for %.0f s"
+                                .formatted(of.getKey(),
                                 member.getKey(), EXCUSED), List.of(view));
                     }
                 }
@@ -128,7 +130,8 @@
                 since = Double.isNaN(since) ? now : since;
                 Told view = Evidence.at(of.getValue(), now);
                 if (now > since + SETTLES + SLACK && view != null && view.flag("majority")) {
-                    return Verdict.broken(Promise.P3, "n%d is with %d others of %d since %.1f s and says at %.1f s that it is in a majority"
+                    return Verdict.broken(Promise.P3,
+                            "n%d is with %d others of %d since %.1f s and says at %.1f s that it is in a majority"
                             .formatted(of.getKey(), size - 1, timeline.routers(), since, now), List.of(view));
                 }
             }
@@ -147,7 +150,8 @@
             for (int i = 0; i + TRAFFIC_SPAN <= seconds.size(); i++) {
                 double mean = seconds.subList(i, i + TRAFFIC_SPAN).stream().mapToLong(b -> b).average().orElse(0);
                 if (mean > most) {
-                    return Verdict.broken(Promise.P4, "n%d sent %.0f bytes a second to others from %d s on for %d s, the bound is %.0f"
+                    return Verdict.broken(Promise.P4,
+                            "n%d sent %.0f bytes a second to others from %d s on for %d s, the bound is %.0f"
                             .formatted(of.getKey(), mean, i, TRAFFIC_SPAN, most), List.of());
                 }
                 looks++;
--- a/lab/src/main/java/stagepier/lab/cli/HuntCommand.java
+++ b/lab/src/main/java/stagepier/lab/cli/HuntCommand.java
@@ -47,7 +47,8 @@
     public Integer call() throws IOException, InterruptedException, BadScenarioException {
         for (int n : new int[] {seeds, plays, tries}) {
             if (n < 1 || n > 100_000) {
-                throw new CommandLine.ParameterException(spec.commandLine(), "--seeds, --plays and --tries must lie between 1 and 100000");
+                throw new CommandLine.ParameterException(spec.commandLine(),
+                        "--seeds, --plays and --tries must lie between 1 and 100000");
             }
         }
         String base = Files.readString(file);
@@ -79,7 +80,8 @@
         }
         Path replay = Files.createDirectories(folder).resolve(scenario.name() + "-found-" + found.seed() + ".toml");
         Files.writeString(replay, found.scenario(base));
-        to.printf("seed %d breaks %s: %d faults shrunk to %d by %d plays%nreplay: lab run %s --seed %d%n", found.seed(), found.broken(),
+        to.printf("seed %d breaks %s: %d faults shrunk to %d by %d plays%nreplay: lab run %s --seed %d%n", found.seed(),
+                found.broken(),
                 found.drawn().size(), found.shrunk().size(), found.plays(), replay, found.seed());
         to.flush();
         return Cli.BROKEN;
--- a/lab/src/main/java/stagepier/lab/fleet/Experiment.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Experiment.java
@@ -155,7 +155,8 @@
         if (scenario.together() == null) {
             return new RouterProcess(r, command, Map.of(), folder, scenario.hasStaff());
         }
-        return new RouterProcess(r, HistoryCommand.of(command, r, folder, scenario.together().clockOffset(r)), files.write(r, fleet),
+        return new RouterProcess(r, HistoryCommand.of(command, r, folder, scenario.together().clockOffset(r)), files.write(r,
+                fleet),
                 folder, scenario.hasStaff());
     }
 
--- a/lab/src/main/java/stagepier/lab/fleet/FleetFiles.java
+++ b/lab/src/main/java/stagepier/lab/fleet/FleetFiles.java
@@ -12,9 +12,12 @@
 import stagepier.lab.scenario.Together;
 import stagepier.lab.standin.Fleet;
 
-/** The operators' files of a fleet that decides together, a set for each router: what is between two routers differs by router. */
+/**
+ * The operators' files of a fleet that decides together, a set for each router: what is between two routers differs by router.
+ */
 final class FleetFiles {
-    private static final DateTimeFormatter LOCAL = DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss").withZone(ZoneId.of("Africa/Cairo"));
+    private static final DateTimeFormatter LOCAL = DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss").withZone(ZoneId.of(
+            "Africa/Cairo"));
 
     private final Scenario scenario;
     private final Path folder;
@@ -27,8 +30,10 @@
     /** Writes those of one router, and tells what its process has to find in its environment. */
     Map<String, String> write(int router, Fleet doors) throws IOException {
         Together t = scenario.together();
-        StringBuilder text = new StringBuilder("listen = \"127.0.0.1:%d\"%nlease_ms = %d%nskew_ms = %d%ncalendar = \"%s\"%n".formatted(
-                doors.door(router, router), Math.round(t.lease() * 1e3), Math.round(t.skew() * 1e3), calendar(router).getFileName()));
+        StringBuilder text = new StringBuilder("listen = \"127.0.0.1:%d\"%nlease_ms = %d%nskew_ms = %d%ncalendar = \"%s\"%n"
+                .formatted(
+                doors.door(router, router), Math.round(t.lease() * 1e3), Math.round(t.skew() * 1e3),
+                        calendar(router).getFileName()));
         if (!t.candidate().isEmpty()) {
             Files.writeString(folder.resolve("candidate.toml"), t.candidate());
             text.append("candidate = \"candidate.toml\"\n");
--- a/lab/src/main/java/stagepier/lab/fleet/Judgement.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Judgement.java
@@ -43,7 +43,8 @@
      * @param until   when the run was over
      * @param hearing who heard whom
      */
-    List<Verdict> verdicts(long zero, double start, double until, Timeline.Hearing hearing, List<Event> events, List<Breach> breaches,
+    List<Verdict> verdicts(long zero, double start, double until, Timeline.Hearing hearing, List<Event> events,
+            List<Breach> breaches,
             Map<Integer, List<Long>> traffic) throws IOException {
         List<Told> told = new ArrayList<>();
         for (int r = 0; r < scenario.routers(); r++) {
@@ -51,7 +52,8 @@
             if (!Files.exists(file)) {
                 throw new IOException("router " + r + " left no history at " + file);
             }
-            List<String> wrong = HistoryLines.read("n" + r, new String(Files.readAllBytes(file), StandardCharsets.UTF_8).lines().toList(),
+            List<String> wrong = HistoryLines.read("n" + r, new String(Files.readAllBytes(file),
+                    StandardCharsets.UTF_8).lines().toList(),
                     zero, told);
             if (!wrong.isEmpty()) {
                 throw new IOException(wrong.get(0));
@@ -61,7 +63,8 @@
         Timeline timeline = new Timeline(scenario.routers(), still(events, scenario.routers(), start, until), hearing, until);
         return Checker.judge(new Evidence(told, timeline, lastFault(events, start, until), until, List.copyOf(proposals),
                 new Evidence.Limits(t.lease(), t.skew(), t.trafficMost(), t.copiesBudget()),
-                new Evidence.Seen(breaches.stream().filter(b -> b.rule() == Breach.Rule.DRAINS).map(Breach::toString).toList(), traffic,
+                new Evidence.Seen(breaches.stream().filter(b -> b.rule() == Breach.Rule.DRAINS).map(Breach::toString).toList(),
+                        traffic,
                         List.of())));
     }
 
@@ -83,7 +86,8 @@
         return all;
     }
 
-    private static void change(Map<Integer, List<Span>> all, Map<String, Double> since, String what, int router, boolean still, double at) {
+    private static void change(Map<Integer, List<Span>> all, Map<String, Double> since, String what, int router, boolean still,
+            double at) {
         String key = what + " " + router;
         if (still) {
             since.putIfAbsent(key, at);
--- a/lab/src/main/java/stagepier/lab/fleet/RouterProcess.java
+++ b/lab/src/main/java/stagepier/lab/fleet/RouterProcess.java
@@ -46,7 +46,8 @@
      * @param environment what it finds there besides its configuration
      * @param staff       whether it has a console, and its clients' socket is held outside of it
      */
-    RouterProcess(int number, List<String> command, Map<String, String> environment, Path folder, boolean staff) throws IOException {
+    RouterProcess(int number, List<String> command, Map<String, String> environment, Path folder,
+            boolean staff) throws IOException {
         this.number = number;
         this.command = List.copyOf(command);
         this.environment = Map.copyOf(environment);
--- a/lab/src/main/java/stagepier/lab/hunt/Grammar.java
+++ b/lab/src/main/java/stagepier/lab/hunt/Grammar.java
@@ -15,12 +15,14 @@
  * What schedules are drawn from. A schedule has 1 to 5 steps, each with equal chance one of
  *
  * <ul>
- *   <li>between routers, and between them and discovery: partition, bridge over 1 or 2 routers, one way, flap of 2 s, slow by 200 ms and
+ *   <li>between routers, and between them and discovery: partition, bridge over 1 or 2 routers, one way, flap of 2 s, slow by
+ * 200 ms and
  *       up to 50 ms more, delay of the same, a part of 0.05 of connections cut; sides of 1 up to half of the routers;</li>
  *   <li>of routers: kill without memory and standing still, of 1 up to half of them.</li>
  * </ul>
  *
- * Times lie on whole halves of a second, from 2 s on; a step lasts 1 to 6 s, a stand-still 4 s. All is over {@link #CALM} s before the end.
+ * Times lie on whole halves of a second, from 2 s on; a step lasts 1 to 6 s, a stand-still 4 s. All is over {@link #CALM} s
+ * before the end.
  */
 public final class Grammar {
     /** Seconds at the end of a run without any fault, in which a fleet has to settle. */
@@ -28,7 +30,8 @@
     private static final int STEPS_MOST = 5;
     private static final double FIRST_AT = 2;
     private static final double LASTS_MOST = 6;
-    private static final List<Shape> SHAPES = List.of(Shape.PARTITION, Shape.BRIDGE, Shape.ONE_WAY, Shape.FLAP, Shape.SLOW, Shape.DELAY,
+    private static final List<Shape> SHAPES = List.of(Shape.PARTITION, Shape.BRIDGE, Shape.ONE_WAY, Shape.FLAP, Shape.SLOW,
+            Shape.DELAY,
             Shape.CUT);
     private static final int KINDS = SHAPES.size() + 2;
 
@@ -42,7 +45,8 @@
      */
     public Grammar(int routers, double seconds) {
         if (routers < 2 || seconds < FIRST_AT + LASTS_MOST + CALM) {
-            throw new IllegalArgumentException("a hunt takes 2 routers and " + (FIRST_AT + LASTS_MOST + CALM) + " s of load at the least");
+            throw new IllegalArgumentException("a hunt takes 2 routers and " + (FIRST_AT + LASTS_MOST + CALM)
+                    + " s of load at the least");
         }
         this.routers = routers;
         this.seconds = seconds;
@@ -74,13 +78,15 @@
         List<Integer> side = sorted(all.subList(0, size));
         if (kind >= SHAPES.size()) {
             boolean kill = kind == SHAPES.size();
-            return new Step.OfRouters(new Fault(kill ? Fault.Kind.ROUTER_KILL : Fault.Kind.ROUTER_STALL, at, kill ? lasts : 4, side, 0, 0));
+            return new Step.OfRouters(new Fault(kill ? Fault.Kind.ROUTER_KILL : Fault.Kind.ROUTER_STALL, at, kill ? lasts : 4,
+                    side, 0, 0));
         }
         Shape shape = SHAPES.get(kind);
         // Between two routers there is no third that bridges.
         boolean bridges = shape == Shape.BRIDGE && routers > size + 1;
         List<Integer> via = bridges ? sorted(all.subList(size, Math.min(routers - 1, size + 1 + random.nextInt(2)))) : List.of();
-        return new Step.OfLinks(new LinkFault(shape == Shape.BRIDGE && !bridges ? Shape.PARTITION : shape, at, lasts, side, List.of(), via,
+        return new Step.OfLinks(new LinkFault(shape == Shape.BRIDGE && !bridges ? Shape.PARTITION : shape, at, lasts, side,
+                List.of(), via,
                 EnumSet.allOf(Link.class), shape == Shape.CUT ? 0.05 : 0.3, 0.2, 0.05, 2));
     }
 
--- a/lab/src/main/java/stagepier/lab/hunt/Hunt.java
+++ b/lab/src/main/java/stagepier/lab/hunt/Hunt.java
@@ -50,7 +50,8 @@
             List<Step> schedule = grammar.draw(seed);
             Player player = players.of(seed);
             Set<String> broken = player.play(schedule);
-            watcher.accept("seed %d: %d faults, %s".formatted(seed, schedule.size(), broken.isEmpty() ? "kept" : "broken: " + broken));
+            watcher.accept("seed %d: %d faults, %s".formatted(seed, schedule.size(), broken.isEmpty() ? "kept" : "broken: "
+                    + broken));
             if (!broken.isEmpty()) {
                 Shrinker shrinker = new Shrinker(player, broken, playsMost);
                 List<Step> shrunk = shrinker.shrink(schedule);
--- a/lab/src/main/java/stagepier/lab/hunt/Step.java
+++ b/lab/src/main/java/stagepier/lab/hunt/Step.java
@@ -58,7 +58,8 @@
 
         @Override
         public Step with(double at, double lasts) {
-            return new OfLinks(new LinkFault(fault.shape(), at, lasts, fault.a(), fault.b(), fault.via(), fault.links(), fault.part(),
+            return new OfLinks(new LinkFault(fault.shape(), at, lasts, fault.a(), fault.b(), fault.via(), fault.links(),
+                    fault.part(),
                     fault.delay(), fault.jitter(), fault.period()));
         }
 
--- a/lab/src/main/java/stagepier/lab/report/Summary.java
+++ b/lab/src/main/java/stagepier/lab/report/Summary.java
@@ -47,7 +47,8 @@
                 ms(r, 50), ms(r, 99), ms(r, 99.9), causes.values().stream().mapToLong(n -> n).sum(), causes,
                 r.lag().getValueAtPercentile(99) / 1e3, r.readySeconds(), r.cpuSeconds(), r.residentMb(),
                 r.nodeTotals().get(0), r.nodeTotals().get(1), r.nodeTotals().get(2),
-                r.verdicts().stream().flatMap(v -> Stream.concat(Stream.of(v.toString()), v.lines().stream().map(l -> "    " + l))).toList());
+                r.verdicts().stream().flatMap(v -> Stream.concat(Stream.of(v.toString()), v.lines().stream().map(l -> "    "
+                        + l))).toList());
     }
 
     private static double ms(RunResult r, double percentile) {
--- a/lab/src/main/java/stagepier/lab/scenario/TogetherReader.java
+++ b/lab/src/main/java/stagepier/lab/scenario/TogetherReader.java
@@ -19,7 +19,8 @@
         for (Table p : t.subs("proposal")) {
             proposals.add(proposal(p, routers, seconds));
         }
-        Together together = new Together(t.number("lease_ms", 3000, 100, 600_000) / 1e3, t.number("skew_ms", 2000, 0, 600_000) / 1e3,
+        Together together = new Together(t.number("lease_ms", 3000, 100, 600_000) / 1e3, t.number("skew_ms", 2000, 0,
+                600_000) / 1e3,
                 t.number("link_bytes_per_s", 0, 0, 1e9), t.number("copies_per_s", 0, 0, 1e6),
                 t.wholes("clock_offsets_ms", -3_600_000, 3_600_000), t.word("candidate", ""), t.word("calendar", ""),
                 List.copyOf(proposals));
--- a/lab/src/test/java/stagepier/lab/ScenarioReaderTest.java
+++ b/lab/src/test/java/stagepier/lab/ScenarioReaderTest.java
@@ -98,7 +98,8 @@
                 .replace("from_s = 4", "from_s = 4\nuntil_s = 3") + "lenght = 3\n";
         String message = assertThrows(BadScenarioException.class, () -> ScenarioReader.parse("f", bad)).getMessage();
         for (String line : List.of("f:3: together.clock_offsets_ms: names more", "f:6: together.proposal[0].routers: must hold",
-                "f:9: together.proposal[0].window[0].until_s: must be above", "f:10: together.proposal[0].window[0].scope: must be",
+                "f:9: together.proposal[0].window[0].until_s: must be above",
+                        "f:10: together.proposal[0].window[0].scope: must be",
                 "f:11: together.proposal[0].window[0].lenght: is unknown")) {
             assertTrue(message.contains(line), line + " in" + System.lineSeparator() + message);
         }
--- a/lab/src/test/java/stagepier/lab/TogetherTest.java
+++ b/lab/src/test/java/stagepier/lab/TogetherTest.java
@@ -20,7 +20,10 @@
 import stagepier.lab.report.Summary;
 import stagepier.lab.scenario.ScenarioReader;
 
-/** Processes that write histories over links which the lab breaks: who keeps the promises passes, who breaks them all is found out in each. */
+/**
+ * Processes that write histories over links which the lab breaks: who keeps the promises passes, who breaks them all is found
+ * out in each.
+ */
 @Timeout(90)
 class TogetherTest {
     private static final String SCENARIO = """
@@ -51,7 +54,8 @@
     private Path folder;
 
     private RunResult run(String how) throws Exception {
-        List<String> command = List.of(RouterProcess.java(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+        List<String> command = List.of(RouterProcess.java(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty(
+                "java.class.path"),
                 WrongRouter.class.getName(), how);
         try (Experiment experiment = new Experiment(ScenarioReader.parse("test", SCENARIO), 5, command, folder)) {
             return experiment.run(p -> { });
--- a/lab/src/test/java/stagepier/lab/WrongMember.java
+++ b/lab/src/test/java/stagepier/lab/WrongMember.java
@@ -51,7 +51,8 @@
         member.onHangUp();
         daemon(member::listen);
         daemon(member::look);
-        member.addresses.keySet().stream().filter(other -> !other.equals(name)).forEach(other -> daemon(() -> member.ping(other)));
+        member.addresses.keySet().stream()
+                .filter(other -> !other.equals(name)).forEach(other -> daemon(() -> member.ping(other)));
         if (wrong) {
             daemon(member::breakAll);
         }
@@ -93,7 +94,8 @@
 
     private void answer(Socket caller) {
         try (caller) {
-            String line = new BufferedReader(new InputStreamReader(caller.getInputStream(), StandardCharsets.US_ASCII)).readLine();
+            String line = new BufferedReader(new InputStreamReader(caller.getInputStream(),
+                    StandardCharsets.US_ASCII)).readLine();
             if (line != null && line.contains("holds")) {
                 learn();
             }
@@ -160,7 +162,8 @@
                 }
                 return null;
             });
-            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"), accepts);
+            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
+                    accepts);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException(e);
         }
--- a/lab/src/test/java/stagepier/lab/check/CheckerTest.java
+++ b/lab/src/test/java/stagepier/lab/check/CheckerTest.java
@@ -26,7 +26,8 @@
         History h = new History().allView(1, 1).parted(10, 20);
         for (int r = 0; r < History.ROUTERS; r++) {
             boolean few = r < 2;
-            h.view(12, r, 2, !few, few ? new String[] {"n2:1:GONE", "n3:1:GONE", "n4:1:GONE"} : new String[] {"n0:1:GONE", "n1:1:GONE"});
+            h.view(12, r, 2, !few, few ? new String[] {"n2:1:GONE", "n3:1:GONE", "n4:1:GONE"} : new String[] {"n0:1:GONE",
+                    "n1:1:GONE"});
             h.view(21, r, 3, true, "n0:2:ALIVE");
         }
         h.proposed(1.5, 0).calendar(2, "1.1", "aa", window(30, 40, "all"))
@@ -70,12 +71,17 @@
                 breach(Promise.P2, "n3 calls n4 gone", h -> h.still(3, 30, 34).view(34.2, 3, 4, true, "n0:2:ALIVE", "n4:1:GONE")),
                 breach(Promise.P3, "epoch runs back", h -> h.view(30, 3, 2, true, "n0:2:ALIVE")),
                 breach(Promise.P3, "in a majority", h -> h.view(12.5, 0, 3, true)),
-                breach(Promise.P4, "bytes a second", h -> h.seen(new Seen(List.of(), Map.of(2, Collections.nCopies(12, 1100L)), List.of()))),
-                breach(Promise.P5, "different calendars", h -> h.say(25, 4, 1, "calendar.learned", "version", "1.1", "hash", "bb")),
-                breach(Promise.P5, "goes back", h -> h.calendar(25, "1.2", "bb").say(26, 4, 1, "calendar.learned", "version", "1.1", "hash", "aa")),
-                breach(Promise.P6, "inside a window", h -> h.say(33, 1, 1, "topology.admitted", "kind", "RESTORE", "server", "s3")),
+                breach(Promise.P4, "bytes a second", h -> h.seen(new Seen(List.of(), Map.of(2, Collections.nCopies(12, 1100L)),
+                        List.of()))),
+                breach(Promise.P5, "different calendars", h -> h.say(25, 4, 1, "calendar.learned", "version", "1.1", "hash",
+                        "bb")),
+                breach(Promise.P5, "goes back", h -> h.calendar(25, "1.2", "bb").say(26, 4, 1, "calendar.learned", "version",
+                        "1.1", "hash", "aa")),
+                breach(Promise.P6, "inside a window", h -> h.say(33, 1, 1, "topology.admitted", "kind", "RESTORE", "server",
+                        "s3")),
                 breach(Promise.P7, "lets DRAIN", h -> h.say(33, 1, 1, "topology.held", "kind", "DRAIN", "server", "s3")),
-                breach(Promise.P7, "2 s after", h -> h.seen(new Seen(List.of("sent to s3 2 s after its drain"), Map.of(), List.of()))),
+                breach(Promise.P7, "2 s after", h -> h.seen(new Seen(List.of("sent to s3 2 s after its drain"), Map.of(),
+                        List.of()))),
                 breach(Promise.P8, "not accepted", h -> h.proposed(25, 3)),
                 breach(Promise.P8, "does not know", h -> h.say(25, 0, 1, "calendar.accepted", "version", "1.2", "hash", "cc")),
                 breach(Promise.P8, "n4 does not know", h -> h.still(4, 22, 25).say(25, 4, 2, "view", "epoch", 1)),
@@ -84,8 +90,10 @@
                             "attempts", 2, "answer", "ab").told());
                     h.seen(new Seen(List.of(), Map.of(), without));
                 }),
-                breach(Promise.P9, "two real ends", h -> h.say(9, 1, 1, "shadow.real", "id", "q0", "server", "s1", "attempts", 1)),
-                breach(Promise.P9, "where the real one", h -> h.say(9, 1, 1, "shadow.copy", "id", "q0", "key", "k", "server", "s1")),
+                breach(Promise.P9, "two real ends", h -> h.say(9, 1, 1, "shadow.real", "id", "q0", "server", "s1", "attempts",
+                        1)),
+                breach(Promise.P9, "where the real one", h -> h.say(9, 1, 1, "shadow.copy", "id", "q0", "key", "k", "server",
+                        "s1")),
                 breach(Promise.P10, "11 copies within a second", h -> {
                     for (int i = 0; i < 3; i++) {
                         h.say(3.5, 3, 1, "shadow.copy", "id", "p" + i, "key", "k", "server", "s2");
@@ -97,9 +105,11 @@
                         h.say(16, 2, 1, "shadow.copy", "id", "p" + i, "key", "k", "server", "s2");
                     }
                 }),
-                breach(Promise.P11, "had made 8", h -> h.say(6, 3, 1, "shadow.counters", "counts", List.of("n1:1:9"), "total", 9)),
+                breach(Promise.P11, "had made 8", h -> h.say(6, 3, 1, "shadow.counters", "counts", List.of("n1:1:9"), "total",
+                        9)),
                 breach(Promise.P11, "forgets", h -> h.say(6, 4, 1, "shadow.counters", "counts", List.of("n1:1:7"), "total", 7)),
-                breach(Promise.P11, "not the sum", h -> h.say(6, 3, 1, "shadow.counters", "counts", List.of("n1:1:8"), "total", 16)),
+                breach(Promise.P11, "not the sum", h -> h.say(6, 3, 1, "shadow.counters", "counts", List.of("n1:1:8"), "total",
+                        16)),
                 breach(Promise.P12, "inside a freeze", h -> h.say(35, 0, 1, "shadow.promoted", "version", 1, "share", 500)),
                 breach(Promise.P12, "goes back", h -> h.say(50, 0, 1, "shadow.promoted", "version", 1, "share", 2000)
                         .say(51, 0, 1, "shadow.promoted", "version", 1, "share", 1000)),
@@ -115,7 +125,8 @@
         assertEquals(State.BROKEN, verdict.state(), verdict.toString());
         assertTrue(verdict.what().contains(what), verdict.what());
         boolean seenFromOutside = promise == Promise.P4 || verdict.what().contains("after its drain");
-        assertTrue(seenFromOutside || !verdict.lines().isEmpty() && verdict.lines().get(0).contains("\"event\""), verdict.toString());
+        assertTrue(seenFromOutside || !verdict.lines().isEmpty() && verdict.lines().get(0).contains("\"event\""),
+                verdict.toString());
     }
 
     /** What the promises leave open is no breach. */
@@ -129,7 +140,8 @@
         assertFalse(new History().calendar(31, "1.1", "bb", window(30, 40, "all"))
                 .say(33, 1, 1, "topology.admitted", "kind", "RESTORE", "server", "s3").judge(Promise.P6).isBroken());
         assertFalse(new History().calendar(1, "1.1", "bb", window(30, 40, "zone:z1"), window(30, 40, "kind:WEIGHT"))
-                .say(33, 1, 1, "topology.admitted", "kind", "RESTORE", "server", "s3", "zone", "z0").judge(Promise.P6).isBroken());
+                .say(33, 1, 1, "topology.admitted", "kind", "RESTORE", "server", "s3", "zone",
+                        "z0").judge(Promise.P6).isBroken());
         // A proposal in a minority may wait.
         assertFalse(good().proposed(14, 0).judge(Promise.P8).isBroken());
     }
--- a/lab/src/test/java/stagepier/lab/hunt/HuntTest.java
+++ b/lab/src/test/java/stagepier/lab/hunt/HuntTest.java
@@ -27,7 +27,10 @@
         return s instanceof Step.OfRouters r && r.fault().kind() == Fault.Kind.ROUTER_KILL;
     }
 
-    /** Fails where a partition of 2 s and more comes with a kill; a single step fails in another way, which is not to be shrunk to. */
+    /**
+     * Fails where a partition of 2 s and more comes with a kill; a single step fails in another way, which is not to be shrunk
+     * to.
+     */
     private static Set<String> planted(List<Step> schedule) {
         boolean fails = schedule.stream().anyMatch(s -> isPartition(s, 2)) && schedule.stream().anyMatch(HuntTest::isKill);
         return fails ? Set.of("P5") : schedule.size() == 1 ? Set.of("P9") : Set.of();
@@ -36,7 +39,8 @@
     @Test
     void aPlantedCombinationIsFoundAndShrunkToItself() throws Exception {
         List<String> lines = new ArrayList<>();
-        Hunt.Found found = Hunt.run(GRAMMAR, seed -> s -> s.equals(GRAMMAR.draw(seed)) && s.size() == 1 ? Set.of() : planted(s), 1, 500,
+        Hunt.Found found = Hunt.run(GRAMMAR, seed -> s -> s.equals(GRAMMAR.draw(seed)) && s.size() == 1 ? Set.of() : planted(s),
+                1, 500,
                 400, lines::add);
         assertEquals(Set.of("P5"), found.broken());
         assertEquals(found.seed(), lines.size());
@@ -66,7 +70,8 @@
             assertEquals(drawn.size(), replay.linkFaults().size() + replay.faults().size());
         }
         for (long seed = 0; seed < 50; seed++) {
-            ScenarioReader.parse("two", Hunt.replay("[fleet]\nrouters = 2\n[load]\nseconds = 16\n", new Grammar(2, 16).draw(seed)));
+            ScenarioReader.parse("two", Hunt.replay("[fleet]\nrouters = 2\n[load]\nseconds = 16\n", new Grammar(2,
+                    16).draw(seed)));
         }
     }
 
