Let faults lie on the connections of routers to cache nodes

links = nodes puts a relay before each node for each router. The rule on drains holds a router to when its bytes went off, which the relay keeps by place in the connection, not to when the network brought them.

--- a/lab/src/main/java/stagepier/lab/hunt/Grammar.java
+++ b/lab/src/main/java/stagepier/lab/hunt/Grammar.java
@@ -87,7 +87,7 @@
         List<Integer> via = bridges ? sorted(all.subList(size, Math.min(routers - 1, size + 1 + random.nextInt(2)))) : List.of();
         return new Step.OfLinks(new LinkFault(shape == Shape.BRIDGE && !bridges ? Shape.PARTITION : shape, at, lasts, side,
                 List.of(), via,
-                EnumSet.allOf(Link.class), shape == Shape.CUT ? 0.05 : 0.3, 0.2, 0.05, 2));
+                EnumSet.of(Link.PEERS, Link.DISCOVERY, Link.FLEET), shape == Shape.CUT ? 0.05 : 0.3, 0.2, 0.05, 2));
     }
 
     private static double half(UniformRandomProvider random, double most) {
--- a/lab/src/main/java/stagepier/lab/nemesis/LinkFault.java
+++ b/lab/src/main/java/stagepier/lab/nemesis/LinkFault.java
@@ -9,7 +9,7 @@
  * @param shape  what it is
  * @param at     seconds after the start of the load
  * @param lasts  seconds until it is over
- * @param a      routers of the one side; discovery is always on the other
+ * @param a      routers of the one side; discovery and cache nodes are always on the other
  * @param b      routers of the other side; empty for all that are in neither {@code a} nor {@code via}
  * @param via    routers that hear both sides of a bridge
  * @param links  the links that it lies on
@@ -78,6 +78,6 @@
     }
 
     private boolean isInB(int party) {
-        return party == Link.AGENT || (b.isEmpty() ? !a.contains(party) && !via.contains(party) : b.contains(party));
+        return party <= Link.AGENT || (b.isEmpty() ? !a.contains(party) && !via.contains(party) : b.contains(party));
     }
 }
--- a/lab/src/main/java/stagepier/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/stagepier/lab/scenario/ScenarioReader.java
@@ -160,7 +160,8 @@
                 case "peers" -> links.add(Link.PEERS);
                 case "discovery" -> links.add(Link.DISCOVERY);
                 case "fleet" -> links.add(Link.FLEET);
-                default -> t.error("links", "must hold some of peers, discovery, fleet");
+                case "nodes" -> links.add(Link.NODES);
+                default -> t.error("links", "must hold some of peers, discovery, fleet, nodes");
             }
         }
         LinkFault fault = new LinkFault(shape, at, lasts, a, b, via, links, t.number("part", 0.3, 0, 1),
--- a/lab/src/main/java/stagepier/lab/standin/CacheNode.java
+++ b/lab/src/main/java/stagepier/lab/standin/CacheNode.java
@@ -119,7 +119,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new MetaDecoder(world.clock()), new Connection(router));
+                        channel.pipeline().addLast(new MetaDecoder(world.clock(), world.sent()), new Connection(router));
                     }
                 }).bind("127.0.0.1", ports[router]);
     }
--- a/lab/src/main/java/stagepier/lab/standin/Clients.java
+++ b/lab/src/main/java/stagepier/lab/standin/Clients.java
@@ -175,7 +175,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new MetaDecoder(clock), fresh);
+                        channel.pipeline().addLast(new MetaDecoder(clock, new SentTimes()), fresh);
                     }
                 }).connect("127.0.0.1", ports[router]);
         fresh.channel = connect.channel();
--- a/lab/src/main/java/stagepier/lab/standin/Fleet.java
+++ b/lab/src/main/java/stagepier/lab/standin/Fleet.java
@@ -43,6 +43,8 @@
     private DatagramRelay peers;
     /** Null where routers do not decide together. */
     private FleetLinks links;
+    /** By node and router; empty where no fault lies between them. */
+    private final List<List<StreamRelay>> toNodes = new ArrayList<>();
 
     public Fleet(EventLoop loop, LabClock clock, Recorder recorder, Scenario scenario, Randoms randoms) {
         this.scenario = scenario;
@@ -68,6 +70,7 @@
             node.listen();
             world.nodes().add(node);
         }
+        relayNodes();
         prefill();
         for (int r = 0; r < scenario.routers(); r++) {
             DiscoveryAgent agent = new DiscoveryAgent(world, nemesis, r);
@@ -118,6 +121,50 @@
         return onLoop(() -> links == null ? Map.of() : links.traffic());
     }
 
+    private void relayNodes() throws InterruptedException {
+        boolean needed = scenario.linkFaults().stream().anyMatch(f -> f.links().contains(Link.NODES));
+        for (CacheNode node : needed ? world.nodes() : List.<CacheNode>of()) {
+            List<StreamRelay> of = new ArrayList<>();
+            for (int r = 0; r < scenario.routers(); r++) {
+                StreamRelay relay = new StreamRelay(world, nemesis, Link.NODES, r, Link.node(node.number()), node.port(r),
+                        new ToNode(r));
+                relay.listen();
+                of.add(relay);
+            }
+            toNodes.add(of);
+        }
+    }
+
+    /** Keeps when what a router sends went off. */
+    private final class ToNode implements StreamRelay.Passed {
+        private final int router;
+
+        ToNode(int router) {
+            this.router = router;
+        }
+
+        @Override
+        public void bytes(int from, int bytes) {
+            // Only when and on which connection is asked for.
+        }
+
+        @Override
+        public void bytes(int from, int port, int bytes, double at) {
+            if (from == router) {
+                world.sent().sent(port, bytes, at);
+            }
+        }
+
+        @Override
+        public void opened(int port) {
+            world.sent().opened(port);
+        }
+    }
+
+    private int nodePort(CacheNode node, int router) {
+        return toNodes.isEmpty() ? node.port(router) : toNodes.get(node.number()).get(router).port();
+    }
+
     /** Nodes that have been running for long hold what was asked for lately. */
     private void prefill() {
         Arrivals.Demand d = scenario.demand();
@@ -129,7 +176,7 @@
     }
 
     private DiscoveryAgent.Entry entry(CacheNode node, int router, String lifecycle, long startedAtMs) {
-        return new DiscoveryAgent.Entry(node.id(), node.number(), "127.0.0.1:" + node.port(router),
+        return new DiscoveryAgent.Entry(node.id(), node.number(), "127.0.0.1:" + nodePort(node, router),
                 "z" + node.number() % scenario.zones(), lifecycle, startedAtMs);
     }
 
@@ -382,6 +429,7 @@
             world.nodes().forEach(CacheNode::close);
             agents.forEach(DiscoveryAgent::close);
             toAgents.forEach(StreamRelay::close);
+            toNodes.forEach(of -> of.forEach(StreamRelay::close));
             if (peers != null) {
                 peers.close();
             }
--- a/lab/src/main/java/stagepier/lab/standin/MetaDecoder.java
+++ b/lab/src/main/java/stagepier/lab/standin/MetaDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.util.ByteProcessor;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
@@ -12,7 +13,7 @@
  * router's parsers, for these are among what is tested.
  */
 final class MetaDecoder extends ByteToMessageDecoder {
-    /** A line and its data block; {@code firstByteAt} as the clock tells. */
+    /** A line and its data block; {@code firstByteAt}: when its first byte came, or went off where a relay lies between. */
     record Message(String line, String[] words, byte[] data, double firstByteAt) {
         /** The rest of the word that begins with this letter, from the third word on; empty where there is none. */
         String flag(char letter) {
@@ -37,20 +38,25 @@
 
     private static final int LARGEST_LINE = 8192;
     private final LabClock clock;
+    private final SentTimes sent;
+    /** Bytes of the messages before this one. */
+    private long taken;
     private String line;
     private String[] words;
     private int length;
     private double firstByteAt = Double.NaN;
 
-    MetaDecoder(LabClock clock) {
+    MetaDecoder(LabClock clock, SentTimes sent) {
         this.clock = clock;
+        this.sent = sent;
     }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (Double.isNaN(firstByteAt)) {
-            firstByteAt = clock.now();
+            firstByteAt = firstByteAt(ctx);
         }
+        int before = in.readerIndex();
         if (line == null) {
             int end = in.forEachByte(ByteProcessor.FIND_LF);
             if (end < 0) {
@@ -65,6 +71,7 @@
             length = dataLength(words);
         }
         if (length >= 0 && in.readableBytes() < length + 2) {
+            taken += in.readerIndex() - before;
             return;
         }
         byte[] data = null;
@@ -75,7 +82,13 @@
         }
         out.add(new Message(line, words, data, firstByteAt));
         line = null;
-        firstByteAt = in.isReadable() ? clock.now() : Double.NaN;
+        taken += in.readerIndex() - before;
+        firstByteAt = in.isReadable() ? firstByteAt(ctx) : Double.NaN;
+    }
+
+    private double firstByteAt(ChannelHandlerContext ctx) {
+        int port = ctx.channel().remoteAddress() instanceof InetSocketAddress from ? from.getPort() : 0;
+        return sent.at(port, taken, clock.now());
     }
 
     /** Bytes of the data block behind a line, or -1 where none follows. */
--- a/lab/src/main/java/stagepier/lab/standin/StreamRelay.java
+++ b/lab/src/main/java/stagepier/lab/standin/StreamRelay.java
@@ -45,6 +45,14 @@
         Passed NONE = (from, bytes) -> { };
 
         void bytes(int from, int bytes);
+
+        /** Bytes that came at {@code at} go on now, over a connection from that port; a new connection begins with {@link #opened}. */
+        default void bytes(int from, int port, int bytes, double at) {
+            bytes(from, bytes);
+        }
+
+        default void opened(int port) {
+        }
     }
 
     /**
@@ -96,6 +104,7 @@
         open.add(up.channel());
         up.addListener(done -> {
             if (done.isSuccess()) {
+                passed.opened(((InetSocketAddress) up.channel().localAddress()).getPort());
                 caller.config().setAutoRead(true);
                 up.channel().config().setAutoRead(true);
             } else {
@@ -121,7 +130,7 @@
 
     /** One direction of one connection. */
     private final class Way extends ChannelInboundHandlerAdapter {
-        private record Piece(ByteBuf bytes, double due) {
+        private record Piece(ByteBuf bytes, double at, double due) {
         }
 
         private final int from;
@@ -148,7 +157,7 @@
             double now = world.clock().now();
             // In order, whatever the jitter is.
             lastDue = Math.max(lastDue, now + nemesis.lateness(link, from, to, now));
-            waiting.add(new Piece((ByteBuf) message, lastDue));
+            waiting.add(new Piece((ByteBuf) message, now, lastDue));
             in.config().setAutoRead(waiting.size() < WAITING_MOST);
             pass();
         }
@@ -169,8 +178,11 @@
         private void pass() {
             double now = world.clock().now();
             while (!waiting.isEmpty() && waiting.peek().due() <= now && !nemesis.treatment(link, from, to, now).isSilence()) {
-                ByteBuf bytes = waiting.remove().bytes();
+                Piece piece = waiting.remove();
+                ByteBuf bytes = piece.bytes();
+                int port = out.localAddress() instanceof InetSocketAddress on ? on.getPort() : 0;
                 if (nemesis.cuts(link, from, to, now)) {
+                    passed.bytes(from, port, bytes.readableBytes() / 2, piece.at());
                     out.writeAndFlush(bytes.readSlice(bytes.readableBytes() / 2)).addListener(f -> {
                         reset(out);
                         reset(in);
@@ -178,7 +190,7 @@
                     drop();
                     return;
                 }
-                passed.bytes(from, bytes.readableBytes());
+                passed.bytes(from, port, bytes.readableBytes(), piece.at());
                 out.writeAndFlush(bytes);
                 in.config().setAutoRead(true);
             }
--- a/lab/src/main/java/stagepier/lab/standin/World.java
+++ b/lab/src/main/java/stagepier/lab/standin/World.java
@@ -24,6 +24,7 @@
     private final Scenario scenario;
     private final OriginModel origin;
     private final UniformRandomProvider work;
+    private final SentTimes sent = new SentTimes();
     private final List<CacheNode> nodes = new ArrayList<>();
     private final Map<Long, Long> versions = new HashMap<>();
     private final Map<String, Done> keyed = new HashMap<>();
@@ -59,6 +60,10 @@
         return origin;
     }
 
+    SentTimes sent() {
+        return sent;
+    }
+
     List<CacheNode> nodes() {
         return nodes;
     }
--- a/lab/src/test/java/stagepier/lab/ExperimentTest.java
+++ b/lab/src/test/java/stagepier/lab/ExperimentTest.java
@@ -117,6 +117,34 @@
         assertFalse(result.series().offered() < 900);
     }
 
+    /** What a router sent before a drain and the network brings long after it is held against nobody. */
+    @Test
+    void whatIsHeldUpOnTheWayToANodeIsJudgedByWhenItWentOff() throws Exception {
+        RunResult result = run("""
+                [fleet]
+                nodes = 3
+                routers = 1
+                notice_s = 0.3
+                [load]
+                rate = 150
+                seconds = 9
+                [[fault]]
+                kind = "drain"
+                at_s = 2.2
+                lasts_s = 20
+                nodes = [1]
+                [[link_fault]]
+                shape = "partition"
+                a = [0]
+                at_s = 2.3
+                lasts_s = 2.2
+                links = ["nodes"]
+                """, RouterProcess.command(Path.of("../router/target/stagepier.jar").toAbsolutePath()));
+        assertEquals(List.of(), result.breaches().stream().filter(b -> b.rule() == Rule.DRAINS).toList());
+        assertTrue(result.series().service(3, 4) < 0.5, "nothing came through: " + result.series().service(3, 4));
+        assertTrue(result.series().service(7, 9) > 0.9, "well again: " + result.series().service(7, 9));
+    }
+
     /** Seven routers, of which three are apart from the rest, and from discovery, while a node drains. */
     @ParameterizedTest
     @CsvSource({"partition", "one_way", "flap"})
--- a/lab/src/test/java/stagepier/lab/standin/RelayTest.java
+++ b/lab/src/test/java/stagepier/lab/standin/RelayTest.java
@@ -144,6 +144,18 @@
         });
     }
 
+    @Test
+    void eachMessageIsKnownByWhenItsFirstByteWentOff() {
+        SentTimes sent = new SentTimes();
+        sent.sent(7, 10, 1);
+        sent.sent(7, 5, 2);
+        assertEquals(List.of(1.0, 1.0, 2.0, 2.0), List.of(sent.at(7, 0, 9), sent.at(7, 9, 9), sent.at(7, 10, 9), sent.at(7, 14, 9)));
+        assertEquals(9, sent.at(8, 0, 9), "no relay there");
+        sent.opened(7);
+        sent.sent(7, 3, 4);
+        assertEquals(4, sent.at(7, 0, 9), "another connection from the same port");
+    }
+
     private static void tell(DatagramSocket from, int port, int what) throws IOException {
         from.send(new DatagramPacket(new byte[] {(byte) what}, 1, LOOPBACK, port));
     }
