--- a/lab/src/main/java/stagepier/lab/check/CalendarPromises.java
+++ b/lab/src/main/java/stagepier/lab/check/CalendarPromises.java
@@ -42,7 +42,7 @@
                         t.router(),
                         t.text("version")), List.of(first, t));
             }
-            Told before = byProcess.put(t.router() + ":" + t.incarnation(), t);
+            Told before = byProcess.put(t.router() + ":" + t.process(), t);
             if (before != null && Version.of(t).compareTo(Version.of(before)) < 0) {
                 return Verdict.broken(Promise.P5, t.router() + " goes back to an earlier version", List.of(before, t));
             }
@@ -125,6 +125,6 @@
     /** What an earlier process of that router held, the one that runs at a moment does not. */
     private List<Told> ofItsProcess(List<Told> of, int router, double at) {
         Told last = Evidence.at(evidence.byRouter(t -> true).getOrDefault(router, List.of()), at);
-        return of.stream().filter(t -> last != null && t.incarnation() == last.incarnation()).toList();
+        return of.stream().filter(t -> last != null && t.process() == last.process()).toList();
     }
 }
--- a/lab/src/main/java/stagepier/lab/check/HistoryLines.java
+++ b/lab/src/main/java/stagepier/lab/check/HistoryLines.java
@@ -24,12 +24,13 @@
      */
     public static List<String> read(String router, List<String> lines, long zero, List<Told> into) {
         List<String> wrong = new ArrayList<>();
+        Processes processes = new Processes();
         for (int i = 0; i < lines.size(); i++) {
             if (lines.get(i).isBlank()) {
                 continue;
             }
             try {
-                into.add(told(router, lines.get(i), zero));
+                into.add(told(router, lines.get(i), zero, processes));
             } catch (JsonParseException | IllegalStateException | UnsupportedOperationException | NumberFormatException e) {
                 // A killed process leaves half a line, to which the next one's first is joined.
                 if (i < lines.size() - 1 && !lines.get(i).contains("}{") && lines.get(i).endsWith("}")) {
@@ -40,7 +41,23 @@
         return wrong;
     }
 
-    private static Told told(String router, String line, long zero) {
+    /** Each process numbers its lines from the first on; one that does not is told by its incarnation. */
+    private static final class Processes {
+        private long last = Long.MAX_VALUE;
+        private long count;
+
+        long of(JsonObject line) {
+            if (!line.has("seq")) {
+                return line.has("incarnation") ? line.get("incarnation").getAsLong() : 0;
+            }
+            long seq = line.get("seq").getAsLong();
+            count += seq <= last ? 1 : 0;
+            last = seq;
+            return count;
+        }
+    }
+
+    private static Told told(String router, String line, long zero, Processes processes) {
         JsonObject o = JsonParser.parseString(line).getAsJsonObject();
         JsonElement event = o.get("event");
         JsonElement nano = o.get("nano");
@@ -49,6 +66,6 @@
         }
         return new Told((nano.getAsLong() - zero) / NANOS, o.has("at") ? o.get("at").getAsLong() : 0,
                 o.has("router") ? o.get("router").getAsString() : router,
-                o.has("incarnation") ? o.get("incarnation").getAsLong() : 0, event.getAsString(), o, line);
+                processes.of(o), event.getAsString(), o, line);
     }
 }
--- a/lab/src/main/java/stagepier/lab/check/ShadowPromises.java
+++ b/lab/src/main/java/stagepier/lab/check/ShadowPromises.java
@@ -94,13 +94,13 @@
 
     Verdict countersAreSums() {
         Map<String, List<Told>> copies = new HashMap<>();
-        evidence.of("shadow.copy").forEach(t -> copies.computeIfAbsent(t.router() + ":" + t.incarnation(),
+        evidence.of("shadow.copy").forEach(t -> copies.computeIfAbsent(t.router() + ":" + t.text("incarnation"),
                 k -> new ArrayList<>()).add(t));
         Map<String, Map<String, Long>> before = new HashMap<>();
         Map<String, Told> last = new HashMap<>();
         int looks = 0;
         for (Told t : evidence.of("shadow.counters")) {
-            String process = t.router() + ":" + t.incarnation();
+            String process = t.router() + ":" + t.process();
             Map<String, Long> counts = counts(t);
             long sum = counts.values().stream().mapToLong(n -> n).sum();
             if (sum != (long) t.number("total", sum)) {
@@ -152,7 +152,7 @@
                 steps.add(t);
             }
             int index = order.indexOf(state);
-            Integer before = reached.put(t.router() + ":" + t.incarnation(), index);
+            Integer before = reached.put(t.router() + ":" + t.process(), index);
             if (before != null && before > index) {
                 return Verdict.broken(Promise.P12, t.router() + " goes back to an earlier step", List.of(steps.get(before), t));
             }
--- a/lab/src/main/java/stagepier/lab/check/Told.java
+++ b/lab/src/main/java/stagepier/lab/check/Told.java
@@ -12,12 +12,12 @@
  * @param at          seconds on the lab's clock, taken from the monotonic clock of the machine, which no offset changes
  * @param wall        epoch milliseconds as the lab's machine had it
  * @param router      who wrote it
- * @param incarnation of the process that wrote it
+ * @param process     which of that router's processes, in their order
  * @param event       such as {@code view}
  * @param values      what else the line holds
  * @param line        the line itself, to be shown
  */
-public record Told(double at, long wall, String router, long incarnation, String event, JsonObject values, String line) {
+public record Told(double at, long wall, String router, long process, String event, JsonObject values, String line) {
     boolean is(String name) {
         return event.equals(name);
     }
--- a/lab/src/main/java/stagepier/lab/check/ViewPromises.java
+++ b/lab/src/main/java/stagepier/lab/check/ViewPromises.java
@@ -111,7 +111,7 @@
         int looks = 0;
         Map<String, Told> last = new HashMap<>();
         for (Told view : evidence.of("view")) {
-            Told before = last.put(view.router() + ":" + view.incarnation(), view);
+            Told before = last.put(view.router() + ":" + view.process(), view);
             if (before != null && view.number("epoch", 0) < before.number("epoch", 0)) {
                 return Verdict.broken(Promise.P3, view.router() + "'s epoch runs back", List.of(before, view));
             }
