--- a/lab/src/test/java/stagepier/lab/hunt/HuntTest.java
+++ b/lab/src/test/java/stagepier/lab/hunt/HuntTest.java
@@ -5,10 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import stagepier.lab.cli.Cli;
 import stagepier.lab.nemesis.LinkFault.Shape;
 import stagepier.lab.scenario.Fault;
 import stagepier.lab.scenario.Scenario;
@@ -75,6 +81,17 @@
         }
     }
 
+    @Test
+    void aHuntThatCannotBeIsRefusedInOneLine(@TempDir Path folder) throws Exception {
+        Path file = Files.writeString(folder.resolve("short.toml"), "[load]\nseconds = 5\n");
+        for (String[] args : new String[][] {{"lab", "hunt", file.toString()}, {"lab", "hunt", file.toString(), "--seeds", "0"}}) {
+            StringWriter said = new StringWriter();
+            int code = Cli.commandLine().setErr(new PrintWriter(said, true)).execute(args);
+            assertEquals(args.length == 3 ? Cli.IO_ERROR : Cli.USAGE, code, said.toString());
+            assertEquals(1, said.toString().lines().count(), said.toString());
+        }
+    }
+
     @Test
     void whatNeverFailsIsNotFoundAndPlaysAreBounded() throws Exception {
         assertNull(Hunt.run(GRAMMAR, seed -> s -> Set.of(), 1, 20, 10, line -> { }));
