--- a/lab/src/main/java/stagepier/lab/fleet/HistoryCommand.java
+++ b/lab/src/main/java/stagepier/lab/fleet/HistoryCommand.java
@@ -71,6 +71,10 @@
 
     private static Path configuration(Path folder) throws IOException {
         Path file = folder.resolve(CONFIGURATION).toAbsolutePath();
+        if (Files.exists(file)) {
+            // The first router may be reading it already.
+            return file;
+        }
         try (InputStream in = HistoryCommand.class.getResourceAsStream("/" + CONFIGURATION)) {
             Files.write(file, in.readAllBytes());
         }
