--- a/lab/src/main/java/stagepier/lab/fleet/FleetFiles.java
+++ b/lab/src/main/java/stagepier/lab/fleet/FleetFiles.java
@@ -29,10 +29,12 @@
     /** Writes those of one router, and tells what its process has to find in its environment. */
     Map<String, String> write(int router, Fleet doors) throws IOException {
         Together t = scenario.together();
-        StringBuilder text = new StringBuilder("listen = \"127.0.0.1:%d\"%nlease_ms = %d%nskew_ms = %d%ncalendar = \"%s\"%n"
-                .formatted(
-                doors.door(router, router), Math.round(t.lease() * 1e3), Math.round(t.skew() * 1e3),
-                        calendar(router).getFileName()));
+        StringBuilder text = new StringBuilder("listen = \"127.0.0.1:%d\"%nlease_ms = %d%nskew_ms = %d%n".formatted(
+                doors.door(router, router), Math.round(t.lease() * 1e3), Math.round(t.skew() * 1e3)));
+        if (t.hasCalendar()) {
+            text.append("calendar = \"").append(calendar(router).getFileName()).append("\"\n");
+            Files.writeString(calendar(router), t.calendar());
+        }
         if (!t.candidate().isEmpty()) {
             Files.writeString(folder.resolve("candidate.toml"), t.candidate());
             text.append("candidate = \"candidate.toml\"\n");
@@ -40,7 +42,6 @@
         for (int other = 0; other < scenario.routers(); other++) {
             text.append("%n[[member]]%nname = \"n%d\"%naddress = \"127.0.0.1:%d\"%n".formatted(other, doors.door(router, other)));
         }
-        Files.writeString(calendar(router), t.calendar());
         Path file = Files.writeString(folder.resolve("fleet-" + router + ".toml"), text);
         return Map.of("GW_FLEET", file.toString());
     }
--- a/lab/src/main/java/stagepier/lab/scenario/Together.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Together.java
@@ -11,11 +11,12 @@
  * @param copiesBudget  copies a second over all routers; 0 where there is no shadow
  * @param clockOffsets  milliseconds by which each router's wall clock is off; those that are not named are right
  * @param candidate     text of the candidate map, or ""
+ * @param hasCalendar   whether routers agree on a calendar; without, only the view is there
  * @param calendar      text of the calendar from the start on, or "" for one without windows
  * @param proposals     what staff propose meanwhile
  */
 public record Together(double lease, double skew, double trafficMost, double copiesBudget, List<Integer> clockOffsets,
-        String candidate, String calendar, List<Proposal> proposals) {
+        String candidate, boolean hasCalendar, String calendar, List<Proposal> proposals) {
     /**
      * Staff write a new calendar and have it read.
      *
--- a/lab/src/main/java/stagepier/lab/scenario/TogetherReader.java
+++ b/lab/src/main/java/stagepier/lab/scenario/TogetherReader.java
@@ -22,11 +22,15 @@
         Together together = new Together(t.number("lease_ms", 3000, 100, 600_000) / 1e3, t.number("skew_ms", 2000, 0,
                 600_000) / 1e3,
                 t.number("link_bytes_per_s", 0, 0, 1e9), t.number("copies_per_s", 0, 0, 1e6),
-                t.wholes("clock_offsets_ms", -3_600_000, 3_600_000), t.word("candidate", ""), t.word("calendar", ""),
+                t.wholes("clock_offsets_ms", -3_600_000, 3_600_000), t.word("candidate", ""),
+                t.flag("has_calendar", true), t.word("calendar", ""),
                 List.copyOf(proposals));
         if (together.clockOffsets().size() > routers) {
             t.error("clock_offsets_ms", "names more routers than there are");
         }
+        if (!together.hasCalendar() && !together.proposals().isEmpty()) {
+            t.error("has_calendar", "must be true where something is proposed");
+        }
         t.end();
         return there && on ? together : null;
     }
