--- a/lab/src/main/java/stagepier/lab/check/ShadowPromises.java
+++ b/lab/src/main/java/stagepier/lab/check/ShadowPromises.java
@@ -100,7 +100,8 @@
         Map<String, Told> last = new HashMap<>();
         int looks = 0;
         for (Told t : evidence.of("shadow.counters")) {
-            String process = t.router() + ":" + t.process();
+            // Counts begin anew with each candidate.
+            String process = t.router() + ":" + t.process() + ":" + t.text("map");
             Map<String, Long> counts = counts(t);
             long sum = counts.values().stream().mapToLong(n -> n).sum();
             if (sum != (long) t.number("total", sum)) {
--- a/lab/src/main/java/stagepier/lab/fleet/Experiment.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Experiment.java
@@ -139,7 +139,7 @@
         fleet.stop();
         Series series = clients.series();
         recorder.all().forEach(e -> {
-            if (e instanceof Event.Arrived a && a.runs()) {
+            if (e instanceof Event.Arrived a && a.runs() && a.request() >= 0) {
                 series.executed(Math.max(0, a.at() - clients.startedAt()));
             }
         });
@@ -164,6 +164,18 @@
         for (Together.Proposal p : scenario.together() == null ? List.<Together.Proposal>of() : scenario.together().proposals()) {
             later(p.at(), () -> p.routers().forEach(r -> propose(p, r, startOfLoad)));
         }
+        for (Together.Candidate c : scenario.together() == null ? List.<Together.Candidate>of() : scenario.together().candidates()) {
+            later(c.at(), () -> c.routers().forEach(r -> reread(c, r)));
+        }
+    }
+
+    private void reread(Together.Candidate candidate, int r) {
+        try {
+            files.candidate(r, candidate.text());
+            routers.get(r).reload();
+        } catch (IOException e) {
+            stray(r, "a candidate cannot be given: " + e.getMessage());
+        }
     }
 
     private void propose(Together.Proposal proposal, int r, Instant startOfLoad) {
--- a/lab/src/main/java/stagepier/lab/fleet/FleetFiles.java
+++ b/lab/src/main/java/stagepier/lab/fleet/FleetFiles.java
@@ -36,8 +36,8 @@
             Files.writeString(calendar(router), t.calendar());
         }
         if (!t.candidate().isEmpty()) {
-            Files.writeString(folder.resolve("candidate.toml"), t.candidate());
-            text.append("candidate = \"candidate.toml\"\n");
+            candidate(router, t.candidate());
+            text.append("candidate = \"candidate-%d.toml\"%n".formatted(router));
         }
         for (int other = 0; other < scenario.routers(); other++) {
             text.append("%n[[member]]%nname = \"n%d\"%naddress = \"127.0.0.1:%d\"%n".formatted(other, doors.door(router, other)));
@@ -46,6 +46,11 @@
         return Map.of("GW_FLEET", file.toString());
     }
 
+    /** Writes a router's candidate anew, for when it reads it next. */
+    void candidate(int router, String text) throws IOException {
+        Files.writeString(folder.resolve("candidate-" + router + ".toml"), text);
+    }
+
     private Path calendar(int router) {
         return folder.resolve("calendar-" + router + ".toml");
     }
--- a/lab/src/main/java/stagepier/lab/ledger/Event.java
+++ b/lab/src/main/java/stagepier/lab/ledger/Event.java
@@ -2,6 +2,9 @@
 
 /** What was seen from outside, by clients, cache nodes and discovery. Times in seconds on one clock. */
 public sealed interface Event {
+    /** Requests below 0 are copies that a shadow sends: no client asked for them, and nobody is owed their answers. */
+    long COPIES = Long.MIN_VALUE;
+
     double at();
 
     /** A client wrote the last byte of a request. {@code deadline}: seconds that it will wait from then on. */
--- a/lab/src/main/java/stagepier/lab/scenario/Fault.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Fault.java
@@ -34,6 +34,10 @@
         REPLACE,
         /** It drains and is gone until the end of the fault. */
         DRAIN,
+        /** A shadow's copies are answered wrongly. */
+        COPY_SPOIL,
+        /** A shadow's copies are answered {@code factor} seconds late. */
+        COPY_SLOW,
         /** A part of its connections falls silent, while the others go on. */
         MUTE,
         /** Discovery says nothing. */
--- a/lab/src/main/java/stagepier/lab/scenario/Scenario.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Scenario.java
@@ -35,6 +35,11 @@
         return faults.stream().anyMatch(f -> f.kind().isByStaff());
     }
 
+    /** Whether a candidate map is tried. */
+    public boolean hasShadow() {
+        return together != null && !together.candidate().isEmpty();
+    }
+
     /** Seconds within which nothing new may go to a node that drains. */
     public static final double DRAIN_GRACE = 1;
 }
--- a/lab/src/main/java/stagepier/lab/scenario/Together.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Together.java
@@ -14,9 +14,11 @@
  * @param hasCalendar   whether routers agree on a calendar; without, only the view is there
  * @param calendar      text of the calendar from the start on, or "" for one without windows
  * @param proposals     what staff propose meanwhile
+ * @param candidates    candidate maps that staff give meanwhile
  */
 public record Together(double lease, double skew, double trafficMost, double copiesBudget, List<Integer> clockOffsets,
-        String candidate, boolean hasCalendar, String calendar, List<Proposal> proposals) {
+        String candidate, boolean hasCalendar, String calendar, List<Proposal> proposals,
+        List<Candidate> candidates) {
     /**
      * Staff write a new calendar and have it read.
      *
@@ -27,6 +29,15 @@
     public record Proposal(double at, List<Integer> routers, List<Window> windows) {
     }
 
+    /**
+     * Staff write a new candidate map, or what they wish of it, and have it read.
+     *
+     * @param at      seconds after the start of the load
+     * @param routers at which it is read
+     */
+    public record Candidate(double at, List<Integer> routers, String text) {
+    }
+
     /**
      * @param from  seconds after the start of the load
      * @param until the same; a day where it is endless for a run
--- a/lab/src/main/java/stagepier/lab/standin/Fleet.java
+++ b/lab/src/main/java/stagepier/lab/standin/Fleet.java
@@ -346,6 +346,10 @@
                 node.spoil(fault.kind(), fault.factor());
                 world.at(over, () -> node.spoil(null, 0));
             }
+            case COPY_SPOIL, COPY_SLOW -> {
+                node.copies(fault.kind() == Fault.Kind.COPY_SPOIL, fault.kind() == Fault.Kind.COPY_SLOW ? fault.factor() : 0);
+                world.at(over, () -> node.copies(false, 0));
+            }
             case MUTE -> node.mute(fault.factor());
             case DRAIN -> drain(node, over, node.id());
             case REPLACE -> drain(node, over, "s-%08x".formatted(0x900000 + node.number() * 0x101 + (int) now));
--- a/lab/src/test/java/stagepier/lab/LedgerTest.java
+++ b/lab/src/test/java/stagepier/lab/LedgerTest.java
@@ -165,4 +165,15 @@
         events.add(new Event.Stopped(6, 0.31));
         assertEquals(List.of(Rule.COLD_NODES, Rule.ORIGIN), broken());
     }
+
+    /** A shadow's copy answers to nobody; a drain holds for it as for all else. */
+    @Test
+    void aCopyIsNobodysRequestAndStillHeedsADrain() {
+        long copy = Event.COPIES | 5;
+        List<Event> events = new ArrayList<>(List.of(new Event.Arrived(1, 1, copy, 0, 0, true), new Event.Made(1.1, copy, 0, 7)));
+        assertEquals(List.of(), new Ledger(KINDS, 1).judge(events, 20));
+        events.add(new Event.Told(2, 0, 0, false));
+        events.add(new Event.Arrived(5, 5, copy, 0, 0, true));
+        assertEquals(List.of(Rule.DRAINS), new Ledger(KINDS, 1).judge(events, 20).stream().map(Breach::rule).toList());
+    }
 }
