--- a/lab/src/main/java/stagepier/lab/check/ViewPromises.java
+++ b/lab/src/main/java/stagepier/lab/check/ViewPromises.java
@@ -35,7 +35,8 @@
         }
         int looks = 0;
         for (int r = 0; r < timeline.routers(); r++) {
-            if (!timeline.runs(r, evidence.lastFault(), settled)) {
+            // The step in which the last fault ended still counts as one with it.
+            if (!timeline.runs(r, evidence.lastFault() + Timeline.STEP, settled)) {
                 continue;
             }
             Told here = Evidence.at(views.getOrDefault(r, List.of()), settled);
--- a/lab/src/test/java/stagepier/lab/check/CheckerTest.java
+++ b/lab/src/test/java/stagepier/lab/check/CheckerTest.java
@@ -143,6 +143,7 @@
         assertFalse(new History().calendar(1, "1.1", "bb", window(30, 40, "zone:z1"), window(30, 40, "kind:WEIGHT"))
                 .say(33, 1, 1, "topology.admitted", "kind", "RESTORE", "server", "s3", "zone",
                         "z0").judge(Promise.P6).isBroken());
+        assertTrue(good().still(4, 5, 22.05).judge(Promise.P1).what().startsWith("5 "), "one that is up again counts");
         // A proposal in a minority may wait.
         assertFalse(good().proposed(14, 0).judge(Promise.P8).isBroken());
     }
