Let the host's last resort always look twice, for its own lateness does not tell the execution's

An execution that wakes 10 to 11 ms late looks again a millisecond later, while the host's own timer, due 10 ms after it, is less than a millisecond late in that same turn and answered at once. Change: the last resort waits 3 ms whatever its own lateness; it stays within 15 ms of the request's time, less than the margin kept for that.

--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -35,8 +35,7 @@
     private static final double MARGIN_PART = 0.1;
     /** After this the module has broken its promise of an answer, and the host answers in its place. */
     private static final double OVERDUE = 0.01;
-    /** Woken later than this, in seconds, the host looks once more after so many milliseconds. */
-    private static final double WOKE_LATE = 0.001;
+    /** Until then it looks once more, as executions do whose timers came late. */
     private static final int LOOKS_AGAIN_MS = 3;
 
     /** A request that lay unread for so long is counted as come late; in seconds. */
@@ -244,11 +243,7 @@
      * same turn first look once more for their answers, and the module is told only then.
      */
     private void pastItsTime(Exchange x) {
-        if (clock.now() - x.deadlineAt() - OVERDUE > WOKE_LATE) {
-            x.backstop(loop.schedule(() -> overdue(x), LOOKS_AGAIN_MS, TimeUnit.MILLISECONDS));
-        } else {
-            overdue(x);
-        }
+        x.backstop(loop.schedule(() -> overdue(x), LOOKS_AGAIN_MS, TimeUnit.MILLISECONDS));
     }
 
     private void overdue(Exchange x) {
