Let who lost its address to another server drain until a frozen move is let through

Cause: in a freeze the old entry of a server that moved goes on; where the list has meanwhile given its address to another server, keys would be sent to a process of another name.

Change: such an entry counts as draining.

Measured: TopologyGateTest, one more case.

--- a/router/src/main/java/stagepier/app/FleetWork.java
+++ b/router/src/main/java/stagepier/app/FleetWork.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ObjLongConsumer;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.discovery.HostGroup;
@@ -164,7 +165,7 @@
 
     /** The lines of {@code STATUS}. */
     List<String> status() {
-        return parts.stream().flatMap(p -> p.status().stream()).toList();
+        return Stream.concat(Stream.of(calls.status()), parts.stream().flatMap(p -> p.status().stream())).toList();
     }
 
     /** The process is told to end: others hear that it left, and need not suspect it. */
--- a/router/src/main/java/stagepier/discovery/HostGroup.java
+++ b/router/src/main/java/stagepier/discovery/HostGroup.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import stagepier.Api;
 import stagepier.bans.Ban;
 import stagepier.bans.Bans;
@@ -118,7 +119,9 @@
             } else if (admission.admits(old, host)) {
                 counts.add(host);
             } else if (old != null && old.member().state() == Api.MemberState.READY) {
-                counts.add(startedAnew(old, host.member().startedAt()));
+                // Keys must not be sent to a process of another name: who lost its address to another server drains until it may move.
+                Api.MemberState state = isTaken(old, told) ? Api.MemberState.DRAINING : Api.MemberState.READY;
+                counts.add(as(old, state, host.member().startedAt()));
             } else if (old != null) {
                 // It drained, and goes on counting so until it may be taken up again.
                 counts.add(old);
@@ -131,9 +134,15 @@
         return counts;
     }
 
-    private static Host startedAnew(Host host, double startedAt) {
+    /** Whether another server is listed at the address of this one. */
+    private boolean isTaken(Host host, List<Host> told) {
+        return Stream.concat(told.stream(), hosts.values().stream()).anyMatch(other -> other.address() != null
+                && other.member().id() != host.member().id() && other.address().equals(host.address()));
+    }
+
+    private static Host as(Host host, Api.MemberState state, double startedAt) {
         Api.Member m = host.member();
-        return new Host(host.name(), new Api.Member(m.id(), m.zone(), m.cell(), m.kind(), m.state(), m.weight(), startedAt),
+        return new Host(host.name(), new Api.Member(m.id(), m.zone(), m.cell(), m.kind(), state, m.weight(), startedAt),
                 host.address());
     }
 
--- a/router/src/test/java/stagepier/app/TopologyGateTest.java
+++ b/router/src/test/java/stagepier/app/TopologyGateTest.java
@@ -75,6 +75,14 @@
         assertEquals(List.of("s1", "s3"), held.keySet().stream().sorted().toList());
     }
 
+    /** Guards against keys sent to a process of another name: the old address is another server's by now. */
+    @Test
+    void whoLostItsAddressToAnotherDrainsUntilItMayMove() {
+        assertEquals(List.of("s1 DRAINING 1 0 1.0 0.0"),
+                tell(2, false, entry("s1", "up", 9, "a", 1, 0), entry("s3", "up", 1, "a", 1, 0)));
+        assertEquals(List.of("s1", "s3"), held.keySet().stream().sorted().toList());
+    }
+
     @Test
     void whatARuleNeedsAlwaysPassesAndOvertakesWhatIsHeld() {
         tell(2, false, entry("s1", "up", 1, "a", 2, 0), entry("s3", "up", 3, "a", 1, 0));
