--- a/lab/src/main/java/stagepier/lab/fleet/Experiment.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Experiment.java
@@ -97,7 +97,7 @@
         fleet = new Fleet(worldLoop, clock, recorder, scenario, randoms);
         fleet.start(Ports.freeForDatagrams(scenario.routers()));
         if (scenario.together() != null) {
-            fleet.link(Ports.free(scenario.routers()));
+            fleet.link(Ports.lasting(scenario.routers()));
         }
         for (int r = 0; r < scenario.routers(); r++) {
             RouterProcess router = process(r);
