Say less in each call of the view, and exchange only with members that answer

Cause: of 1,000 histories two had not settled in 3 s: an exchange went to members just killed, so one router lacked the facts of another; and every call carried who can be reached, which only a router with a lost link needs.

--- a/router/src/main/java/stagepier/fleet/LocalHealth.java
+++ b/router/src/main/java/stagepier/fleet/LocalHealth.java
@@ -49,6 +49,6 @@
 
     /** By what an answer is waited for longer: 1 to 2. */
     double waitLonger() {
-        return 1 + (double) Math.max(lateScore, silentScore) / WORST;
+        return 1 + (double) Math.max(lateScore, silentScore / 2) / WORST;
     }
 }
--- a/router/src/main/java/stagepier/fleet/MemberTable.java
+++ b/router/src/main/java/stagepier/fleet/MemberTable.java
@@ -50,6 +50,7 @@
     private static final long CONTRADICT_AGAIN_NS = ms(100);
     private static final int MOST_NEWS = 48;
     private static final int MOST_HEARD = 128;
+    private static final int MOST_LOST = 32;
     /** Of so many calls one goes to a member that does not answer, one to one that does, the others to those in doubt while there are any. */
     private static final int TURNS = 4;
     /** So many calls to members that are in went unanswered, and no call was answered since before doubt: then all are silent alike. */
@@ -185,13 +186,16 @@
     }
 
     void apply(String from, Collection<News> news, long now) {
-        for (News n : news) {
-            if (n != null) {
-                apply(from, n, now);
-            }
+        if (news != null) {
+            news.forEach(n -> apply(from, n, now));
         }
     }
 
+    /** What a member, or one that answers, says of its own incarnation. */
+    void applyAlive(String name, long incarnation, long now) {
+        apply(name, new News(name, incarnation, State.ALIVE.ordinal(), null, 0, null), now);
+    }
+
     void apply(String from, News news, long now) {
         if (news == null || news.n() == null || news.i() <= 0 || news.s() < 0 || news.s() >= State.values().length) {
             return;
@@ -440,19 +444,37 @@
 
     /** Anyone who answers; null where nobody does. */
     String anyone(long now) {
-        List<Peer> fresh = all.stream().filter(p -> now - p.answeredAt < MAJORITY_NS + doubt).toList();
+        List<Peer> fresh = all.stream().filter(p -> isIn(p) && !p.failsHere() && now - p.answeredAt < MAJORITY_NS + doubt).toList();
         return fresh.isEmpty() ? null : fresh.get(random.nextInt(fresh.size())).name;
     }
 
     // What is told.
 
+    /** What a member is called with. */
+    ViewWords.Ping ping(Peer p) {
+        List<String> lost = null;
+        int from = random.nextInt(all.size());
+        for (int i = 0; i < all.size() && (lost == null || lost.size() < MOST_LOST); i++) {
+            Peer other = all.get((from + i) % all.size());
+            if (other != p && other.failsHere() && isIn(other)) {
+                lost = lost == null ? new ArrayList<>() : lost;
+                lost.add(other.name);
+            }
+        }
+        return new ViewWords.Ping(self.incarnation, p.incarnation, p.claim == null && p.state == State.ALIVE ? null : about(p), lost, news());
+    }
+
+    ViewWords.Pong pong(String caller, ViewWords.Ping ping, long now) {
+        return new ViewWords.Pong(self.incarnation, aboutCaller(caller, ping.i()), heardAges(caller, now), reached(ping.lost(), now), news());
+    }
+
     /** What is held of a member, with what others hold against it. */
-    News about(Peer p) {
+    private News about(Peer p) {
         return p.claim != null ? p.claim : news(p, false);
     }
 
     /** What is held of a caller, where that is not what it says. */
-    News aboutCaller(String name, long incarnation) {
+    private News aboutCaller(String name, long incarnation) {
         Peer p = peers.get(name);
         if (p == null || p.claim == null && p.incarnation == incarnation && p.state == State.ALIVE) {
             return null;
@@ -465,7 +487,7 @@
                 p.factsVersion, facts ? p.facts : null);
     }
 
-    /** What changed lately, least told first. */
+    /** What changed lately, least told first; null for nothing. */
     List<News> news() {
         List<Peer> fresh = new ArrayList<>();
         for (Peer p : all) {
@@ -478,6 +500,9 @@
         if (self.tell > 0 || self.tellFacts > 0) {
             fresh.add(0, self);
         }
+        if (fresh.isEmpty()) {
+            return null;
+        }
         List<News> news = new ArrayList<>();
         for (Peer p : fresh.subList(0, Math.min(MOST_NEWS, fresh.size()))) {
             if (p.tell > 0 || p.tellFacts > 0) {
@@ -494,7 +519,7 @@
     }
 
     /** How long ago some members were heard, in milliseconds, for who calls. */
-    Map<String, Integer> heardAges(String caller, long now) {
+    private Map<String, Integer> heardAges(String caller, long now) {
         List<Peer> fresh = new ArrayList<>();
         for (Peer p : all) {
             if (!p.name.equals(caller) && now - p.heardAt < doubt) {
@@ -511,10 +536,15 @@
         return ages;
     }
 
-    /** Whom this router can call itself, for who cannot. */
-    List<String> reached(String caller, long now) {
-        return all.stream().filter(p -> !p.failsHere() && now - p.answeredAt < MAJORITY_NS && !p.name.equals(caller)).map(p -> p.name)
-                .toList();
+    /** Of those that do not answer a caller, whom this router can call itself. */
+    private List<String> reached(List<String> lost, long now) {
+        if (lost == null) {
+            return null;
+        }
+        return lost.stream().filter(name -> name != null && peers.containsKey(name)).filter(name -> {
+            Peer p = peers.get(name);
+            return !p.failsHere() && now - p.answeredAt < MAJORITY_NS;
+        }).toList();
     }
 
     /** A part of all that is held, without facts: so many from there on. */
--- a/router/src/main/java/stagepier/fleet/Membership.java
+++ b/router/src/main/java/stagepier/fleet/Membership.java
@@ -12,7 +12,6 @@
 import stagepier.fleet.FleetView.Member;
 import stagepier.fleet.FleetView.State;
 import stagepier.fleet.ViewWords.Ask;
-import stagepier.fleet.ViewWords.News;
 import stagepier.fleet.ViewWords.Ping;
 import stagepier.fleet.ViewWords.Pong;
 import stagepier.fleet.ViewWords.Sync;
@@ -126,17 +125,17 @@
     }
 
     private void probe(Peer p) throws InterruptedException {
-        Message ping;
+        Ping words;
         long sentAt = tasks.nanoTime();
         int stalls;
         double factor;
         synchronized (table) {
-            ping = Message.of(ViewWords.PING, new Ping(table.incarnation(), table.about(p), table.news()));
+            words = table.ping(p);
             stalls = table.stalls();
             factor = table.waitLonger();
         }
         try {
-            Message reply = calls.call(p.name, ping, Duration.ofNanos((long) (PROBE_MOST.toNanos() * factor)));
+            Message reply = calls.call(p.name, Message.of(ViewWords.PING, words), Duration.ofNanos((long) (PROBE_MOST.toNanos() * factor)));
             hear(p, read(reply, Pong.class), sentAt);
         } catch (Calls.SilentException e) {
             List<String> relays;
@@ -159,7 +158,7 @@
         long now = tasks.nanoTime();
         synchronized (table) {
             table.answered(p.name, sentAt);
-            table.apply(p.name, new News(p.name, pong.i(), State.ALIVE.ordinal(), null, 0, null), now);
+            table.applyAlive(p.name, pong.i(), now);
             if (pong.heard() != null) {
                 table.heardOfOthers(pong.heard(), sentAt);
             }
@@ -167,9 +166,7 @@
                 table.reachedBy(p.name, pong.reach());
             }
             table.apply(p.name, pong.about(), now);
-            if (pong.news() != null) {
-                table.apply(p.name, pong.news(), now);
-            }
+            table.apply(p.name, pong.news(), now);
         }
     }
 
@@ -201,12 +198,15 @@
         }
     }
 
-    /** One exchange of a part a second; at once with the next part where much was new, as for a process that has just started. */
+    /**
+     * One exchange of a part a second; soon the next one where the other was silent, or where much was new, as for a process that has just
+     * started.
+     */
     private void syncOn() throws InterruptedException {
         int from = 0;
         int learned = 0;
         for (;;) {
-            tasks.sleep(learned > MUCH ? PAUSE_LEAST : SYNC_EVERY.dividedBy(2).plus(part(SYNC_EVERY)));
+            tasks.sleep(learned < 0 || learned > MUCH ? TICK : SYNC_EVERY.dividedBy(2).plus(part(SYNC_EVERY)));
             String other;
             Sync sync;
             synchronized (table) {
@@ -218,7 +218,13 @@
         }
     }
 
+    /** @return how much was new; -1 where the other was silent */
     private int sync(String other, Sync sync) throws InterruptedException {
+        long sentAt = tasks.nanoTime();
+        int stalls;
+        synchronized (table) {
+            stalls = table.stalls();
+        }
         try {
             Sync newer = read(calls.call(other, Message.of(ViewWords.SYNC, sync), PROBE_MOST), Sync.class);
             if (newer == null || newer.news() == null) {
@@ -229,8 +235,10 @@
             }
             return newer.news().size();
         } catch (Calls.SilentException e) {
-            LOG.debug("no exchange with {}: {}", other, e.getMessage());
-            return 0;
+            synchronized (table) {
+                table.silent(other, sentAt, stalls);
+            }
+            return -1;
         }
     }
 
@@ -245,15 +253,15 @@
         switch (call.kind()) {
             case ViewWords.PING -> {
                 Ping ping = call.read(Ping.class);
+                Pong pong;
                 synchronized (table) {
-                    table.apply(from, new News(from, ping.i(), State.ALIVE.ordinal(), null, 0, null), now);
+                    table.applyAlive(from, ping.i(), now);
+                    table.applyAlive(config.self(), ping.held(), now);
                     table.apply(from, ping.about(), now);
-                    if (ping.news() != null) {
-                        table.apply(from, ping.news(), now);
-                    }
-                    return Message.of(ViewWords.PONG, new Pong(table.incarnation(), table.aboutCaller(from, ping.i()),
-                            table.heardAges(from, now), table.reached(from, now), table.news()));
+                    table.apply(from, ping.news(), now);
+                    pong = table.pong(from, ping, now);
                 }
+                return Message.of(ViewWords.PONG, pong);
             }
             case ViewWords.ASK -> {
                 Ask ask = call.read(Ask.class);
--- a/router/src/main/java/stagepier/fleet/ViewWords.java
+++ b/router/src/main/java/stagepier/fleet/ViewWords.java
@@ -30,18 +30,20 @@
 
     /**
      * @param i     incarnation of the caller
-     * @param about what the caller holds of the one it calls, which may have to contradict
-     * @param news  what changed lately
+     * @param held  incarnation that the caller holds of the one it calls
+     * @param about what the caller holds of the one it calls, where that is not that it is alive: it may have to contradict
+     * @param lost  members that are in, but do not answer the caller; null for none
+     * @param news  what changed lately; null for nothing
      */
-    record Ping(long i, News about, List<News> news) {
+    record Ping(long i, long held, News about, List<String> lost, List<News> news) {
     }
 
     /**
      * @param i     incarnation of the one that answers
      * @param about what it holds of the caller, or null where that is as the caller says
      * @param heard by name, how many milliseconds ago a member answered somebody, for some of them
-     * @param reach who answered its own calls lately
-     * @param news  what changed lately
+     * @param reach of those that do not answer the caller, who answered this one lately; null for none
+     * @param news  what changed lately; null for nothing
      */
     record Pong(long i, News about, Map<String, Integer> heard, List<String> reach, List<News> news) {
     }
