Take what a router tells of itself, and its leaving, without waiting on the event loop

Cause: the loop set the facts under the view's monitor ten times a second, which a descheduled task may hold.

Change: facts are handed over by a volatile field and taken up at the next tick; leaving is marked on the task that tells it.

--- a/router/src/main/java/stagepier/fleet/Membership.java
+++ b/router/src/main/java/stagepier/fleet/Membership.java
@@ -46,6 +46,7 @@
     /** Held for moments, never while something is waited for. */
     private final MemberTable table;
     private volatile FleetView view;
+    private volatile Facts ownFacts = Facts.NONE;
 
     public Membership(Tasks tasks, Calls calls, FleetConfig config, History history, long seed) {
         this.tasks = tasks;
@@ -63,21 +64,17 @@
         return view;
     }
 
-    /** What this router tells of itself. */
+    /** What this router tells of itself, from its next tick on. Never waits, so that the event loop may call it. */
     public void facts(Facts facts) {
-        synchronized (table) {
-            table.facts(facts);
-        }
+        ownFacts = facts;
     }
 
     /** This process ends of its own will: some others are told, who tell it on. Does not wait for that. */
     public void leave() {
-        synchronized (table) {
-            table.leave();
-        }
         tasks.start("view-leave", () -> {
             List<Peer> some = new ArrayList<>();
             synchronized (table) {
+                table.leave();
                 for (int i = 0; i < 2 * RELAYS && i < config.members().size() - 1; i++) {
                     Peer p = table.next(tasks.nanoTime());
                     if (p != null) {
@@ -192,6 +189,7 @@
             tasks.sleep(TICK);
             long now = tasks.nanoTime();
             synchronized (table) {
+                table.facts(ownFacts);
                 table.tick(now - began - TICK.toNanos(), now);
                 takeUp(table.changedView());
             }
