--- a/router/src/main/java/stagepier/freeze/Register.java
+++ b/router/src/main/java/stagepier/freeze/Register.java
@@ -286,11 +286,20 @@
         }
         accepted(entry, ballot, votes.agreed());
         if (proposal != null) {
-            pending = pending == proposal ? null : pending;
+            ordered(proposal, entry);
         }
         return true;
     }
 
+    /** The proposal is in the sequence: as what was accepted, or before it, where another router's came on top at once. */
+    private void ordered(Proposal proposal, Entry entry) {
+        pending = null;
+        history.write("calendar.ordered", "hash", Windows.hash(proposal.text()), "version", entry.version().toString());
+        if (!proposal.text().equals(entry.text())) {
+            LOG.warn("calendar: this router's file was accepted, and overtaken at once by another router's, now {}", entry.version());
+        }
+    }
+
     private void accepted(Entry entry, Ballot ballot, Map<String, Reply> votes) {
         history.write("calendar.accepted", "version", entry.version().toString(), "hash", Windows.hash(entry.text()), "round",
                 ballot.round(), "by", config.self(), "votes", new ArrayList<>(votes.keySet()));
