Say within the lease that a calendar was never confirmed, and each new version

Need: a router that starts in a minority was closed without a line in the log.

Change: the time counts from the start; one line for each version that is confirmed first.

--- a/router/src/main/java/stagepier/freeze/FreezePart.java
+++ b/router/src/main/java/stagepier/freeze/FreezePart.java
@@ -35,7 +35,8 @@
     private volatile boolean wasConfirmed;
     private volatile String why = "not confirmed since the start";
     private volatile IntSupplier held = () -> 0;
-    private boolean told = true;
+    /** Whether it was said that the calendar is unknown. */
+    private boolean told;
 
     /**
      * Reads the router's own file.
@@ -105,6 +106,7 @@
 
     @Override
     public void start() {
+        confirmedNano = tasks.nanoTime();
         register.start();
     }
 
@@ -150,12 +152,12 @@
                 LOG.info("calendar: {} is accepted; {} says something else", accepted.version(), file);
             }
         }
-        boolean before = wasConfirmed;
+        boolean news = !wasConfirmed || told || !calendar.accepted().equals(accepted.version());
         calendar = again;
         confirmedNano = startNano;
         wasConfirmed = true;
         history.write("calendar.lease", "version", accepted.version().toString(), "start", startNano, "offset_ms", offset.ms());
-        if (!before || told) {
+        if (news) {
             LOG.info("calendar: {} confirmed, {}", accepted.version(), again.state(tasks.wall().instant(), tasks.nanoTime()));
         }
         told = false;
@@ -195,7 +197,8 @@
             state = "unknown: " + why + (wasConfirmed ? ", last confirmed " + since.toSeconds() + " s ago" : "");
         }
         Entry learned = acceptor.learned();
-        return List.of("calendar " + learned.version() + " " + state + "; held " + held.getAsInt()
+        String version = learned.version().equals(Version.NONE) ? "none" : learned.version().toString();
+        return List.of("calendar " + version + " " + state + "; held " + held.getAsInt()
                 + (register.waits() ? "; a proposal of this router waits" : "")
                 + (learned.text() == null || learned.text().equals(own.text()) ? "" : "; own file differs"));
     }
