Send copies once the real execution has ended, and let no loop's own time decide

Defect: sent right behind the real execution, a copy's time held what the loop did for the real answer: over loopback two alike servers differed by +21% to +27%, and an equal candidate would have been called worse.

Change: the copy goes out in a turn of its own when the real execution has ended, at the latest after a quarter of the request's time; a millisecond is added to both times; the first 50 copies of a process have no score.

--- a/router/src/main/java/stagepier/shadow/Comparison.java
+++ b/router/src/main/java/stagepier/shadow/Comparison.java
@@ -6,6 +6,11 @@
 public final class Comparison {
     /** Logarithm of the time ratio beyond which it counts no more: one answer that waited must not decide. */
     public static final double RATIO_MOST = Math.log(8);
+    /**
+     * Seconds that are added to both times. Guards against a verdict on what this router's loop does between an answer's arrival and
+     * its being read, some hundredths of a millisecond, which is not the same for both.
+     */
+    static final double FLOOR = 0.001;
 
     private Comparison() {
     }
@@ -72,7 +77,7 @@
     }
 
     private static double ratio(double copy, double real) {
-        double ratio = Math.log(Math.max(1e-6, copy) / Math.max(1e-6, real));
+        double ratio = Math.log((FLOOR + Math.max(0, copy)) / (FLOOR + Math.max(0, real)));
         return Math.max(-RATIO_MOST, Math.min(RATIO_MOST, ratio));
     }
 }
--- a/router/src/main/java/stagepier/shadow/ShadowCopies.java
+++ b/router/src/main/java/stagepier/shadow/ShadowCopies.java
@@ -1,6 +1,7 @@
 package stagepier.shadow;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -33,8 +34,15 @@
 public final class ShadowCopies implements ShadowTap {
     private static final Logger LOG = LoggerFactory.getLogger(ShadowCopies.class);
     /** Requests that are looked at at a time. Guards the heap. */
-    private static final int PAIRS_MOST = 64;
+    private static final int PAIRS_MOST = 256;
     private static final int TICK_MS = 50;
+    /**
+     * The copy goes out when the real execution has ended, so that neither's time holds what the loop does for the other; at the latest
+     * after this part of the request's time, so that what the real one fails at is seen, too.
+     */
+    private static final double WAITS_PART = 0.25;
+    /** So many are compared without a score: the code for copies runs slowly until it has been compiled. */
+    private static final int COMPARED_COLD = 50;
     /** Ticks between two hand-overs of counts. */
     private static final int TELL_EVERY = 5;
 
@@ -63,7 +71,11 @@
         private boolean first;
         private long candidate;
         private boolean copied;
+        private boolean considered;
+        private Future<?> timer;
         private int attempts = 1;
+        /** What the client got, for the history. */
+        private String answer;
         private Seen seen;
         private Seen copy;
 
@@ -78,7 +90,7 @@
     private final Parts parts;
     private final ShadowLinks links;
     private final Map<Long, Pair> pairs = new HashMap<>();
-    /** Requests that were copied and have no answer yet: for the history. Those whose client left fall out. */
+    /** Requests that were copied before they had their answer: for the history. Those whose client left fall out. */
     private final Map<Long, Pair> copied = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
@@ -97,6 +109,8 @@
     private boolean halted;
     private boolean broken;
     private long lastId;
+    /** Since this process began, whatever the map. */
+    private long compared;
     private long toldSequence;
     private int ticks;
 
@@ -118,7 +132,7 @@
     // ---- what is heard of the real requests --------------------------------------------------------------
     @Override
     public void sent(Exchange x, int attempt, long server, double now) {
-        Pair p = copied.get(x.id());
+        Pair p = copied.getOrDefault(x.id(), pairs.get(x.id()));
         if (p != null) {
             p.attempts = attempt + 1;
         }
@@ -139,6 +153,8 @@
                     long value = served == null || served.flow() != null ? 0 : Seen.checksum(served.body());
                     p.seen = new Seen(outcome, lookup, value, elapsed, sending == null || sending.isAlone());
                     complete(p);
+                    // After this turn's work: the client's answer goes first.
+                    parts.loop().execute(() -> guarded(() -> consider(p)));
                 }
             });
         }
@@ -147,9 +163,14 @@
     @Override
     public void answered(Exchange x, Reply reply, double now) {
         Pair p = copied.remove(x.id());
-        if (p != null) {
-            guarded(() -> parts.history().write("shadow.real", "id", x.command().id(), "server", Long.toString(p.server), "attempts",
-                    p.attempts, "answer", reply.kind().name() + " " + Long.toHexString(Seen.checksum(reply.body()))));
+        Pair open = p == null ? pairs.get(x.id()) : p;
+        if (open != null && parts.history() != History.NONE) {
+            guarded(() -> {
+                open.answer = reply.kind().name() + " " + Long.toHexString(Seen.checksum(reply.body()));
+                if (p != null) {
+                    writeReal(p);
+                }
+            });
         }
         if (!broken && reply.kind() == Reply.Kind.THROTTLE && rules != null) {
             guarded(() -> {
@@ -159,6 +180,11 @@
         }
     }
 
+    private void writeReal(Pair p) {
+        parts.history().write("shadow.real", "id", p.real.command().id(), "server", Long.toString(p.server), "attempts", p.attempts,
+                "answer", p.answer);
+    }
+
     /** Guards the real requests, in the middle of which this runs. */
     private void guarded(Runnable what) {
         try {
@@ -195,8 +221,8 @@
         }
         Pair p = new Pair(x, server, className, key);
         pairs.put(x.id(), p);
-        // After this turn's sends: the real one goes first.
-        parts.loop().execute(() -> guarded(() -> consider(p)));
+        double waits = WAITS_PART * (x.deadlineAt() - x.takenAt());
+        p.timer = parts.loop().schedule(() -> guarded(() -> consider(p)), (long) (waits * 1e6), TimeUnit.MICROSECONDS);
     }
 
     /** Other orders: where they are of another map, all begins anew. */
@@ -224,10 +250,12 @@
 
     // ---- copies -------------------------------------------------------------------------------------------
     private void consider(Pair p) {
-        if (pairs.get(p.real.id()) != p) {
+        p.timer.cancel(false);
+        if (p.considered || pairs.get(p.real.id()) != p) {
             return;
         }
-        Ruling ruling = rule(p);
+        p.considered = true;
+        Ruling ruling = p.seen != null && p.seen.outcome() == Api.Outcome.CANCELLED ? Ruling.NOT_SENT : rule(p);
         counts.add(ruling.counter(), 1);
         if (ruling != Ruling.COPY) {
             pairs.remove(p.real.id());
@@ -263,7 +291,11 @@
             String real = p.real.command().id();
             parts.history().write("shadow.copy", "map", id, "id", real, "key", p.real.command().key(), "server",
                     Long.toString(p.candidate));
-            copied.put(p.real.id(), p);
+            if (p.answer == null) {
+                copied.put(p.real.id(), p);
+            } else {
+                writeReal(p);
+            }
             send(link, p.real.command(), left, seen -> {
                 p.copy = seen;
                 complete(p);
@@ -324,7 +356,9 @@
             counts.add("hit_for_miss", 1);
         }
         double score = Comparison.score(result, p.seen, p.copy, p.copy.alone());
-        counts.score(score);
+        if (++compared > COMPARED_COLD) {
+            counts.score(score);
+        }
         if (!Double.isNaN(score) && p.seen.isServed() && p.copy.isServed()) {
             counts.time(p.className + ".real", p.seen.elapsed());
             counts.time(p.className + ".copy", p.copy.elapsed());
--- a/router/src/test/java/stagepier/shadow/ShadowCopiesTest.java
+++ b/router/src/test/java/stagepier/shadow/ShadowCopiesTest.java
@@ -78,7 +78,8 @@
 
     @Test
     void aGoodCandidateGivesTheSameAndTimesAreCounted() {
-        ShadowWorld world = play(1, ShadowWorld.Candidate.GOOD, map(100, 100));
+        ShadowWorld world = new ShadowWorld(1, ShadowWorld.Candidate.GOOD, map(100, 100));
+        world.play(1, 3000, 200);
         assertTrue(world.counter("same") > 50, () -> world.last().counters().toString());
         assertEquals(0, world.counter("wrong"));
         assertTrue(world.counter(Counts.SCORES) > 50);
--- a/router/src/test/java/stagepier/shadow/VerdictTest.java
+++ b/router/src/test/java/stagepier/shadow/VerdictTest.java
@@ -7,6 +7,8 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import stagepier.Api.Lookup;
+import stagepier.Api.Outcome;
 
 /** The sequential test over scores of pairs, looked at after each one. */
 @Timeout(60)
@@ -20,9 +22,9 @@
      * long.
      */
     private static double score(Random random, double times) {
-        double real = time(random);
-        double copy = time(random) * times;
-        return Math.max(-Comparison.RATIO_MOST, Math.min(Comparison.RATIO_MOST, Math.log(copy / real)));
+        Seen real = new Seen(Outcome.OK, Lookup.HIT, 1, time(random), true);
+        Seen copy = new Seen(Outcome.OK, Lookup.HIT, 1, time(random) * times, true);
+        return Comparison.score(Result.SAME, real, copy, true);
     }
 
     private static double time(Random random) {
