--- a/router/src/test/java/stagepier/freeze/HardCasesTest.java
+++ b/router/src/test/java/stagepier/freeze/HardCasesTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 
 /** The cases that were named as hard, each by itself. */
 @Timeout(120)
@@ -204,4 +205,19 @@
         all(HardCasesTest::open, 1);
         assertTrue(fleet.asked.stream().anyMatch(a -> a.permit() == Calendar.Permit.FROZEN));
     }
+
+    /** Tens of thousands of calls, each on a thread of its own: for the nightly run. */
+    @Test
+    @Timeout(1200)
+    @EnabledIfSystemProperty(named = "fleet.200", matches = "true")
+    void twoHundredRouters() {
+        agreed(200);
+        System.out.println("200 agreed at " + fleet.world.seconds());
+        double before = fleet.world.seconds();
+        fleet.routers.get(77).propose(FROZEN);
+        all(r -> r.learned().number() == 2, 3);
+        System.out.println("200 learned after " + (fleet.world.seconds() - before));
+        all(HardCasesTest::frozen, 3);
+        System.out.println("200 frozen after " + (fleet.world.seconds() - before));
+    }
 }
--- a/router/src/test/java/stagepier/freeze/HistoriesTest.java
+++ b/router/src/test/java/stagepier/freeze/HistoriesTest.java
@@ -10,7 +10,6 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 
 /** P5, P6 and P8 over histories that a seed draws: faults of all kinds while staff propose calendars. */
 @Timeout(600)
@@ -115,11 +114,4 @@
     void fourteenRouters() {
         all(14, 5, 1, Integer.getInteger("histories.14", 40));
     }
-
-    /** Costs minutes: for the nightly run. */
-    @Test
-    @EnabledIfSystemProperty(named = "histories.200", matches = "[1-9].*")
-    void twoHundredRouters() {
-        all(200, 4, 40_000, Integer.getInteger("histories.200", 0));
-    }
 }
