Answer a router of another fleet.toml with nothing, and leave its link

Need: while staff change fleet.toml at one router after the other, the calendar's refusal broke the link that the view goes over, too.

Change: a reply that is none, and one log line; a test for it.

--- a/router/src/main/java/stagepier/freeze/Register.java
+++ b/router/src/main/java/stagepier/freeze/Register.java
@@ -9,8 +9,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -49,6 +51,9 @@
     /** Something newer was heard of: confirm it now. No calendar is this text. */
     private static final String LOOK = "";
 
+    /** A reply that is none. */
+    private static final Map<String, String> NOTHING = Map.of();
+
     /** What the register has to tell. From its task. */
     interface Listener {
         /** A majority holds what {@code accepted} says, as of the moment {@code startNano} and {@code startWallMs}. */
@@ -76,6 +81,7 @@
     private final Duration again;
     /** What its staff want, or {@link #LOOK}. */
     private final Box<String> wishes;
+    private final Set<String> ofOtherFleets = ConcurrentHashMap.newKeySet();
     /** Written by the task alone. */
     private volatile Proposal pending;
     private int proposed;
@@ -145,9 +151,17 @@
     private Message answer(String from, Message call) throws Message.MalformedException {
         Ask ask = call.read(Ask.class);
         ask.check(call.kind(), from);
-        if (!fleet.equals(ask.fleet()) || !config.members().containsKey(from)) {
-            throw new Message.MalformedException(from + " is of another fleet: its fleet.toml names other routers");
+        if (!config.members().containsKey(from)) {
+            throw new Message.MalformedException(from + " is none of this fleet");
+        }
+        if (!fleet.equals(ask.fleet())) {
+            // While staff change fleet.toml at one router after the other: no reason to break what else goes over that link.
+            if (ofOtherFleets.add(from)) {
+                LOG.warn("calendar: fleet.toml of {} names other routers: it has no part in this agreement", from);
+            }
+            return Message.of(call.kind(), NOTHING);
         }
+        ofOtherFleets.remove(from);
         Reply reply = acceptor.answer(call.kind(), ask);
         if (call.kind().equals(Ask.LEARN)) {
             wishes.put(LOOK);
@@ -296,7 +310,8 @@
         pending = null;
         history.write("calendar.ordered", "hash", Windows.hash(proposal.text()), "version", entry.version().toString());
         if (!proposal.text().equals(entry.text())) {
-            LOG.warn("calendar: this router's file was accepted, and overtaken at once by another router's, now {}", entry.version());
+            LOG.warn("calendar: this router's file was accepted, and overtaken at once by another router's, now {}",
+                    entry.version());
         }
     }
 
--- a/router/src/test/java/stagepier/freeze/AgreementTest.java
+++ b/router/src/test/java/stagepier/freeze/AgreementTest.java
@@ -5,9 +5,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import stagepier.fleet.Calls;
+import stagepier.fleet.Message;
+import stagepier.fleet.VirtualWorld;
 
 @Timeout(120)
 class AgreementTest {
@@ -19,6 +23,29 @@
         return Duration.ofMillis(n);
     }
 
+    @Test
+    void aRouterWhoseFleetHasOtherNamesHasNoPart() {
+        try (VirtualFleet fleet = new VirtualFleet(2, 3, OPEN)) {
+            fleet.startAll();
+            assertTrue(fleet.world.runUntil(fleet::agree, ms(5000)), fleet::story);
+            VirtualWorld.Node other = fleet.world.node("r002", Duration.ZERO);
+            List<Boolean> whole = new ArrayList<>();
+            other.start("asks", () -> {
+                for (String hash : List.of("other", Windows.hash("r000\nr001\nr002"))) {
+                    Ask ask = new Ask(hash, "r002", 1, 0, 0, null, null, null, null);
+                    try {
+                        Message said = fleet.net.calls(other).call("r000", Message.of(Ask.CONFIRM, ask), ms(500));
+                        whole.add(said.read(Reply.class).whole());
+                    } catch (Calls.SilentException | Message.MalformedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                }
+            });
+            fleet.world.run(ms(2000));
+            assertEquals(List.of(false, true), whole);
+        }
+    }
+
     @Test
     void aFleetThatStartsIsFoundedAndAgreesAndTakesAProposal() {
         try (VirtualFleet fleet = new VirtualFleet(1, 14, OPEN)) {
