Take a member that is out in again when it answers, and go round by who was called least lately

A router whose calls nobody answers took up others each time it heard them contradict a suspicion; and a bridge was called up to two rounds late, since rounds were shuffled anew.

Change: a higher incarnation of a member that is out is told on, and taken when somebody had an answer; rounds call who was not called for longest. The first is kept as a test of the rule.

--- a/router/src/main/java/stagepier/fleet/MemberTable.java
+++ b/router/src/main/java/stagepier/fleet/MemberTable.java
@@ -43,6 +43,8 @@
     /** By what it is longer for one that is heard of through others only, for so long at least. */
     private static final double BRIDGED = 1.35;
     private static final long BRIDGED_NS = ms(300);
+    /** The part of that from which others are asked about one that does not answer. */
+    private static final double ASK = 0.5;
     /** The part of that from which it is called out of turn. */
     private static final double REFRESH = 0.45;
     private static final long SILENT_AGAIN_NS = ms(500);
@@ -60,8 +62,6 @@
     private final Random random;
     private final SortedMap<String, Peer> peers = new TreeMap<>();
     private final List<Peer> all;
-    private final List<Peer> round = new ArrayList<>();
-    private final List<Peer> roundOfSilent = new ArrayList<>();
     private final Set<Peer> hints = new LinkedHashSet<>();
     private final LocalHealth health = new LocalHealth();
     private final int tellTimes;
@@ -84,7 +84,10 @@
         long never = now - ms(3_600_000);
         for (String name : config.members().keySet()) {
             if (!name.equals(config.self())) {
-                peers.put(name, new Peer(name, never));
+                Peer p = new Peer(name, never);
+                // Each router goes round in an order of its own.
+                p.calledAt = never - random.nextInt(1_000_000);
+                peers.put(name, p);
             }
         }
         all = List.copyOf(peers.values());
@@ -179,10 +182,10 @@
         }
     }
 
-    /** How long ago a member was last heard, in milliseconds; -1 where it is long. */
+    /** How long ago a member was last heard, in milliseconds; -1 where it is long, or it does not answer here. */
     long age(String name, long now) {
         Peer p = peers.get(name);
-        return p == null || now - p.heardAt > doubt ? -1 : TimeUnit.NANOSECONDS.toMillis(now - p.heardAt) + 1;
+        return p == null || p.failsHere() || now - p.heardAt > doubt ? -1 : TimeUnit.NANOSECONDS.toMillis(now - p.heardAt) + 1;
     }
 
     void apply(String from, Collection<News> news, long now) {
@@ -217,7 +220,9 @@
         State state = State.values()[news.s()];
         int newer = compare(news.i(), state, p);
         boolean ill = state == State.SUSPECT || state == State.GONE;
-        if (newer > 0 && ill && isRefused(from, p, now)) {
+        if (newer > 0 && state == State.ALIVE && !isIn(p) && p.heardAt <= p.outSince) {
+            sayAlive(p, news.i());
+        } else if (newer > 0 && ill && isRefused(from, p, now)) {
             refuse(p, news, now);
         } else if (newer > 0) {
             take(p, news.i(), state, now);
@@ -242,6 +247,14 @@
         return now - p.heardAt < doubt || teller != null && !isIn(teller);
     }
 
+    /** Its words come in, but nobody here had an answer from it: told on, and taken when somebody has. */
+    private void sayAlive(Peer p, long incarnation) {
+        if (incarnation > p.saidAlive) {
+            p.saidAlive = incarnation;
+            p.tell = tellTimes;
+        }
+    }
+
     private void refuse(Peer p, News claim, long now) {
         if (claim.i() > p.incarnation) {
             take(p, claim.i(), State.ALIVE, p.countsFrom);
@@ -261,6 +274,9 @@
                 p.failedAt = Math.min(p.failedAt, p.answeredAt);
             }
         }
+        if (isIn(p) && state != State.ALIVE && state != State.SUSPECT) {
+            p.outSince = now;
+        }
         p.incarnation = incarnation;
         p.state = state;
         p.suspectedBy.clear();
@@ -317,6 +333,9 @@
         boolean cutOff = (lastCalls & (1 << LAST_CALLS) - 1) == 0 && now - lastAnswerAt > doubt;
         int near = 1;
         for (Peer p : all) {
+            if (p.saidAlive > p.incarnation && p.heardAt > p.outSince) {
+                take(p, p.saidAlive, State.ALIVE, now);
+            }
             long silence = now - p.silentFrom();
             boolean found = p.failsHere() || cutOff;
             if (p.state == State.ALIVE && silence > doubt * factor * (isBridged(p) ? BRIDGED : 1) && found) {
@@ -384,9 +403,9 @@
     }
 
     /**
-     * Whom to call; null where nobody else is. Those in doubt come first, but leave turns to the others, who are called in rounds of an
-     * order that is drawn anew for each. Those that are out or do not answer have rounds of their own, so that a router that cannot call
-     * half of the fleet still hears enough of the other half.
+     * Whom to call; null where nobody else is. Those in doubt come first, but leave turns to the others, who are called in rounds. Those
+     * that are out or do not answer have rounds of their own, so that a router that cannot call half of the fleet still hears enough of
+     * the other half.
      */
     Peer next(long now) {
         turn = (turn + 1) % TURNS;
@@ -394,7 +413,11 @@
         if (p == null) {
             p = nextOf(turn == 0, now);
         }
-        return p != null ? p : nextOf(turn != 0, now);
+        p = p != null ? p : nextOf(turn != 0, now);
+        if (p != null) {
+            p.calledAt = now;
+        }
+        return p;
     }
 
     private Peer hinted() {
@@ -408,25 +431,20 @@
         return null;
     }
 
+    /** Who was not called for longest, so that each is called once in a round; of the silent, none that was called just now. */
     private Peer nextOf(boolean silent, long now) {
-        List<Peer> some = silent ? roundOfSilent : round;
-        if (some.isEmpty()) {
-            some.addAll(all);
-            Collections.shuffle(some, random);
-        }
-        // What held when the round was drawn may not hold any more, and whoever was silent just now is left alone for a while.
-        while (!some.isEmpty()) {
-            Peer p = some.remove(some.size() - 1);
-            if (silent == (p.failsHere() || !isIn(p)) && (!silent || now - p.failedAt > SILENT_AGAIN_NS)) {
-                return p;
+        Peer next = null;
+        for (Peer p : all) {
+            if (silent == (p.failsHere() || !isIn(p)) && (next == null || p.calledAt < next.calledAt)) {
+                next = p;
             }
         }
-        return null;
+        return next == null || silent && now - next.calledAt < SILENT_AGAIN_NS ? null : next;
     }
 
     /** Some that answered a moment ago, to ask about one that was not; first who told of it last. */
     List<String> relays(Peer about, int most, long now) {
-        if (!isIn(about) || now - about.silentFrom() < doubt / 2) {
+        if (!isIn(about) || now - about.silentFrom() < ASK * doubt) {
             return List.of();
         }
         List<String> fresh = new ArrayList<>();
@@ -483,6 +501,9 @@
     }
 
     private News news(Peer p, boolean facts) {
+        if (p.saidAlive > p.incarnation) {
+            return new News(p.name, p.saidAlive, State.ALIVE.ordinal(), null, p.factsVersion, facts ? p.facts : null);
+        }
         return new News(p.name, p.incarnation, p.state.ordinal(), p.state == State.SUSPECT ? List.copyOf(p.suspectedBy) : null,
                 p.factsVersion, facts ? p.facts : null);
     }
--- a/router/src/main/java/stagepier/fleet/Membership.java
+++ b/router/src/main/java/stagepier/fleet/Membership.java
@@ -175,6 +175,7 @@
             synchronized (table) {
                 if (told != null && told.age() >= 0 && told.age() < Integer.MAX_VALUE) {
                     table.heardOfOthers(Map.of(about.name, (int) told.age()), sentAt);
+                    table.reachedBy(relay, List.of(about.name));
                 }
                 return !about.failsHere();
             }
--- a/router/src/main/java/stagepier/fleet/Peer.java
+++ b/router/src/main/java/stagepier/fleet/Peer.java
@@ -17,6 +17,10 @@
     long heardAt;
     /** Who last told that it can call it itself. */
     Peer relay;
+    /** When it went out; who is out is in again when somebody had an answer since. */
+    long outSince;
+    /** A higher incarnation that it is said to be alive in, of which no answer was heard of yet; 0 for none. */
+    long saidAlive;
     /** From when its silence counts: it was taken up anew, or this router itself stood still. */
     long countsFrom;
     /** When this router's own last call to it was sent that was not answered. */
@@ -25,6 +29,7 @@
     long answeredAt;
     /** When the first call was sent of those that went unanswered without one that was answered among them. */
     long failsSince;
+    long calledAt;
     long hintedAt;
     /** How often its news is still to be told on, and its facts. */
     int tell;
@@ -40,6 +45,7 @@
         failedAt = never;
         answeredAt = never;
         failsSince = never;
+        outSince = never;
         hintedAt = never;
         suspectSince = never;
     }
--- a/router/src/test/java/stagepier/fleet/MemberTableTest.java
+++ b/router/src/test/java/stagepier/fleet/MemberTableTest.java
@@ -52,6 +52,8 @@
             Collections.shuffle(all, random);
             table.apply("d", all, NOW);
             table.apply("d", all.subList(0, 6), NOW);
+            table.answered("c", NOW + 1);
+            table.tick(0, NOW + 2);
             FleetView view = table.changedView();
             assertEquals(new FleetView.Member("b", 3, State.LEFT, new Facts("1", "hash", 3, 0, 0)), view.member("b").orElseThrow());
             assertEquals(new FleetView.Member("c", 6, State.ALIVE, new Facts("1", "hash", 6, 0, 0)), view.member("c").orElseThrow());
@@ -70,6 +72,28 @@
         assertTrue(table.news().stream().noneMatch(n -> n.n().equals("b") && n.s() == State.GONE.ordinal()), "it was contradicted");
     }
 
+    /**
+     * Found by a history: a router whose calls nobody answers hears others contradict each other, took them up for a while each time,
+     * and had not settled in 3 s.
+     */
+    @Test
+    void whoIsOutIsInAgainWhenItAnswersNotWhenItSaysSo() {
+        MemberTable table = table(100);
+        table.apply("b", news("b", 5, State.ALIVE), NOW);
+        table.apply("c", news("c", 5, State.ALIVE), NOW);
+        table.answered("b", NOW);
+        table.answered("c", NOW);
+        table.tick(0, NOW + MemberTable.ms(1));
+        table.apply("c", news("b", 5, State.GONE), NOW + MemberTable.ms(5_000));
+        table.apply("b", news("b", 6, State.ALIVE), NOW + MemberTable.ms(5_100));
+        table.tick(0, NOW + MemberTable.ms(5_200));
+        assertEquals(State.GONE, table.changedView().member("b").orElseThrow().state());
+        assertTrue(table.news().stream().anyMatch(n -> n.n().equals("b") && n.i() == 6 && n.s() == State.ALIVE.ordinal()), "it is told on");
+        table.answered("b", NOW + MemberTable.ms(5_300));
+        table.tick(0, NOW + MemberTable.ms(5_400));
+        assertEquals(State.ALIVE, table.changedView().member("b").orElseThrow().state());
+    }
+
     /** Two processes that were started with one name contradict each other, but not in a storm. */
     @Test
     void whoContradictsDoesSoABoundedNumberOfTimes() {
