--- a/router/src/main/java/stagepier/fleet/MemberTable.java
+++ b/router/src/main/java/stagepier/fleet/MemberTable.java
@@ -504,6 +504,11 @@
         if (p.saidAlive > p.incarnation) {
             return new News(p.name, p.saidAlive, State.ALIVE.ordinal(), null, p.factsVersion, facts ? p.facts : null);
         }
+        return held(p, facts);
+    }
+
+    /** For an exchange, in which two come to hold the same. */
+    private News held(Peer p, boolean facts) {
         return new News(p.name, p.incarnation, p.state.ordinal(), p.state == State.SUSPECT ? List.copyOf(p.suspectedBy) : null,
                 p.factsVersion, facts ? p.facts : null);
     }
@@ -571,10 +576,10 @@
     /** A part of all that is held, without facts: so many from there on. */
     List<News> part(int from, int most) {
         List<News> part = new ArrayList<>();
-        part.add(news(self, false));
+        part.add(held(self, false));
         for (int i = 0; i < Math.min(most, all.size()); i++) {
             Peer p = all.get((from + i) % all.size());
-            part.add(news(p, false));
+            part.add(held(p, false));
         }
         return part;
     }
@@ -586,7 +591,7 @@
             Peer p = n == null || n.n() == null ? null : n.n().equals(self.name) ? self : peers.get(n.n());
             if (p != null && p.incarnation > 0 && n.s() >= 0 && n.s() < State.values().length
                     && (compare(n.i(), State.values()[n.s()], p) < 0 || n.v() < p.factsVersion)) {
-                newer.add(news(p, n.v() < p.factsVersion));
+                newer.add(held(p, n.v() < p.factsVersion));
             }
         }
         return newer;
