Let what was learnt take no place from what staff propose

Need: each word that something was accepted lay in the box of the register's task until that came by; with eight of them a proposal of staff would have been dropped.

Change: one such word lies there at the most.

--- a/router/src/main/java/stagepier/freeze/Register.java
+++ b/router/src/main/java/stagepier/freeze/Register.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -81,6 +82,8 @@
     private final Duration again;
     /** What its staff want, or {@link #LOOK}. */
     private final Box<String> wishes;
+    /** Whether {@link #LOOK} lies in {@code wishes}: once at the most, so that it takes no place from what staff want. */
+    private final AtomicBoolean looks = new AtomicBoolean();
     private final Set<String> ofOtherFleets = ConcurrentHashMap.newKeySet();
     /** Written by the task alone. */
     private volatile Proposal pending;
@@ -163,8 +166,8 @@
         }
         ofOtherFleets.remove(from);
         Reply reply = acceptor.answer(call.kind(), ask);
-        if (call.kind().equals(Ask.LEARN)) {
-            wishes.put(LOOK);
+        if (call.kind().equals(Ask.LEARN) && !looks.getAndSet(true) && !wishes.put(LOOK)) {
+            looks.set(false);
         }
         return Message.of(call.kind(), reply);
     }
@@ -182,7 +185,9 @@
             }
             good = good && confirm();
             String wanted = wishes.take(good && pending == null ? confirmEach : again);
-            if (wanted != null && !wanted.equals(LOOK)) {
+            if (LOOK.equals(wanted)) {
+                looks.set(false);
+            } else if (wanted != null) {
                 pending = new Proposal(acceptor.incarnation() + ":" + ++proposed, wanted,
                         tasks.nanoTime() + PROPOSAL_MOST.toNanos());
             }
