--- a/router/src/main/java/stagepier/app/FleetWork.java
+++ b/router/src/main/java/stagepier/app/FleetWork.java
@@ -101,6 +101,11 @@
         parts.add(shadow.part());
     }
 
+    /** Descriptors that clients must leave: calls to and from each other router, and links for copies. */
+    int descriptors(int sockets) {
+        return 2 * config.members().size() + (config.candidate() == null ? 0 : ShadowWork.links(sockets));
+    }
+
     /** What is taken up of the list. */
     void changed(HostGroup.Change change) {
         if (shadow != null) {
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -82,7 +82,7 @@
                 ServerPools.sockets(loop, settings.limits().connectTimeout()), (int) (SERVER_PART * config.sockets()), settings,
                 config.settings().idleClose());
         host.connect(new Brain(settings, config.seed(), host), servers);
-        clients = new ClientListener(loop, clock, delay, places(config.sockets()), host, this::stats, drain);
+        clients = new ClientListener(loop, clock, delay, clientPlaces(), host, this::stats, drain);
         watch = new DiscoveryWatch(loop, config.discovery(), hosts, this::changed, host::membersFailed,
                 new Random(config.seed()));
         host.connectList(watch::refresh);
@@ -122,6 +122,10 @@
         return loop;
     }
 
+    private int clientPlaces() {
+        return places(config.sockets()) - (fleet == null ? 0 : fleet.descriptors(config.sockets()));
+    }
+
     /** Descriptors for clients: what is left when the program's own and those for cache servers are set aside. */
     private static int places(int sockets) {
         return Math.min(PLACES_MOST, sockets - OWN_DESCRIPTORS - (int) (SERVER_PART * sockets));
--- a/router/src/main/java/stagepier/app/ShadowWork.java
+++ b/router/src/main/java/stagepier/app/ShadowWork.java
@@ -33,7 +33,7 @@
  * names a candidate. All that is not said otherwise is called on the event loop.
  */
 final class ShadowWork {
-    /** Part of the descriptors for cache servers that copies may take besides, and how many at the least and the most. */
+    /** Part of all descriptors that copies may take, and how many at the least and the most. */
     private static final double LINKS_PART = 0.02;
     private static final int LINKS_LEAST = 4;
     private static final int LINKS_MOST = 64;
@@ -74,15 +74,20 @@
                 return !own.drain().isReady();
             }
         };
-        int links = Math.max(LINKS_LEAST, Math.min(LINKS_MOST, (int) (LINKS_PART * own.sockets())));
         // Ids of copies differ by router and by process; clients' ids are not known to look like this.
-        String ids = "s" + Long.toHexString(fleet.config().self().hashCode() & 0xffffffffL) + Long.toHexString(fleet.incarnation()) + "x";
+        String ids = "s" + Long.toHexString(fleet.config().self().hashCode() & 0xffffffffL) + Long.toHexString(fleet.incarnation())
+                + "x";
         copies = new ShadowCopies(new ShadowCopies.Parts(own.loop(), own.clock(),
-                ServerPools.sockets(own.loop(), settings.limits().connectTimeout()), own.settings(), links, ids, router, servers,
-                fleet.tasks()::nanoTime, part::orders, part::counted, part::promoted, own.host()::promoted, fleet.history()));
+                ServerPools.sockets(own.loop(), settings.limits().connectTimeout()), own.settings(), links(own.sockets()), ids, router,
+                servers, fleet.tasks()::nanoTime, part::orders, part::counted, part::promoted, own.host()::promoted, fleet.history()));
         own.host().connectShadow(copies);
     }
 
+    /** Descriptors that copies take at the most. */
+    static int links(int sockets) {
+        return Math.max(LINKS_LEAST, Math.min(LINKS_MOST, (int) (LINKS_PART * sockets)));
+    }
+
     /** What the fleet agrees on, as promotions need it: one sequence, whatever the topic. */
     static Agreement agreement(AgreedTexts texts) {
         return new Agreement() {
--- a/router/src/main/java/stagepier/freeze/AgreedTexts.java
+++ b/router/src/main/java/stagepier/freeze/AgreedTexts.java
@@ -8,9 +8,9 @@
 import stagepier.tasks.Tasks;
 
 /**
- * A second sequence of texts that the fleet agrees on, by the same ballots as the calendar, under a name of its own: calls and events
- * of the register are renamed on their way. Where a majority forgets at once, what was agreed is forgotten, too, or unknown until it is
- * proposed again; what this process learnt it keeps.
+ * A second sequence of texts that the fleet agrees on, by the same ballots as the calendar, under a name of its own: calls and
+ * events of the register are renamed on their way. Where a majority forgets at once, what was agreed is forgotten, too, or unknown
+ * until it is proposed again; what this process learnt it keeps.
  */
 public final class AgreedTexts {
     /** What the fleet begins with: nothing agreed. */
@@ -36,7 +36,8 @@
     public AgreedTexts(String topic, Tasks tasks, Calls calls, FleetConfig config, History history, long seed) {
         this.tasks = tasks;
         History renamed = (event, values) -> history.write(rename(event, Ask.PART, topic), values);
-        Acceptor acceptor = new Acceptor(config.self(), Incarnations.first(tasks.wall(), seed), () -> tasks.wall().millis(), renamed);
+        Acceptor acceptor = new Acceptor(config.self(), Incarnations.first(tasks.wall(), seed), () -> tasks.wall().millis(),
+                renamed);
         register = new Register(tasks, new Renamed(calls, topic), config, renamed, acceptor, new Register.Listener() {
             @Override
             public void confirmed(Entry accepted, long startNano, long startWallMs, Clocks.Offset offset) {
