--- a/router/src/main/java/stagepier/app/Main.java
+++ b/router/src/main/java/stagepier/app/Main.java
@@ -25,6 +25,8 @@
     private static final int BAD_INPUT = 65;
     private static final int IO_ERROR = 74;
     private static final int BAD_CONFIG = 78;
+    /** What a signal's handler is called that whoever started the process has set to be ignored. */
+    private static final String IGNORED = "SIG_IGN";
     /** No client waits longer than this; what is open then will never end. */
     private static final int STOP_MOST_S = 30;
 
@@ -57,7 +59,12 @@
         String path = System.getenv("GW_CONFIG");
         CompletableFuture<Router> built = new CompletableFuture<>();
         // First of all, for this signal ends a JVM that does not handle it; one that comes early waits for the router.
-        Signals.register("HUP", () -> built.thenAccept(router -> reload(router, path)));
+        Object before = Signals.register("HUP", () -> built.thenAccept(router -> reload(router, path)));
+        if (IGNORED.equals(String.valueOf(before))) {
+            // As under nohup: the JVM leaves such a signal ignored, and nobody would know why a SIGHUP does nothing.
+            LoggerFactory.getLogger(Main.class)
+                    .warn("SIGHUP is ignored by what started this process: the configuration is read only now");
+        }
         try {
             Router router = new Router(Config.read(path));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router), "stop"));
