--- a/router/src/test/java/stagepier/app/IgnoredSignalTest.java
+++ b/router/src/test/java/stagepier/app/IgnoredSignalTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Guards against a SIGHUP that does nothing, and nobody is told: a JVM leaves it ignored where its starter did, as nohup does. */
+/** Guards against a SIGHUP that does nothing, and nobody is told: a JVM leaves it ignored where its starter did, as by nohup. */
 @Timeout(60)
 class IgnoredSignalTest {
     /** How often the program says that SIGHUP is ignored; without a configuration it ends by itself. */
