Wait a millisecond between the steps of the warm-up, which never waited for anything

Ruled out: the calls for the list, which are made after it.

Change: a millisecond between two steps, 50 ms in all.

--- a/router/src/main/java/stagepier/app/WarmUp.java
+++ b/router/src/main/java/stagepier/app/WarmUp.java
@@ -34,6 +34,7 @@
     private static final int SERVERS = 4;
     private static final int REQUESTS = 250;
     private static final int PLACES = 8;
+    private static final int REST_US = 1000;
     /** So many ask at once. */
     private static final int AT_ONCE = 5;
 
@@ -79,8 +80,9 @@
     private void play(EventLoop loop, IntConsumer done) {
         if (played < REQUESTS) {
             playSome();
-            // By way of a timer: a task would run before sockets are looked at again.
-            loop.schedule(() -> play(loop, done), 0, TimeUnit.NANOSECONDS);
+            // By way of a timer: a task would run before sockets are looked at again. And one that has to be waited for: whoever
+            // holds a thread that never waits for hung must not see one here, on a machine that is short of processors.
+            loop.schedule(() -> play(loop, done), REST_US, TimeUnit.MICROSECONDS);
         } else {
             client.close();
             toServers.forEach(EmbeddedChannel::close);
