Remember the names of held servers by the one bounded way there is

Cause: with a calendar, names of listed servers were put into the set of all that were ever listed beside remember(), which keeps that set to 4,096 names: it could have grown by each new server.

Change: the names go through remember().

Measured: TopologyGateTest, HostGroupTest, StaffTest and the architecture pass.

--- a/router/src/main/java/stagepier/discovery/HostGroup.java
+++ b/router/src/main/java/stagepier/discovery/HostGroup.java
@@ -130,7 +130,7 @@
         if (complete) {
             everListed.stream().filter(name -> !named.contains(name)).forEach(admission::overtaken);
         }
-        everListed.addAll(named);
+        named.forEach(this::remember);
         return counts;
     }
 
