End client and console links by one lingering close; read on for the end of a client

Link.close() closed the channel at once. Where bytes lay unread in the kernel, or came in that instant, the system sent a reset, and what it had not yet delivered of the last answers was gone; only the console ended its sending first. Seen by CrossingTest against the unmended code: "Connection reset" while 20 answers before a malformed line, or before `quit`, were still on their way, "Broken pipe" behind the last answer of a drain and behind an idle close. Ruled out: that closeIfIdle reads what has come right before it closes helps only with what came before; it can do nothing about later bytes. A link also stopped reading while 128 commands were open or a value flowed, so that it could not see the client's end.

Link.close() is the one place where the way to end is chosen, by lingers() of each kind; abort() is for broken connections. A link that lingers is closed for its owner (onClosed, exchanges told once); onGivenBack comes with the channel. Client and console links linger, those to cache servers and of the shadow are given back at once, as before. A client link keeps its place until it is given back; with all places taken it is cut short after 0.02 s, so that those who wait for a place come first. Closing an idle link for want of use takes what has just come, as the drain does. Counter client_links_lingering. ConsoleLink uses the shared close; its own is gone.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -15,7 +15,14 @@
 import stagepier.overload.Places;
 import stagepier.overload.Places.Behaviour;
 
-/** A client's connection: commands in, answers out in the order of the commands. */
+/**
+ * A client's connection: commands in, answers out in the order of the commands.
+ *
+ * <p>The end of the client's stream means that it has gone, as the protocol page says of a client that closes its connection: a
+ * FIN does not tell whether only the sending was ended, so what is open for it is given up. The link reads on for that end
+ * while it may take no more commands, up to a small bound. When the link itself ends in order it lingers, so that the last
+ * answer arrives whole.
+ */
 final class ClientLink extends Link {
     /** Commands without a written answer from which no more are read. */
     private static final int PIPELINED_MOST = 128;
@@ -90,7 +97,13 @@
 
     @Override
     protected boolean wantsInput() {
-        return mayTake() && (unread() < ALWAYS_HELD || owner.hasMemory());
+        return unread() < ALWAYS_HELD || mayTake() && owner.hasMemory();
+    }
+
+    /** Behind commands that may not be taken yet no more is read than a link may always hold. */
+    @Override
+    protected int readMost() {
+        return mayTake() ? super.readMost() : ALWAYS_HELD - unread();
     }
 
     private boolean mayTake() {
@@ -116,7 +129,7 @@
         }
         if (unread() == 0) {
             partSince = Double.NaN;
-        } else if (Double.isNaN(partSince)) {
+        } else if (mayTake() && Double.isNaN(partSince)) {
             partSince = owner.now();
         }
     }
@@ -146,15 +159,28 @@
         };
     }
 
-    /** Gives up its place. Who is in the middle of a command is told so. */
-    void giveUp(Behaviour behaviour) {
+    /** Gives up its place, unless it has just asked. Who is in the middle of a command is told so. Returns whether it did. */
+    boolean giveUp(Behaviour behaviour) {
+        if (isClosed()) {
+            return false;
+        }
         if (behaviour != Behaviour.PART && behaviour != Behaviour.SLOW) {
-            close();
+            if (isIdle()) {
+                return closeIfIdle();
+            }
+            // It does not read what it was given.
+            abort();
         } else if (!leaving) {
             owner.malformed();
             leaving = true;
             say("CLIENT_ERROR command not finished in time");
         }
+        return true;
+    }
+
+    /** Ends its lingering. */
+    void cutShort() {
+        abort();
     }
 
     /** Reads on if it had stopped for want of memory. */
@@ -168,7 +194,7 @@
         double now = owner.now();
         bytesAt = now;
         double came = owner.cameAt(now);
-        if (Double.isNaN(cameAt)) {
+        if (Double.isNaN(cameAt) && mayTake()) {
             cameAt = asked ? came : Math.min(came, connectedAt);
         }
         if (!isWaiting) {
@@ -186,7 +212,7 @@
 
     /** Change of the memory that its ring takes since this was asked last. */
     int grown() {
-        int held = isClosed() ? 0 : heldBytes();
+        int held = isGivenBack() ? 0 : heldBytes();
         int grown = held - counted;
         counted = held;
         return grown;
@@ -333,8 +359,9 @@
         return !isFresh(now) && closeIfIdle();
     }
 
+    /** What has come by now is taken first; what comes later is never read as a command, and the client sees the end. */
     private boolean closeIfIdle() {
-        if (!isIdle()) {
+        if (isClosed() || !isIdle()) {
             return false;
         }
         readNow();
@@ -361,7 +388,7 @@
             }
             ending = true;
         }
-        if (!closeIfIdle() && behaviour() == Behaviour.PART) {
+        if (!closeIfIdle() && !isClosed() && behaviour() == Behaviour.PART) {
             giveUp(Behaviour.PART);
         }
     }
@@ -374,6 +401,12 @@
         }
     }
 
+    /** What it does not read is not waited for; what it was given last has to arrive whole. */
+    @Override
+    protected boolean lingers() {
+        return nothingQueued();
+    }
+
     @Override
     protected void onClosed() {
         for (Slot slot : slots) {
@@ -384,6 +417,13 @@
             }
         }
         slots.clear();
+        answerBytes = 0;
+        flows = 0;
         owner.closed(this);
     }
+
+    @Override
+    protected void onGivenBack() {
+        owner.givenBack(this);
+    }
 }
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -16,8 +16,11 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ObjLongConsumer;
@@ -48,6 +51,8 @@
     private static final double TOLD_EVERY = 1;
     /** While clients are sent away, their links are looked through so often. */
     private static final long SEND_AWAY_MS = 5;
+    /** With all places taken a link lingers no longer than this, in seconds: those who wait for a place come first. */
+    private static final double LINGERS_WHEN_FULL = 0.02;
     /** For so long at the most, in seconds, connections are accepted after the last moment at which clients are served. */
     private static final double LAST_ACCEPTED = 0.5;
 
@@ -55,6 +60,8 @@
     private final Supplier<String> stats;
     private final Drain drain;
     private final Set<ClientLink> links = new LinkedHashSet<>();
+    /** Links that are closed for their clients and still hold a descriptor, with the times since when. */
+    private final Map<ClientLink, Double> lingering = new LinkedHashMap<>();
     private final EventLoop loop;
     private final Clock clock;
     private final LoopDelay delay;
@@ -166,7 +173,7 @@
     private void look() {
         double now = clock.now();
         Places.Level was = level;
-        level = places.level(now, links.size(), held);
+        level = places.level(now, placesTaken(), held);
         double late = delay.unreadFor(now);
         if (level != was || level != Places.Level.PLENTY) {
             tell(now);
@@ -175,17 +182,30 @@
             Places.Behaviour behaviour = link.behaviour();
             // What a link has said may lie unread: it is no fault of the link that this router is late.
             if (now - link.since(behaviour) > Places.patience(behaviour, level) + late) {
-                ended[behaviour.ordinal()]++;
-                link.giveUp(behaviour);
+                ended[behaviour.ordinal()] += link.giveUp(behaviour) ? 1 : 0;
             } else {
                 link.resume();
             }
         }
-        if (!full) {
+        if (full) {
+            cutShort(now);
+        } else {
             backlog.idle(now);
         }
     }
 
+    private void cutShort(double now) {
+        for (Map.Entry<ClientLink, Double> one : List.copyOf(lingering.entrySet())) {
+            if (now - one.getValue() >= LINGERS_WHEN_FULL) {
+                one.getKey().cutShort();
+            }
+        }
+    }
+
+    private int placesTaken() {
+        return links.size() + lingering.size();
+    }
+
     /** An event for the operators while places are short, not more often than once a second. */
     private void tell(double now) {
         if (now - toldAt < TOLD_EVERY) {
@@ -314,7 +334,7 @@
 
     /** Nobody is there, and nobody comes any more. */
     public boolean isOver() {
-        return links.isEmpty() && (listening == null || !accepting);
+        return links.isEmpty() && lingering.isEmpty() && (listening == null || !accepting);
     }
 
     ModuleHost host() {
@@ -333,7 +353,7 @@
     void opened(ClientLink link) {
         opened++;
         links.add(link);
-        if (!places.hasPlace(links.size()) && !full) {
+        if (!places.hasPlace(placesTaken()) && !full) {
             // The next ones wait in the backlog: to accept and close at once would only make them come again.
             if (listening != null) {
                 full = true;
@@ -345,10 +365,18 @@
         }
     }
 
+    /** Nothing is taken or answered on it any more; it keeps its place until it is given back. */
     void closed(ClientLink link) {
-        links.remove(link);
+        if (links.remove(link)) {
+            lingering.put(link, clock.now());
+        }
+        count(link);
+    }
+
+    void givenBack(ClientLink link) {
+        lingering.remove(link);
         count(link);
-        if (full && places.hasPlace(links.size())) {
+        if (full && places.hasPlace(placesTaken())) {
             full = false;
             listening.config().setAutoRead(accepting);
         }
@@ -372,6 +400,7 @@
 
     public void count(ObjLongConsumer<String> to) {
         to.accept("client_links", links.size());
+        to.accept("client_links_lingering", lingering.size());
         to.accept("client_links_opened", opened);
         to.accept("client_places_full", timesFull);
         to.accept("client_requests_turned_away", turnedAway);
--- a/router/src/main/java/stagepier/console/ConsoleLink.java
+++ b/router/src/main/java/stagepier/console/ConsoleLink.java
@@ -1,9 +1,6 @@
 package stagepier.console;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -13,19 +10,14 @@
 
 /** A caller's connection: one line in, one line out, and the end. */
 final class ConsoleLink extends Link {
-    /** What a caller still sends behind its line is read for so long, then the connection is closed. */
-    private static final int TAIL_MS = 500;
     /** A caller that says nothing, or does not finish its line, is told so and let go after this. */
     private static final int PATIENCE_MS = 10_000;
 
     private final ConsoleListener owner;
-    private final DuplexChannel channel;
     private Future<?> timer;
-    private boolean answered;
 
     ConsoleLink(ConsoleListener owner, Channel channel) {
         this.owner = owner;
-        this.channel = (DuplexChannel) channel;
         attach(channel);
     }
 
@@ -42,10 +34,6 @@
 
     @Override
     protected void onInput(RingBuffer bytes) {
-        if (answered) {
-            bytes.skip(bytes.size());
-            return;
-        }
         int end = bytes.indexOf((byte) '\n', 0);
         if (end >= LineForm.LONGEST || end < 0 && bytes.size() >= LineForm.LONGEST) {
             refuse("line too long");
@@ -58,35 +46,39 @@
 
     /** The caller sends no more: a call without a line end is none. */
     @Override
-    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event == ChannelInputShutdownEvent.INSTANCE) {
-            if (answered || unread() == 0) {
-                close();
-            } else {
-                refuse("a line without its end");
-            }
+    protected void onEndOfStream() {
+        if (unread() == 0) {
+            close();
+        } else {
+            refuse("a line without its end");
         }
     }
 
     /** Tells the caller why, and lets it go. */
     void refuse(String why) {
-        if (!answered) {
+        if (!isClosed()) {
             say(owner.refusal(why));
         }
     }
 
     /** Makes room for another caller. */
     void leave() {
-        refuse("too many callers");
-        close();
+        if (isClosed()) {
+            abort();
+        } else {
+            refuse("too many callers");
+        }
     }
 
+    /** Its one answer, and the end; what the caller still sends behind its line is discarded. */
     private void say(String line) {
-        answered = true;
-        timer.cancel(false);
-        timer = owner.loop().schedule(this::close, TAIL_MS, TimeUnit.MILLISECONDS);
         queue(line.getBytes(StandardCharsets.ISO_8859_1));
-        pump();
+        close();
+    }
+
+    @Override
+    protected boolean lingers() {
+        return true;
     }
 
     @Override
@@ -96,10 +88,7 @@
 
     @Override
     protected void onWritten() {
-        if (nothingQueued()) {
-            channel.shutdownOutput();
-            readOn();
-        }
+        // Nothing is written before it closes.
     }
 
     @Override
@@ -112,6 +101,10 @@
         if (timer != null) {
             timer.cancel(false);
         }
+    }
+
+    @Override
+    protected void onGivenBack() {
         owner.closed(this);
     }
 }
--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import java.nio.ByteBuffer;
 import java.util.function.ToIntFunction;
 import org.slf4j.Logger;
@@ -17,6 +18,10 @@
 /**
  * One connection with one ring buffer a direction; owns both and the channel. Reads no more than its ring has
  * room for, and hands bytes to the socket one piece at a time, so that what was written is known, not guessed.
+ *
+ * <p>It ends in one of two ways: {@link #close} as its kind says by {@link #lingers}, or {@link #abort} where the connection is
+ * broken or whoever is at its other end deserves no wait. Once it is closed nothing is taken or answered on it any more; its
+ * channel is given back then, or at the end of a {@link LingeringClose}.
  */
 public abstract class Link extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = LoggerFactory.getLogger(Link.class);
@@ -28,6 +33,9 @@
     private boolean writing;
     private boolean pumping;
     private boolean closed;
+    /** On its way out, or null. */
+    private LingeringClose lingering;
+    private boolean givenBack;
     private long queuedBytes;
     private long writtenBytes;
 
@@ -43,7 +51,7 @@
                     /** Guards against bytes that have no place: a full ring is not read into. */
                     @Override
                     public int guess() {
-                        return Math.max(1, Math.min(readMost(), in.free()));
+                        return lingering != null ? READ_MOST : Math.max(1, Math.min(readMost(), in.free()));
                     }
                 };
             }
@@ -60,6 +68,15 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf bytes = (ByteBuf) message;
+        if (closed) {
+            // Never a command: the other side was told that nothing is answered any more.
+            int n = bytes.readableBytes();
+            bytes.release();
+            if (lingering != null) {
+                lingering.discarded(n);
+            }
+            return;
+        }
         try {
             for (ByteBuffer piece : bytes.nioBuffers()) {
                 in.put(piece);
@@ -93,7 +110,11 @@
     }
 
     protected final void readOn() {
-        if (!closed && in.free() > 0 && wantsInput() && isActive()) {
+        if (lingering != null) {
+            if (!givenBack && lingering.wantsInput()) {
+                channel.read();
+            }
+        } else if (!closed && in.free() > 0 && wantsInput() && isActive()) {
             channel.read();
         }
     }
@@ -106,9 +127,27 @@
         }
     }
 
+    /** Where a channel may be half closed: the other side has ended its sending. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            if (!closed) {
+                onEndOfStream();
+            }
+            if (lingering != null) {
+                lingering.endOfStream();
+            }
+        }
+    }
+
+    /** The other side sends no more, and may still read. */
+    protected void onEndOfStream() {
+        close();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        end();
+        abort();
     }
 
     @Override
@@ -116,15 +155,50 @@
         if (!(cause instanceof java.io.IOException)) {
             LOG.error("a link failed", cause);
         }
-        close();
+        abort();
     }
 
-    /** The one place where the connection is given back. */
+    /**
+     * Ends the link in the way of its kind: the one place where that is chosen. Nothing that comes after this is taken. A link
+     * that lingers writes what is queued, ends its sending and reads on for a while; any other gives its channel back at once.
+     */
     protected final void close() {
+        if (closed) {
+            return;
+        }
+        lingering = lingers() ? LingeringClose.of(channel, this::abort) : null;
+        if (lingering == null) {
+            abort();
+            return;
+        }
+        in.skip(in.size());
+        end();
+        if (out.size() == 0) {
+            lingering.allWritten();
+        } else {
+            pump();
+        }
+        readOn();
+    }
+
+    /** Whether the other side may still send when this link closes, and has something on its way that a reset would destroy. */
+    protected boolean lingers() {
+        return false;
+    }
+
+    /** Gives the channel back at once, whatever is on its way. */
+    protected final void abort() {
         if (channel != null) {
             channel.close();
         }
         end();
+        if (!givenBack) {
+            givenBack = true;
+            if (lingering != null) {
+                lingering.over();
+            }
+            onGivenBack();
+        }
     }
 
     private boolean isActive() {
@@ -138,10 +212,16 @@
         }
     }
 
+    /** Nothing is taken or answered any more. */
     protected final boolean isClosed() {
         return closed;
     }
 
+    /** The channel is closed as well. */
+    protected final boolean isGivenBack() {
+        return givenBack;
+    }
+
     /** Queues a whole message; returns the count of bytes written once its last one is. */
     protected final long queue(byte[] message) {
         out.put(message);
@@ -200,8 +280,10 @@
         }
         pumping = true;
         try {
-            while (!writing && !closed && isActive()) {
-                fill();
+            while (!writing && (!closed || lingering != null) && isActive()) {
+                if (!closed) {
+                    fill();
+                }
                 ByteBuffer front = out.front();
                 if (!front.hasRemaining()) {
                     return;
@@ -221,14 +303,24 @@
             if (done.isSuccess()) {
                 out.skip(n);
                 writtenBytes += n;
-                onWritten();
-                pump();
+                written();
             } else {
-                close();
+                abort();
             }
         });
     }
 
+    private void written() {
+        if (lingering == null) {
+            onWritten();
+            pump();
+        } else if (out.size() == 0) {
+            lingering.allWritten();
+        } else {
+            pump();
+        }
+    }
+
     protected abstract void onUp();
 
     /** Takes whole messages off the ring. */
@@ -243,6 +335,11 @@
 
     protected abstract void onWritten();
 
-    /** Called once, whoever closed. */
+    /** Called once, whoever closed: nothing is taken or answered any more. */
     protected abstract void onClosed();
+
+    /** Called once, after {@link #onClosed}: the channel is closed as well. */
+    protected void onGivenBack() {
+        // Most kinds hold nothing for the channel alone.
+    }
 }
