--- /dev/null
+++ b/router/src/test/java/stagepier/KnownRedTest.java
@@ -0,0 +1,99 @@
+package stagepier;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Which tests {@code .ci/run} passes over: just those that KNOWN-RED.txt names, and never many. */
+class KnownRedTest {
+    private static final int BAD_DATA = 65;
+    private static final String LINE = "some.of.ThingTest#%s | it is slow | #12";
+    @TempDir
+    private Path root;
+
+    private record Said(int code, List<String> excluded, List<String> told) {
+    }
+
+    @BeforeEach
+    void aTest() throws Exception {
+        Path folder = Files.createDirectories(root.resolve("module/src/test/java/some/of"));
+        Files.writeString(folder.resolve("ThingTest.java"), """
+                class ThingTest {
+                    void one() { }
+                    void two() { }
+                    void three() { }
+                    void four() { }
+                }
+                """);
+    }
+
+    private Said run() throws Exception {
+        Path out = root.resolve("out");
+        Path err = root.resolve("err");
+        Process process = new ProcessBuilder(Path.of("../.ci/known-red").toAbsolutePath().toString(), root.toString())
+                .redirectOutput(out.toFile()).redirectError(err.toFile()).start();
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        return new Said(process.exitValue(), Files.readAllLines(out), Files.readAllLines(err));
+    }
+
+    private Said run(String text) throws Exception {
+        Files.writeString(root.resolve("KNOWN-RED.txt"), text, StandardCharsets.UTF_8);
+        return run();
+    }
+
+    private static String lines(String... methods) {
+        return String.join("\n", List.of(methods).stream().map(LINE::formatted).toList()) + "\n";
+    }
+
+    @Test
+    void withNoFileOrAnEmptyOneNothingIsPassedOver() throws Exception {
+        assertEquals(new Said(0, List.of(), List.of()), run());
+        assertEquals(new Said(0, List.of(), List.of()), run(""));
+    }
+
+    @Test
+    void eachLineIsPrintedAndItsTestPassedOver() throws Exception {
+        assertEquals(new Said(0, List.of("some.of.ThingTest#one"), List.of("known red: " + LINE.formatted("one"))),
+                run(lines("one")));
+        Said three = run(lines("one", "two", "three"));
+        assertEquals(0, three.code());
+        assertEquals(List.of("some.of.ThingTest#one", "some.of.ThingTest#two", "some.of.ThingTest#three"), three.excluded());
+        assertEquals(3, three.told().size());
+        assertEquals(1, run(lines("one").stripTrailing()).excluded().size(), "a last line without its end counts, too");
+    }
+
+    @Test
+    void aFourthLineFails() throws Exception {
+        assertEquals(BAD_DATA, run(lines("one", "two", "three", "four")).code());
+        assertEquals(BAD_DATA, run(lines("one", "two", "three", "four").stripTrailing()).code());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"some.of.ThingTest#one", "some.of.ThingTest#one | cause", "some.of.ThingTest#one |  | #1",
+        "some.of.ThingTest#one | cause | ", "some.of.ThingTest | cause | #1", "some.of.*Test#one | cause | #1",
+        "some.of.ThingTest#o* | cause | #1", "ThingTest#one | cause | #1", "!some.of.ThingTest#one | cause | #1",
+        "some.of.ThingTest#one+two | cause | #1", "some.of.ThingTest#one | a | b | c", "# a comment", "", " "})
+    void aMalformedLineFailsInOneLine(String line) throws Exception {
+        Said said = run(line + "\n");
+        assertEquals(BAD_DATA, said.code());
+        assertEquals(List.of("KNOWN-RED.txt: line 1 is not 'package.Class#method | cause | issue'"), said.told());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"some.of.ThingTest#gone | cause | #1", "some.of.OtherTest#one | cause | #1"})
+    void aLineThatNamesNoTestFails(String line) throws Exception {
+        Said said = run(line + "\n");
+        assertEquals(BAD_DATA, said.code());
+        assertTrue(said.told().get(0).contains("names no test"), said.told().toString());
+    }
+}
