Test that another customer's settings leave nothing behind and fit nothing

Cause: nothing showed that a router owes its behaviour to its own settings alone. ArchUnit: static is final. AdapterTest keeps its tests; Batch and Action moved out of it to be shared. The ArchUnit rule has not been seen red.

--- a/router/src/test/java/stagepier/ArchitectureTest.java
+++ b/router/src/test/java/stagepier/ArchitectureTest.java
@@ -1,5 +1,6 @@
 package stagepier;
 
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.fields;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
 import com.tngtech.archunit.core.importer.ImportOption.DoNotIncludeTests;
@@ -45,4 +46,8 @@
     @ArchTest
     static final ArchRule NOTHING_KNOWS_THE_APP = noClasses().that().resideOutsideOfPackage("stagepier.app..")
             .should().dependOnClassesThat().resideInAPackage("stagepier.app..");
+
+    /** What is static is shared by all deployments in a process; {@link StaticStateTest} looks into what it holds. */
+    @ArchTest
+    static final ArchRule WHAT_IS_STATIC_IS_FINAL = fields().that().areStatic().should().beFinal();
 }
--- /dev/null
+++ b/router/src/test/java/stagepier/adapter/Action.java
@@ -0,0 +1,18 @@
+package stagepier.adapter;
+
+import java.nio.ByteBuffer;
+
+/** One action of a reply, for tests. */
+record Action(int code, ByteBuffer fields) {
+    int who() {
+        return fields.getShort(0);
+    }
+
+    long id() {
+        return fields.getLong(2);
+    }
+
+    long server() {
+        return fields.getInt(10) & 0xffffffffL;
+    }
+}
--- a/router/src/test/java/stagepier/adapter/AdapterTest.java
+++ b/router/src/test/java/stagepier/adapter/AdapterTest.java
@@ -6,9 +6,7 @@
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -26,122 +24,6 @@
     private static final String SETTINGS = "{" + CLASSES + ",\"Limits\":{\"MaxAttempts\":3,\"MaxRetryAfter\":0.5},"
             + "\"Siblings\":2,\"Unheard\":[1,{\"of\":null}]}";
 
-    /** Builds one batch. */
-    private static final class Batch {
-        private final ByteArrayOutputStream records = new ByteArrayOutputStream();
-        private final double now;
-        private int count;
-
-        Batch(double now) {
-            this.now = now;
-        }
-
-        private interface Fields {
-            void write(DataOutputStream out) throws IOException;
-        }
-
-        Batch record(int code, Fields fields) {
-            try {
-                ByteArrayOutputStream body = new ByteArrayOutputStream();
-                fields.write(new DataOutputStream(body));
-                DataOutputStream out = new DataOutputStream(records);
-                out.writeShort(code);
-                out.writeInt(body.size());
-                out.write(body.toByteArray());
-                count++;
-                return this;
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }
-
-        Batch up(int who, String settings) {
-            byte[] text = settings.getBytes(StandardCharsets.UTF_8);
-            return record(1040, o -> {
-                o.writeShort(who);
-                o.writeLong(99);
-                o.writeInt(text.length);
-                o.write(text);
-            });
-        }
-
-        Batch list(int table, long... servers) {
-            return record(1010, o -> {
-                o.writeInt(table);
-                o.writeInt(servers.length);
-                for (long server : servers) {
-                    o.writeShort(0);
-                    o.writeDouble(0);
-                    o.writeByte(0);
-                    o.writeByte(0);
-                    o.writeInt((int) server);
-                    o.writeFloat(1);
-                    o.writeByte(0);
-                }
-            });
-        }
-
-        Batch discovery(int who, int mode, int table) {
-            return record(1070, o -> {
-                o.writeShort(who);
-                o.writeByte(mode);
-                o.writeLong(1);
-                o.writeInt(table);
-            });
-        }
-
-        Batch request(int who, long id, int classIndex) {
-            return record(1100, o -> {
-                o.writeShort(who);
-                o.writeLong(id);
-                o.writeShort(classIndex);
-                o.writeInt(0);
-                o.writeLong(77);
-                o.writeDouble(1.0);
-                o.writeDouble(0);
-                o.writeFloat(0);
-                o.writeByte(0);
-            });
-        }
-
-        Batch response(int who, long id, int attempt, long server, int verdict, boolean over) {
-            return record(1050, o -> {
-                o.writeShort(who);
-                o.writeLong(id);
-                o.writeByte(attempt);
-                o.writeInt((int) server);
-                o.writeShort(verdict);
-                o.writeDouble(0.01);
-                o.writeByte(over ? 1 : 0);
-                o.writeInt(1);
-                o.writeByte(0);
-            });
-        }
-
-        Batch killed(int who) {
-            return record(1060, o -> o.writeShort(who));
-        }
-
-        byte[] bytes() {
-            return ByteBuffer.allocate(16 + records.size()).putInt(count).putInt(records.size()).putDouble(now)
-                    .put(records.toByteArray()).array();
-        }
-    }
-
-    private record Action(int code, ByteBuffer fields) {
-        int who() {
-            return fields.getShort(0);
-        }
-
-        long id() {
-            return fields.getLong(2);
-        }
-
-        long server() {
-            return fields.getInt(10) & 0xffffffffL;
-        }
-    }
-
     private static byte[] run(byte[]... batches) throws IOException {
         ByteArrayOutputStream in = new ByteArrayOutputStream();
         for (byte[] batch : batches) {
@@ -153,7 +35,7 @@
     }
 
     /** All replies, each as its list of actions. */
-    private static List<List<Action>> replies(byte[]... batches) throws IOException {
+    static List<List<Action>> replies(byte[]... batches) throws IOException {
         ByteBuffer in = ByteBuffer.wrap(run(batches));
         List<List<Action>> replies = new ArrayList<>();
         while (in.hasRemaining()) {
