--- a/router/src/main/java/stagepier/freeze/Entry.java
+++ b/router/src/main/java/stagepier/freeze/Entry.java
@@ -1,5 +1,6 @@
 package stagepier.freeze;
 
+import java.util.Collections;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -12,7 +13,7 @@
  */
 record Entry(Version version, String text, SortedMap<String, String> done) {
     /** Nothing is accepted: a process without a memory. */
-    static final Entry NONE = new Entry(Version.NONE, null, new TreeMap<>());
+    static final Entry NONE = new Entry(Version.NONE, null, Collections.emptySortedMap());
 
     boolean holds(String proposer, String proposal) {
         return proposal.equals(done.get(proposer));
--- a/router/src/main/java/stagepier/freeze/Recurrence.java
+++ b/router/src/main/java/stagepier/freeze/Recurrence.java
@@ -2,7 +2,6 @@
 
 import java.time.LocalDateTime;
 import java.util.ArrayList;
-import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 import java.util.TimeZone;
@@ -14,7 +13,7 @@
 /** A rule by which a window comes again (RFC 5545, section 3.3.10), counted in local times. Immutable. */
 final class Recurrence {
     private static final TimeZone COUNT = TimeZone.getTimeZone("UTC");
-    private static final Set<Freq> KNOWN = EnumSet.of(Freq.DAILY, Freq.WEEKLY, Freq.MONTHLY, Freq.YEARLY);
+    private static final Set<Freq> KNOWN = Set.of(Freq.DAILY, Freq.WEEKLY, Freq.MONTHLY, Freq.YEARLY);
     /** Guards against a rule that names more times than a calendar is for. */
     private static final int MOST = 2_000;
 
--- a/router/src/test/java/stagepier/adapter/TwoCustomersTest.java
+++ b/router/src/test/java/stagepier/adapter/TwoCustomersTest.java
@@ -4,7 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HexFormat;
@@ -14,6 +17,14 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import stagepier.exchange.Clock;
+import stagepier.exchange.ModuleHost;
+import stagepier.memcache.Command;
+import stagepier.memcache.CommandParser;
+import stagepier.memcache.MalformedException;
+import stagepier.memcache.RingBuffer;
+import stagepier.overload.LoopDelay;
+import stagepier.settings.SettingsParser;
 
 /** Guards against anything that decisions for one customer leave behind in the process for those of another. */
 class TwoCustomersTest {
@@ -141,4 +152,38 @@
         assertEquals(actions(credit.replies, 2), actions(together, 2));
         assertTrue(sends(pages) > 100 && sends(credit) > 100, sends(pages) + " and " + sends(credit) + " show nothing");
     }
+
+    private static Command command(String className) throws MalformedException {
+        RingBuffer ring = new RingBuffer();
+        ring.put(("mg k v Oa Pc=" + className + ",d=300\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        return CommandParser.next(ring);
+    }
+
+    @Test
+    void eachSettingsAreReadAsAlone() {
+        SettingsParser.Parsed pages = SettingsParser.parse(Customers.PAGES);
+        SettingsParser.Parsed credit = SettingsParser.parse(Customers.CREDIT);
+        assertEquals(pages, SettingsParser.parse(Customers.PAGES));
+        assertEquals(credit, SettingsParser.parse(Customers.CREDIT));
+        assertEquals(List.of("article", "article-list", "article-list-edit"), pages.names().classes());
+        assertEquals(List.of("score"), credit.names().classes());
+    }
+
+    /** Two hosts on one loop, as no deployment has them: all that they could share is in the process. */
+    @Test
+    void eachHostTakesItsOwnClassesOnly() throws MalformedException {
+        EventLoop loop = new DefaultEventLoop();
+        try {
+            ModuleHost pages = new ModuleHost(loop, new Clock(), new LoopDelay(), SettingsParser.parse(Customers.PAGES));
+            ModuleHost credit = new ModuleHost(loop, new Clock(), new LoopDelay(), SettingsParser.parse(Customers.CREDIT));
+            for (String name : List.of("article", "article-list", "article-list-edit")) {
+                assertEquals(null, pages.objection(command(name)));
+                assertEquals("unknown class", credit.objection(command(name)));
+            }
+            assertEquals(null, credit.objection(command("score")));
+            assertEquals("unknown class", pages.objection(command("score")));
+        } finally {
+            loop.shutdownGracefully();
+        }
+    }
 }
