Begin nothing for a client that has gone, and finish what has come before a cut

Cause: at the end of a server's connection what lay in the ring, and waited for room at the client, was thrown away. Found by reading: a client that went left its executions waiting on links that come up late, which then began for nobody; a loop that is late began further attempts before it read the end of the client's connection; an event that waited was told after the going. Change: Link takes what is in the ring before it ends; one place, Exchange.isWanted, asked at the last point before bytes go out; clientGone holds at once and withdraws what is unsent; a value is waited for until 0.4 s after its time.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.function.ToIntFunction;
+import stagepier.exchange.Asker;
 import stagepier.exchange.Exchange;
 import stagepier.exchange.Reply;
 import stagepier.link.Link;
@@ -34,6 +35,8 @@
     private static final double FIRST_WORD_MOST = 0.4;
     /** Bytes of a command that a link may always hold; for more there must be memory. */
     private static final int ALWAYS_HELD = 4096;
+    /** Who was seen to be there within so many seconds is there. */
+    private static final double LOOKED_LATELY = 0.02;
     /** To whom is turned away because this process ends: another router serves at once, this one never. */
     private static final String TURNED_AWAY = "SERVER_ERROR busy 1";
 
@@ -50,9 +53,19 @@
     };
 
     /** The place of one answer in the order. */
-    private static final class Slot {
+    private final class Slot implements Asker {
         private Exchange exchange;
         private AnswerBytes answer;
+
+        @Override
+        public void answered(Exchange x, Reply reply) {
+            settle(this, x, reply);
+        }
+
+        @Override
+        public boolean isThere() {
+            return lookIfThere();
+        }
     }
 
     private final ClientListener owner;
@@ -64,6 +77,8 @@
     private double partSince = Double.NaN;
     /** When bytes came last. */
     private double bytesAt;
+    /** When its socket was read last. */
+    private double lookedAt;
     private boolean asked;
     /** Requests that went to the module. */
     private int requests;
@@ -193,6 +208,7 @@
     protected void onBytes() {
         double now = owner.now();
         bytesAt = now;
+        lookedAt = now;
         double came = owner.cameAt(now);
         if (Double.isNaN(cameAt) && mayTake()) {
             cameAt = asked ? came : Math.min(came, connectedAt);
@@ -245,13 +261,28 @@
         slots.add(slot);
         requests++;
         // The module may answer at once, before take returns.
-        Exchange exchange = owner.host().take((x, reply) -> settle(slot, x, reply), command,
-                Double.isNaN(cameAt) ? owner.now() : cameAt);
+        Exchange exchange = owner.host().take(slot, command, Double.isNaN(cameAt) ? owner.now() : cameAt);
         if (slot.answer == null) {
             slot.exchange = exchange;
         }
     }
 
+    /**
+     * Whether the client is there, by what has come by this moment. A connection that it has ended for its own sending counts as
+     * ended: that is what a client's close looks like from here. Guards against a loop that is late, and begins an attempt before
+     * it reads that the client went.
+     */
+    private boolean lookIfThere() {
+        if (owner.now() - lookedAt > LOOKED_LATELY) {
+            lookedAt = owner.now();
+            readNow();
+            if (!isClosed() && !isActive()) {
+                close();
+            }
+        }
+        return !isClosed();
+    }
+
     private void settle(Slot slot, Exchange exchange, Reply reply) {
         slot.exchange = null;
         if (reply.flow() != null) {
--- a/router/src/main/java/stagepier/exchange/Asker.java
+++ b/router/src/main/java/stagepier/exchange/Asker.java
@@ -4,4 +4,12 @@
 public interface Asker {
     /** The one final answer. Not called once {@link ModuleHost#clientGone} was. */
     void answered(Exchange exchange, Reply reply);
+
+    /**
+     * Whether the client is there by all that has come by this moment. Where it is not, {@link ModuleHost#clientGone} has been
+     * called when this returns.
+     */
+    default boolean isThere() {
+        return true;
+    }
 }
--- a/router/src/main/java/stagepier/exchange/Carrier.java
+++ b/router/src/main/java/stagepier/exchange/Carrier.java
@@ -6,6 +6,10 @@
     interface Sending {
         void cancel();
 
+        /** Nobody waits for it any more: it is not sent at all if not a byte of it was, and goes on otherwise. */
+        default void withdraw() {
+        }
+
         /** It has been handed to its socket. */
         default boolean isOut() {
             return true;
--- a/router/src/main/java/stagepier/exchange/Exchange.java
+++ b/router/src/main/java/stagepier/exchange/Exchange.java
@@ -70,6 +70,14 @@
         return finished;
     }
 
+    /**
+     * Whether an attempt for it may begin now: an answer is owed, and its client is there. Guards against attempts for clients
+     * that have gone, also where the end of their connection lies here unread.
+     */
+    public boolean isWanted() {
+        return !finished && asker.isThere();
+    }
+
     void backstop(Future<?> timer) {
         backstop = timer;
     }
--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -227,15 +227,23 @@
         return tenant == null ? -1 : names.tenants().indexOf(tenant);
     }
 
-    /** The client has closed its connection. */
+    /**
+     * The client has closed its connection. From this moment on no attempt for it begins, whatever the module has still to be
+     * told: what waits for a connection is withdrawn, and what the module sends before it is told counts as not sent.
+     */
     public void clientGone(Exchange x) {
+        if (x.isFinished()) {
+            return;
+        }
+        gone++;
+        unanswered--;
+        x.finish();
         post(() -> {
-            if (!x.isFinished()) {
-                gone++;
-                finish(x);
-                module.onClientGone(clock.now(), x.id());
-            }
+            module.onClientGone(clock.now(), x.id());
+            forgetIfOver(x);
         });
+        // After that word: what is withdrawn tells nothing of its server.
+        x.sendings().forEach(Carrier.Sending::withdraw);
     }
 
     /**
--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -33,6 +34,8 @@
     private boolean writing;
     private boolean pumping;
     private boolean closed;
+    /** Nothing more comes, and what has come is still to be taken. */
+    private boolean inputOver;
     /** On its way out, or null. */
     private LingeringClose lingering;
     private boolean givenBack;
@@ -107,6 +110,9 @@
         } catch (MalformedException e) {
             onMalformed(e);
         }
+        if (inputOver) {
+            nothingMoreComes();
+        }
     }
 
     protected final void readOn() {
@@ -147,15 +153,45 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        abort();
+        nothingMoreComes();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (!(cause instanceof java.io.IOException)) {
+        if (cause instanceof java.io.IOException) {
+            nothingMoreComes();
+        } else {
             LOG.error("a link failed", cause);
+            abort();
         }
-        abort();
+    }
+
+    /**
+     * The other side has closed or reset the connection. Guards against throwing away what came before that and lies in the ring,
+     * where it waits for room elsewhere: it is taken first, and the link ends after it.
+     */
+    private void nothingMoreComes() {
+        if (closed || in.size() == 0 || !takesLater()) {
+            abort();
+        } else if (!inputOver) {
+            inputOver = true;
+            channel.close();
+            onInputOver();
+        }
+    }
+
+    /** Whether what lies in the ring will be taken by and by, though nothing more comes. */
+    protected boolean takesLater() {
+        return false;
+    }
+
+    /** Nothing more comes, and what lies in the ring is taken by and by. */
+    protected void onInputOver() {
+    }
+
+    /** Whether nothing more comes on it. */
+    protected final boolean isInputOver() {
+        return inputOver;
     }
 
     /**
@@ -201,7 +237,7 @@
         }
     }
 
-    private boolean isActive() {
+    protected final boolean isActive() {
         return channel != null && channel.isActive();
     }
 
@@ -254,6 +290,12 @@
         return writtenBytes;
     }
 
+    /** The same with those of a piece of which the socket has taken only a part. */
+    protected final long takenBytes() {
+        ChannelOutboundBuffer pieces = channel == null ? null : channel.unsafe().outboundBuffer();
+        return writtenBytes + (writing && pieces != null ? pieces.currentProgress() : 0);
+    }
+
     /** Bytes that have come and were not taken yet. */
     protected final int unread() {
         return in.size();
@@ -305,7 +347,7 @@
                 writtenBytes += n;
                 written();
             } else {
-                abort();
+                nothingMoreComes();
             }
         });
     }
--- a/router/src/main/java/stagepier/memcache/AnswerParser.java
+++ b/router/src/main/java/stagepier/memcache/AnswerParser.java
@@ -65,6 +65,11 @@
         return n;
     }
 
+    /** Whether all that is left of the value, and its line end, has come. */
+    public boolean hasRest(RingBuffer in) {
+        return in.size() >= length - got + 2;
+    }
+
     /** Passes over what has come of the value. */
     public void passOver(RingBuffer in) {
         int n = Math.min(in.size(), length - got);
--- a/router/src/main/java/stagepier/server/Execution.java
+++ b/router/src/main/java/stagepier/server/Execution.java
@@ -102,9 +102,9 @@
         return timedOut;
     }
 
-    /** The time that its request had is up. */
-    boolean isPastItsTime() {
-        return pools.now() >= startedAt + timeout;
+    /** When the time that its request had is up. */
+    double timeIsUpAt() {
+        return startedAt + timeout;
     }
 
     boolean isProbe() {
@@ -169,6 +169,18 @@
         giveUp(Api.Outcome.CANCELLED);
     }
 
+    @Override
+    public void withdraw() {
+        if (!isOut()) {
+            cancel();
+        }
+    }
+
+    /** Whether it may still begin: somebody waits for its answer. */
+    boolean isWanted() {
+        return isProbe() || exchange.isWanted();
+    }
+
     private void giveUp(Api.Outcome outcome) {
         if (!over) {
             if (link != null) {
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -36,6 +36,8 @@
     private final AnswerParser parser;
     /** The large value that is being moved on, or null. */
     private ValueFlow flow;
+    /** The link's count of bytes at which the message that was queued last begins. */
+    private long beganAt;
     private boolean goingOn;
     /** The longest rest between two pieces of the value that flows, in seconds. */
     private double longestRest;
@@ -156,10 +158,13 @@
         waiting.remove(execution);
     }
 
-    /** The server drains or is gone: what waits here ends unsent, and so does what the socket does not take. */
+    /**
+     * The server drains or is gone: what waits here ends unsent, and so does what the socket has not taken a byte of. One that has
+     * begun goes on. Guards against answers that are on their way here and would be cut off with it.
+     */
     void drain() {
         dropWaiting();
-        if (up && !nothingQueued()) {
+        if (up && !nothingQueued() && takenBytes() <= beganAt) {
             close();
         }
     }
@@ -187,6 +192,14 @@
             // The last point before bytes go out: whatever brought it here, nothing new goes to a server that drains.
             dropWaiting();
         }
+        // Whoever is not wanted any more goes first; to ask may close this link, or withdraw others that wait here.
+        for (Execution first = waiting.peek(); first != null && nothingQueued() && !first.isWanted(); first = waiting.peek()) {
+            waiting.remove(first);
+            first.cancel();
+        }
+        if (isClosed()) {
+            return;
+        }
         // One at a time: what waits here can still be withdrawn, what is in the ring can not.
         if (nothingQueued() && !waiting.isEmpty()) {
             if (sent.isEmpty()) {
@@ -198,7 +211,9 @@
             }
             next.sentAt(pool.pools().now());
             sent.add(next);
-            next.endsAt(queue(next.message()));
+            byte[] message = next.message();
+            next.endsAt(queue(message));
+            beganAt = next.endsAt() - message.length;
         }
     }
 
@@ -222,6 +237,25 @@
         return !parser.isBlocked() && !isHeldUp();
     }
 
+    /** The rest of a large value waits for room at its client, or an answer for room among all that are collected. */
+    @Override
+    protected boolean takesLater() {
+        return isWanted() || parser.isBlocked();
+    }
+
+    /** Nothing can be sent on it any more: what was not goes to another link. */
+    @Override
+    protected void onInputOver() {
+        retired = true;
+        moveWaiting();
+    }
+
+    private void moveWaiting() {
+        List<Execution> moved = new ArrayList<>(waiting);
+        waiting.clear();
+        moved.forEach(pool::take);
+    }
+
     @Override
     protected void onBytes() {
         pool.pools().delay().reads(pool.pools().now());
@@ -327,6 +361,11 @@
      */
     private boolean endsOrder() {
         sent.remove();
+        if (stallTimer != null) {
+            // The next answer has a time of its own.
+            stallTimer.cancel(false);
+            stallTimer = null;
+        }
         boolean tail = sent.isEmpty() && unread() > 0;
         retired |= tail;
         return tail;
@@ -392,32 +431,41 @@
     }
 
     /**
-     * For how long nothing may come in the middle of an answer. Guards against a value that stops for good once the time of who
-     * waits for it is up: a server that writes in pieces is given a few of its own rests, one that wrote without a rest none.
+     * When an answer of which nothing more comes counts as stopped for good. One that is passed on as it comes is waited for until
+     * the client's time is up and as long as an answer may be late, and from then on a few of the rests that its server has made
+     * in it so far. Guards against a server that writes in pieces and has only begun when the time is up, and against a client
+     * that waits for ever.
      */
-    private double stallMost() {
+    private double stopsAt() {
         double usual = pool.pools().stallMost();
         Execution first = sent.peek();
-        if (!isFlowing()) {
-            return usual;
+        if (!isFlowing() || first == null) {
+            return bytesAt + usual;
         }
-        return first != null && first.isPastItsTime() ? Math.min(ServerPools.FLOW_STALL_MOST,
-                Math.max(usual, ServerPools.FLOW_RESTS * longestRest)) : ServerPools.FLOW_STALL_MOST;
+        double rested = bytesAt + Math.max(usual, ServerPools.FLOW_RESTS * longestRest);
+        return Math.min(bytesAt + ServerPools.FLOW_STALL_MOST, Math.max(rested, first.timeIsUpAt() + ServerPools.FLOW_LATE_MOST));
     }
 
     /** Guards against an answer that never becomes whole: all behind it would wait until their time is up. */
     private void awaitRest() {
+        double now = pool.pools().now();
+        double wait = isWaitedFor() ? stopsAt() - now : pool.pools().stallMost();
         stallTimer = pool.pools().loop().schedule(() -> {
             stallTimer = null;
             if (isClosed() || !isInside()) {
                 return;
             }
-            if (!parser.isBlocked() && !isHeldUp() && pool.pools().now() - bytesAt >= stallMost()) {
+            if (isWaitedFor() && pool.pools().now() >= stopsAt()) {
                 onMalformed(new MalformedException("an answer that stopped in the middle"));
             } else {
                 awaitRest();
             }
-        }, (long) (pool.pools().stallMost() * 1e6), TimeUnit.MICROSECONDS);
+        }, Math.max(1, (long) Math.ceil(wait * 1e6)), TimeUnit.MICROSECONDS);
+    }
+
+    /** It is the server that the rest of an answer is waited for from: it has not given all, and this side reads on. */
+    private boolean isWaitedFor() {
+        return !parser.isBlocked() && !isHeldUp() && !isInputOver() && !(isFlowing() && parser.hasRest(input()));
     }
 
     /**
@@ -462,9 +510,7 @@
         }
         if (up) {
             // Not a byte of these was sent: they go to another link of the server.
-            List<Execution> moved = new ArrayList<>(waiting);
-            waiting.clear();
-            moved.forEach(pool::take);
+            moveWaiting();
         } else {
             dropWaiting();
         }
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -34,7 +34,9 @@
     static final double DEAD_AFTER = 5;
     /** A large value of which nothing more comes for so long is broken off; in seconds. */
     static final double FLOW_STALL_MOST = 5;
-    /** The same once the time of its request is up, in the longest rests that its server has made in it so far. */
+    /** Until so long after the time of its request it is waited for; from half a second on the client counts it as lost. */
+    static final double FLOW_LATE_MOST = 0.4;
+    /** From then on, in the longest rests that its server has made in it so far. */
     static final double FLOW_RESTS = 4;
     /** Bytes of values that flow which links may hold together, and what each may hold at the least and at the most. */
     private static final int FLOWS_MOST = 6 << 20;
--- /dev/null
+++ b/router/src/test/java/stagepier/app/CrossingFixture.java
@@ -0,0 +1,203 @@
+package stagepier.app;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import stagepier.Api;
+import stagepier.client.ClientListener;
+import stagepier.drain.Drain;
+import stagepier.exchange.Clock;
+import stagepier.exchange.ModuleHost;
+import stagepier.overload.LoopDelay;
+import stagepier.server.Connector;
+import stagepier.server.ServerPools;
+import stagepier.settings.SettingsParser;
+
+/**
+ * The real parts of a router on the real sockets of one event loop, with a module that sends where a test says and links that come up
+ * when a test says. So events can be brought into one order on purpose.
+ */
+final class CrossingFixture implements Closeable {
+    static final long SERVER = 1;
+    private static final String SETTINGS = """
+            {"Classes":[{"Name":"read","Deadline":4,"GoalTime":2,"Repeat":"idempotent","Worth":1},
+            {"Name":"put","Deadline":4,"GoalTime":2,"Repeat":"deduplicated","Group":"all","DedupWindow":9,"Worth":1}],
+            "Areas":["a"],"Flavors":["m"],"Limits":{"MaxAttempts":3,"MaxRetryAfter":1.2,"DialTimeout":3,
+            "IdleClose":60},"Obligations":{"DrainGrace":1}}""";
+
+    final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final EventLoop loop = group.next();
+    final Clock clock = new Clock();
+    final LoopDelay delay = new LoopDelay();
+    final ServerSocket cache;
+    final ModuleHost host;
+    final ServerPools servers;
+    /** Requests of which the module was told, in order. */
+    final List<Long> asked = new ArrayList<>();
+    /** What the module does when it is told of a list. */
+    Runnable onList = () -> { };
+    /** Links that are to come up, and come up once this is run. */
+    final LinkedBlockingQueue<Runnable> connects = new LinkedBlockingQueue<>();
+    private final int port;
+
+    /**
+     * @param held        links come up when a test says
+     * @param bufferBytes bytes that the sockets to the cache server hold; 0 for the usual
+     */
+    CrossingFixture(boolean held, int bufferBytes) throws Exception {
+        cache = new ServerSocket();
+        if (bufferBytes > 0) {
+            cache.setReceiveBufferSize(bufferBytes);
+        }
+        cache.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        cache.setSoTimeout(RouterProcess.WAIT_MS);
+        SettingsParser.Parsed parsed = SettingsParser.parse(SETTINGS);
+        host = new ModuleHost(loop, clock, delay, parsed);
+        Connector connector = (setUp, address) -> {
+            Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.AUTO_READ, false).handler(setUp);
+            if (bufferBytes > 0) {
+                bootstrap.option(ChannelOption.SO_SNDBUF, bufferBytes);
+            }
+            Channel channel = bootstrap.register().channel();
+            ChannelPromise up = channel.newPromise();
+            Runnable connect = () -> loop.execute(() -> channel.connect(address, up));
+            if (held) {
+                connects.add(connect);
+            } else {
+                connect.run();
+            }
+            return up;
+        };
+        servers = new ServerPools(loop, clock, delay, host, connector, 0, parsed.settings(), parsed.idleClose());
+        host.connect(new Module(), servers);
+        ClientListener clients = new ClientListener(loop, clock, delay, 300, host, () -> "END", new Drain());
+        onLoop(() -> {
+            servers.ready(SERVER, new InetSocketAddress(InetAddress.getLoopbackAddress(), cache.getLocalPort()), 0);
+            return null;
+        });
+        port = ((InetSocketAddress) clients.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync()
+                .channel().localAddress()).getPort();
+    }
+
+    /** Sends each request once to the one server, and gives up what has failed. */
+    private final class Module implements Api.Events {
+        @Override
+        public void onRequest(double now, Api.Request r) {
+            asked.add(r.id());
+            host.send(r.id(), SERVER, 0);
+        }
+
+        @Override
+        public void onOutcome(double now, long request, int attempt, long server, Api.Outcome outcome, double elapsed,
+                boolean finished, Api.Lookup lookup, float[] report) {
+            if (!finished) {
+                host.fail(request);
+            }
+        }
+
+        @Override
+        public void onMembers(double now, boolean complete, List<Api.Member> members) {
+            onList.run();
+        }
+
+        @Override
+        public void onMembersFailed(double now) {
+        }
+
+        @Override
+        public void onFirstByte(double now, long request, int attempt) {
+        }
+
+        @Override
+        public void onClientGone(double now, long request) {
+        }
+
+        @Override
+        public void onTimer(double now, long token) {
+        }
+    }
+
+    <T> T onLoop(Callable<T> work) throws Exception {
+        return loop.submit(work).get(RouterProcess.WAIT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** A counter of the host. */
+    long count(String name) throws Exception {
+        long[] found = {-1};
+        onLoop(() -> {
+            host.count((n, value) -> found[0] = n.equals(name) ? value : found[0]);
+            return null;
+        });
+        return found[0];
+    }
+
+    void awaitCount(String name, long value) throws Exception {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RouterProcess.WAIT_MS);
+        while (count(name) != value) {
+            assertInTime(until, name + " is " + count(name) + ", not " + value);
+            Thread.sleep(2);
+        }
+    }
+
+    void awaitServerLinks(long links) throws Exception {
+        long[] found = {-1};
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RouterProcess.WAIT_MS);
+        while (found[0] != links) {
+            assertInTime(until, "server_links is " + found[0]);
+            onLoop(() -> {
+                servers.count((n, value) -> found[0] = n.equals("server_links") ? value : found[0]);
+                return null;
+            });
+            Thread.sleep(2);
+        }
+    }
+
+    private static void assertInTime(long until, String state) {
+        if (System.nanoTime() > until) {
+            throw new AssertionError(state);
+        }
+    }
+
+    Socket client() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(RouterProcess.WAIT_MS);
+        return socket;
+    }
+
+    static void read(Socket client, String id) throws IOException {
+        Rehearsal.write(client, "mg k" + id + " v O" + id + " Pc=read,d=3500\r\n");
+    }
+
+    /** The next link that is to come up. */
+    Runnable nextConnect() throws InterruptedException {
+        Runnable next = connects.poll(RouterProcess.WAIT_MS, TimeUnit.MILLISECONDS);
+        if (next == null) {
+            throw new AssertionError("no link was to come up");
+        }
+        return next;
+    }
+
+    @Override
+    public void close() throws IOException {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        cache.close();
+    }
+}
--- a/router/src/test/java/stagepier/app/LargeValueTest.java
+++ b/router/src/test/java/stagepier/app/LargeValueTest.java
@@ -224,6 +224,24 @@
         assertTrue(took < 1.9 + 0.5, "the end came after " + took + " s");
     }
 
+    /** Guards against a value that has only begun when its time is up, and is cut off at its server's first rest. */
+    @Test
+    void aValueThatBeginsAsItsTimeRunsOutIsWaitedForWhileItIsNotLate() throws Exception {
+        start();
+        long from = System.nanoTime();
+        Socket client = ask("f");
+        Socket link = accept();
+        line(link.getInputStream());
+        // 30 ms before the time is up; then one rest that is longer than a small answer may make.
+        Thread.sleep(1850 - (System.nanoTime() - from) / 1_000_000);
+        Rehearsal.write(link, "VA " + LARGE + " Of h1\r\n");
+        link.getOutputStream().write(VALUE, 0, 1000);
+        Thread.sleep(380);
+        link.getOutputStream().write(VALUE, 1000, LARGE - 1000);
+        Rehearsal.write(link, "\r\n");
+        assertWhole("f", client.getInputStream());
+    }
+
     /** Guards against bytes behind a large value that are served to its client as the answer to what it asks next. */
     @Test
     void whatComesBehindALargeValueEndsTheLinkAndTheNextRequestGoesElsewhere() throws Exception {
