Send nothing on rested links, past a window for repeats, or beyond the descriptors

Ruled out: served answers are told apart by their ids, a second one ends what was asked next as ERROR; an answer that breaks off ends once, as RESET (both green before and after).

Change: ServerPool.take and ServerLink.fill drop a link that rested too long; one that rested over 2 ms is read (Link.readNow) before it is written to, and a closed channel ends the link at once. Api.Host.send with startWithin (the old one by default, so the simulator's host is as it was) and Carrier.send with latestStart: looked at in ServerLink.fill, ends as NOT_SENT. Kept back for the way: a twentieth of the window, 15 ms at the least, for nothing on the wire tells a one-way time (handshakes and answers hold the server's work). Links to cache servers are bounded: one to each of the known list and a quarter more, a third of the descriptors at the most; places are the rest; the idle link heard longest ago is closed for a new one; where none is idle, CONNECT_FAILED. A refusal within 50 ms of another answer without an id ends a write that may not run twice as CANCELLED, and its link is retired.

RouterTest was red once, by this change (15 descriptors gave 7 links where 8 were opened before): 8 more are set aside since, which is not run yet.

--- a/router/src/main/java/stagepier/Api.java
+++ b/router/src/main/java/stagepier/Api.java
@@ -231,6 +231,14 @@
         /** Begins an attempt; attempts of a request count from 0 in the order of their sends. */
         void send(long request, long server, double timeout);
 
+        /**
+         * The same where nothing of it may be sent later than so many seconds from now: it then ends as never sent. A host
+         * on which no attempt waits before it is sent need not look at that.
+         */
+        default void send(long request, long server, double timeout, double startWithin) {
+            send(request, server, timeout);
+        }
+
         void cancel(long request, int attempt);
 
         /** Final answer that tells the client that asking again does no harm. */
--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -419,8 +419,9 @@
         }
         s.sends.add(now, 1, memory);
         s.bulkhead.add(now, 1, CONCURRENCY_FADES * deadline);
+        double startWithin = p.startWithin(now);
         p.onSend(now, s);
-        host.send(p.request.id(), s.id, p.deadlineAt - now);
+        host.send(p.request.id(), s.id, p.deadlineAt - now, startWithin);
         boolean mayCopy = settings.limits().concurrentAttempts() && p.rules.repeat() == Repeat.SAFE
                 && !p.rules.streamed() && p.on.length > 1 && cacheLatency.seen >= FailureRate.BELIEF;
         if (mayCopy && s != origin && p.attempts == 1 && cacheLatency.late() < COPY_BEFORE * p.rules.aim()) {
--- a/router/src/main/java/stagepier/Pending.java
+++ b/router/src/main/java/stagepier/Pending.java
@@ -64,6 +64,12 @@
         };
     }
 
+    /** Seconds from now within which a further attempt has to begin, however long the host makes it wait. */
+    double startWithin(double now) {
+        return mayHaveRun == 0 || rules.repeat() != Repeat.KEYED ? Double.POSITIVE_INFINITY
+                : sentAt[Integer.numberOfTrailingZeros(mayHaveRun)] + rules.dedupWindow() - now;
+    }
+
     private boolean dropsRepeats(Server first, Server s) {
         Scope scope = rules.dedupScope();
         return scope == Scope.ALL || (scope == Scope.ZONE ? s.zone == first.zone : s.cell == first.cell);
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -1,5 +1,8 @@
 package stagepier.app;
 
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.DefaultSelectStrategyFactory;
 import io.netty.channel.EventLoop;
@@ -37,8 +40,15 @@
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
     private static final int POLL_MS = 10;
     /** Files, selectors, the listening socket, discovery, and sockets that are accepted just before the listener is full. */
-    private static final int OWN_DESCRIPTORS = 48;
+    static final int OWN_DESCRIPTORS = 48;
     private static final double SERVER_PART = 0.12;
+    /** The most that links to cache servers may take. */
+    private static final double SERVER_PART_MOST = 1 / 3.0;
+    /** Links for each server that is known at the start, and beyond: a list may grow, and closed links linger. */
+    private static final double LINKS_A_SERVER = 1.25;
+    private static final int MORE_LINKS = 8;
+    /** Servers that are provided for where no list is known. */
+    private static final int LISTED_MOST = 200;
     /** Client links for which the heap has room while they hold little; what they hold beyond that has its own bound. */
     private static final int PLACES_MOST = 1024;
 
@@ -79,8 +89,8 @@
         hosts = new HostGroup(config.settings().names());
         host = new ModuleHost(loop, clock, delay, config.settings());
         servers = new ServerPools(loop, clock, delay, host,
-                ServerPools.sockets(loop, settings.limits().connectTimeout()), (int) (SERVER_PART * config.sockets()), settings,
-                config.settings().idleClose());
+                ServerPools.sockets(loop, settings.limits().connectTimeout()), (int) (SERVER_PART * config.sockets()),
+                serverLinks(config.sockets(), listed(config.known())), settings, config.settings().idleClose());
         host.connect(new Brain(settings, config.seed(), host), servers);
         clients = new ClientListener(loop, clock, delay, clientPlaces(), host, this::stats, drain);
         watch = new DiscoveryWatch(loop, config.discovery(), hosts, this::changed, host::membersFailed,
@@ -123,12 +133,24 @@
     }
 
     private int clientPlaces() {
-        return places(config.sockets()) - (fleet == null ? 0 : fleet.descriptors(config.sockets()));
+        return places(config.sockets(), listed(config.known())) - (fleet == null ? 0 : fleet.descriptors(config.sockets()));
     }
 
     /** Descriptors for clients: what is left when the program's own and those for cache servers are set aside. */
-    private static int places(int sockets) {
-        return Math.min(PLACES_MOST, sockets - OWN_DESCRIPTORS - (int) (SERVER_PART * sockets));
+    static int places(int sockets, int servers) {
+        return Math.min(PLACES_MOST, sockets - OWN_DESCRIPTORS - serverLinks(sockets, servers));
+    }
+
+    /** Descriptors for links to cache servers: one to each of the list, while that leaves clients most of them. */
+    static int serverLinks(int sockets, int servers) {
+        int needed = (int) (LINKS_A_SERVER * servers) + MORE_LINKS;
+        return Math.max((int) (SERVER_PART * sockets) + MORE_LINKS, Math.min(needed, (int) (SERVER_PART_MOST * sockets)));
+    }
+
+    /** How many cache servers a known list names. */
+    private static int listed(JsonElement known) {
+        JsonElement instances = known instanceof JsonObject list ? list.get("instances") : null;
+        return instances instanceof JsonArray all ? all.size() : LISTED_MOST;
     }
 
     /** Completes once clients can be served. */
--- a/router/src/main/java/stagepier/app/WarmUp.java
+++ b/router/src/main/java/stagepier/app/WarmUp.java
@@ -51,7 +51,8 @@
         Clock clock = new Clock();
         LoopDelay delay = new LoopDelay();
         ModuleHost host = new ModuleHost(loop, clock, delay, settings);
-        pools = new ServerPools(loop, clock, delay, host, this::connect, SERVERS * SERVERS, settings.settings(), 0);
+        pools = new ServerPools(loop, clock, delay, host, this::connect, SERVERS * SERVERS, Integer.MAX_VALUE,
+                settings.settings(), 0);
         host.connect(new Brain(settings.settings(), 1, host), pools);
         List<Api.Member> members = new ArrayList<>();
         for (int i = 1; i <= SERVERS; i++) {
--- a/router/src/main/java/stagepier/exchange/Carrier.java
+++ b/router/src/main/java/stagepier/exchange/Carrier.java
@@ -19,6 +19,14 @@
 
     Sending send(Exchange exchange, int attempt, long server, double timeout);
 
+    /**
+     * The same where no byte of it may be sent after a moment, in seconds of the {@link Clock}: it then ends as never sent.
+     * Where nothing waits before it is sent, there is nothing to look at.
+     */
+    default Sending send(Exchange exchange, int attempt, long server, double timeout, double latestStart) {
+        return send(exchange, attempt, server, timeout);
+    }
+
     /** Ends in exactly one {@link ModuleHost#probed}. */
     void probe(long server);
 
--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -33,6 +33,8 @@
      */
     private static final double MARGIN = 0.015;
     private static final double MARGIN_PART = 0.1;
+    /** Part of a window for repeats that is kept for the way to a cache server, which takes the margin at the least. */
+    private static final double WAY_PART = 0.05;
     /** After this the module has broken its promise of an answer, and the host answers in its place. */
     private static final double OVERDUE = 0.01;
     /** Until then it looks once more, as executions do whose timers came late. */
@@ -202,7 +204,7 @@
      * @param cameAt when its last byte was there to be read, as far as is known: its time has been running since then
      */
     public Exchange take(Asker asker, Command command, double cameAt) {
-        int classIndex = names.classes().indexOf(command.attribute("c"));
+        int classIndex = classIndex(command);
         String time = command.attribute("d");
         double most = settings.classes().get(classIndex).deadline();
         double wait = time == null ? most : Math.min(most, Double.parseDouble(time) / 1e3);
@@ -365,6 +367,11 @@
     // ---- the module's actions -----------------------------------------------------------------------------
     @Override
     public void send(long request, long server, double timeout) {
+        send(request, server, timeout, Double.POSITIVE_INFINITY);
+    }
+
+    @Override
+    public void send(long request, long server, double timeout, double startWithin) {
         Exchange x = open.get(request);
         if (x == null) {
             LOG.error("a send for a request that is over: {}", request);
@@ -373,21 +380,39 @@
         int attempt = x.sendings().size();
         double now = clock.now();
         double left = x.deadlineAt() - now;
+        double latestStart = now + startWithin - wayToServer(x);
         x.outstanding(1);
-        if (x.isFinished() || left <= 0 || attempt >= settings.limits().maxAttempts()) {
+        if (x.isFinished() || left <= 0 || latestStart < now || attempt >= settings.limits().maxAttempts()) {
             x.sendings().add(() -> { });
             ended(x, attempt, server, Api.Outcome.NOT_SENT, now, Api.Lookup.UNKNOWN, null);
         } else if (timeout < 0) {
             x.sendings().add(() -> { });
             ended(x, attempt, server, Api.Outcome.TIMEOUT, now, Api.Lookup.UNKNOWN, null);
         } else {
-            x.sendings().add(carrier.send(x, attempt, server, timeout == 0 ? left : Math.min(timeout, left)));
+            x.sendings().add(carrier.send(x, attempt, server, timeout == 0 ? left : Math.min(timeout, left), latestStart));
             if (tap != null) {
                 tap.sent(x, attempt, server, now);
             }
         }
     }
 
+    /**
+     * What is kept back of a window for repeats: a repeat has to arrive within it. How long the way to a cache server is, is
+     * not known here, for a handshake and an answer hold the server's own work; it grows with what a site takes for long.
+     */
+    private double wayToServer(Exchange x) {
+        return Math.max(MARGIN, WAY_PART * settings.classes().get(classIndex(x.command())).dedupWindow());
+    }
+
+    /** Whether it does no harm if a request runs more often than the module knows. */
+    public boolean mayRunTwice(Exchange x) {
+        return settings.classes().get(classIndex(x.command())).repeat() == Api.Repeat.SAFE;
+    }
+
+    private int classIndex(Command command) {
+        return names.classes().indexOf(command.attribute("c"));
+    }
+
     @Override
     public void cancel(long request, int attempt) {
         Exchange x = open.get(request);
--- a/router/src/main/java/stagepier/server/Execution.java
+++ b/router/src/main/java/stagepier/server/Execution.java
@@ -22,6 +22,7 @@
     private final long server;
     private final double startedAt;
     private final double timeout;
+    private final double latestStart;
     private ServerLink link;
     private Future<?> timer;
     private boolean over;
@@ -33,13 +34,17 @@
     private double sentAt;
     private boolean alone;
 
-    /** @param exchange null for a probe */
-    Execution(ServerPools pools, Exchange exchange, int attempt, long server, double timeout) {
+    /**
+     * @param exchange    null for a probe
+     * @param latestStart not a byte of it may be sent after that
+     */
+    Execution(ServerPools pools, Exchange exchange, int attempt, long server, double timeout, double latestStart) {
         this.pools = pools;
         this.exchange = exchange;
         this.attempt = attempt;
         this.server = server;
         this.timeout = timeout;
+        this.latestStart = latestStart;
         startedAt = pools.now();
     }
 
@@ -107,6 +112,15 @@
         return pools.now() >= startedAt + timeout;
     }
 
+    /** It has waited until it may not be sent any more. */
+    boolean isBelated() {
+        return pools.now() > latestStart;
+    }
+
+    boolean mayRunTwice() {
+        return isProbe() || pools.host().mayRunTwice(exchange);
+    }
+
     boolean isProbe() {
         return exchange == null;
     }
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -17,6 +17,10 @@
 final class ServerLink extends Link {
     /** Bytes that are read at once while a large value comes. */
     private static final int LARGE_READ = 64 * 1024;
+    /** Seconds after an answer that names no request within which the next such one may be the same again. */
+    private static final double SECOND_WITHIN = 0.05;
+    /** Seconds of rest after which it is looked what has come before a link is used again. */
+    private static final double RESTED = 0.002;
 
     private final ServerPool pool;
     /** Not a byte of these has been handed to the socket. */
@@ -30,6 +34,8 @@
     private boolean retired;
     private double heardAt;
     private double bytesAt;
+    /** When an answer came last that names no request. */
+    private double refusedAt = Double.NEGATIVE_INFINITY;
     private Future<?> stallTimer;
     /** Answers that came on other links, since this one was last heard, to what was sent later. */
     private int passedBy;
@@ -171,6 +177,34 @@
         dropped.forEach(e -> e.end(Api.Outcome.CONNECT_FAILED));
     }
 
+    /** Guards against a repeat that waited here and would come after the window in which its cache server drops repeats. */
+    private void dropBelated() {
+        List<Execution> belated = waiting.stream().filter(Execution::isBelated).toList();
+        waiting.removeAll(belated);
+        belated.forEach(e -> e.end(Api.Outcome.NOT_SENT));
+    }
+
+    /** Nothing is awaited on it and it has rested so long that its server may close it before anything else arrives there. */
+    boolean isRestedOut(double now) {
+        return up && sent.isEmpty() && now - heardAt >= pool.pools().idleMost();
+    }
+
+    /**
+     * Guards against a request on a link that its server has closed, or on which something came that nobody asked for: it
+     * would end as one that may have run. What waits here then goes to another link.
+     */
+    private void proveRested() {
+        double now = pool.pools().now();
+        if (waiting.isEmpty() || !sent.isEmpty()) {
+            return;
+        }
+        if (isRestedOut(now)) {
+            close();
+        } else if (now - heardAt > RESTED) {
+            readNow();
+        }
+    }
+
     @Override
     protected void onUp() {
         up = true;
@@ -187,6 +221,8 @@
             // The last point before bytes go out: whatever brought it here, nothing new goes to a server that drains.
             dropWaiting();
         }
+        dropBelated();
+        proveRested();
         // One at a time: what waits here can still be withdrawn, what is in the ring can not.
         if (nothingQueued() && !waiting.isEmpty()) {
             if (sent.isEmpty()) {
@@ -367,9 +403,15 @@
                 }
                 continue;
             }
+            boolean doubtful = isDoubtful(answer, first);
             boolean tail = endsOrder();
             pool.answered(this, first.sentAt(), wait);
-            first.answered(answer);
+            if (doubtful) {
+                retired = true;
+                first.end(Api.Outcome.CANCELLED);
+            } else {
+                first.answered(answer);
+            }
             if (isClosed()) {
                 return;
             }
@@ -385,6 +427,17 @@
         }
     }
 
+    /**
+     * Guards against a refusal that comes twice: it names no request, and the second one would tell of another, which runs,
+     * that it never ran. Whoever may run twice is told what came.
+     */
+    private boolean isDoubtful(Answer answer, Execution first) {
+        boolean busy = answer.kind() == Answer.Kind.BUSY;
+        boolean soon = bytesAt - refusedAt < SECOND_WITHIN;
+        refusedAt = busy || answer.kind() == Answer.Kind.FAILED ? bytesAt : refusedAt;
+        return busy && soon && !first.mayRunTwice();
+    }
+
     private void awaitRestOnce() {
         if (stallTimer == null && !isClosed()) {
             awaitRest();
--- a/router/src/main/java/stagepier/server/ServerPool.java
+++ b/router/src/main/java/stagepier/server/ServerPool.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import stagepier.Api;
 import stagepier.overload.Allowance;
 import stagepier.overload.Silence;
@@ -120,6 +122,7 @@
             return;
         }
         double now = pools.now();
+        dropIdle(link -> link.isRestedOut(now));
         ServerLink best = null;
         ServerLink deaf = null;
         for (ServerLink link : links) {
@@ -137,7 +140,7 @@
         }
         boolean mayOpen = (links.isEmpty() || pools.hasSpare())
                 && links.size() < (best == null || best.isFlowing() ? most : pools.linksUsual());
-        if (mayOpen && (best == null || best.load() > 0)) {
+        if (mayOpen && (best == null || best.load() > 0) && pools.makesRoom()) {
             ServerLink fresh = new ServerLink(this);
             links.add(fresh);
             // Before the connect: one that fails at once must find what it has to end.
@@ -151,17 +154,25 @@
     }
 
     void closeIdle() {
+        dropIdle(link -> true);
+    }
+
+    private void dropIdle(Predicate<ServerLink> which) {
         for (ServerLink link : new ArrayList<>(links)) {
-            if (link.isIdle()) {
+            if (link.isIdle() && which.test(link)) {
                 link.drop();
             }
         }
     }
 
+    Stream<ServerLink> idle() {
+        return links.stream().filter(ServerLink::isIdle);
+    }
+
     /** Gives back what is of no more use: idle for long, or silent with nobody waiting. */
-    void sweep(double now, double idleMost) {
+    void sweep(double now) {
         for (ServerLink link : new ArrayList<>(links)) {
-            boolean idleLong = link.isIdle() && (retired || now - link.heardAt() > idleMost);
+            boolean idleLong = link.isIdle() && (retired || link.isRestedOut(now));
             boolean deadLong = !link.hasLive() && link.isSilent(now)
                     && now - link.heardAt() > ServerPools.DEAD_AFTER;
             if (idleLong || deadLong || link.isRetired() && !link.hasLive()) {
@@ -172,5 +183,6 @@
 
     void closed(ServerLink link) {
         links.remove(link);
+        pools.closed();
     }
 }
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -8,8 +8,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ObjLongConsumer;
 import org.slf4j.Logger;
@@ -43,6 +45,10 @@
     /** Part of the time after which servers close idle links: closed here first, no request meets a close. */
     private static final double IDLE_PART = 0.8;
     private static final double WARN_EVERY = 10;
+    /** Of the descriptors for links, how many are kept for those that are closed to make room: a closed one lingers. */
+    private static final int TURNOVER = 8;
+    /** Until then the event loop has looked for input, and only that gives the descriptor of a closed link back. */
+    private static final int LINGERS_MS = 1;
     private static final int CONNECT_TIMEOUT_MS = 1000;
     private static final double PROBE_TIMEOUT = 0.3;
     /** Bytes of large values that may be on their way from cache servers at a time. Guards the heap, which is small. */
@@ -57,6 +63,9 @@
     private final double idleMost;
     private final Map<Long, ServerPool> pools = new HashMap<>();
     private final int linksMost;
+    private final int descriptors;
+    /** Links closed so short ago that their descriptors may still be held. */
+    private int closing;
     private final double shortestDeadline;
     private long opened;
     private long failedOpens;
@@ -69,11 +78,15 @@
     private long flowsBroken;
     private final SharedRoom room = new SharedRoom(LARGE_VALUES_MOST);
 
-    /** @param linksMost links to all servers together from which on each server gets one at the most */
+    /**
+     * @param linksMost   links to all servers together from which on each server gets one at the most
+     * @param descriptors that all links may hold together, whatever waits for one
+     */
     public ServerPools(EventLoop loop, Clock clock, LoopDelay delay, ModuleHost host, Connector connector, int linksMost,
-            Api.Settings settings, double idleClose) {
+            int descriptors, Api.Settings settings, double idleClose) {
         this.connector = connector;
         this.linksMost = linksMost;
+        this.descriptors = descriptors;
         shortestDeadline = settings.classes().stream().mapToDouble(Api.RequestClass::deadline).min().orElseThrow();
         this.loop = loop;
         this.clock = clock;
@@ -145,14 +158,19 @@
 
     @Override
     public Sending send(Exchange exchange, int attempt, long server, double timeout) {
-        Execution execution = new Execution(this, exchange, attempt, server, timeout);
+        return send(exchange, attempt, server, timeout, Double.POSITIVE_INFINITY);
+    }
+
+    @Override
+    public Sending send(Exchange exchange, int attempt, long server, double timeout, double latestStart) {
+        Execution execution = new Execution(this, exchange, attempt, server, timeout, latestStart);
         start(execution, server);
         return execution;
     }
 
     @Override
     public void probe(long server) {
-        start(new Execution(this, null, 0, server, PROBE_TIMEOUT), server);
+        start(new Execution(this, null, 0, server, PROBE_TIMEOUT, Double.POSITIVE_INFINITY), server);
     }
 
     private void start(Execution execution, long server) {
@@ -204,7 +222,7 @@
 
     private void sweep() {
         double now = now();
-        pools.values().forEach(pool -> pool.sweep(now, idleMost));
+        pools.values().forEach(pool -> pool.sweep(now));
         pools.values().removeIf(pool -> pool.isRetired() && pool.size() == 0);
     }
 
@@ -222,6 +240,34 @@
         return LinkShare.most(linksMost, pools.size());
     }
 
+    /** Seconds of rest from which on a link may not be used again. */
+    double idleMost() {
+        return idleMost;
+    }
+
+    /** A link has ended. */
+    void closed() {
+        closing++;
+        loop.schedule(() -> closing--, LINGERS_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Whether there is a descriptor for one more link; the idle link that was heard longest ago gives up its own. Guards
+     * against a list longer than the descriptors reach: without one, discovery and clients can't connect either.
+     */
+    boolean makesRoom() {
+        if (links() + closing >= descriptors) {
+            return false;
+        }
+        if (links() < descriptors - TURNOVER) {
+            return true;
+        }
+        Optional<ServerLink> oldest = pools.values().stream().flatMap(ServerPool::idle)
+                .min(Comparator.comparingDouble(ServerLink::heardAt));
+        oldest.ifPresent(ServerLink::drop);
+        return oldest.isPresent();
+    }
+
     /** Whether there are descriptors for more than one link a server. */
     boolean hasSpare() {
         return links() < linksMost;
--- a/router/src/test/java/stagepier/RepeatRulesTest.java
+++ b/router/src/test/java/stagepier/RepeatRulesTest.java
@@ -34,6 +34,21 @@
         assertEquals(0, f.host.refused.size());
     }
 
+    /** Guards against a repeat that its host holds up until its window is over. */
+    @Test
+    void aKeyedRepeatHasToBeginWithinWhatIsLeftOfItsWindow() {
+        Fixture f = Fixture.through(6);
+        long id = f.request(1, 77);
+        f.now += 0.1;
+        f.outcome(id, 0, f.host.last().server(), Outcome.CONNECT_FAILED, 0.1);
+        f.now += 0.1;
+        f.outcome(id, 1, f.host.last().server(), Outcome.RESET, 0.1);
+        List<Double> within = f.host.startWithins;
+        assertEquals(3, within.size());
+        assertEquals(List.of(Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY), within.subList(0, 2));
+        assertEquals(0.3, within.get(2), 1e-9, "counted from the first that may have run");
+    }
+
     @Test
     void aKeyedRequestIsNotSentAgainOnceItsWindowIsOver() {
         Fixture f = Fixture.through(6);
--- a/router/src/test/java/stagepier/ScriptedHost.java
+++ b/router/src/test/java/stagepier/ScriptedHost.java
@@ -17,6 +17,8 @@
     final List<Double> retryAfters = new ArrayList<>();
     final List<Long> failed = new ArrayList<>();
     final List<Long> cancelled = new ArrayList<>();
+    /** For each send, within how many seconds it has to begin. */
+    final List<Double> startWithins = new ArrayList<>();
     int watches;
     int closes;
     /** What was told to other balancers, each time. */
@@ -29,6 +31,12 @@
         log.append("send ").append(request).append(' ').append(server).append(' ').append(timeout).append('\n');
     }
 
+    @Override
+    public void send(long request, long server, double timeout, double startWithin) {
+        startWithins.add(startWithin);
+        send(request, server, timeout);
+    }
+
     @Override
     public void cancel(long request, int attempt) {
         cancelled.add(request);
--- a/router/src/test/java/stagepier/app/ShadowWorkTest.java
+++ b/router/src/test/java/stagepier/app/ShadowWorkTest.java
@@ -94,7 +94,7 @@
             ModuleHost host = new ModuleHost(loop, clock, new LoopDelay(), settings);
             Drain drain = new Drain();
             drain.started();
-            ServerPools pools = new ServerPools(loop, clock, new LoopDelay(), host, ServerPools.sockets(loop, 1), 50,
+            ServerPools pools = new ServerPools(loop, clock, new LoopDelay(), host, ServerPools.sockets(loop, 1), 50, 50,
                     settings.settings(), 0);
             host.connect(new Brain(settings.settings(), 1, host), pools);
             ShadowWork work = on(loop, () -> new ShadowWork(
--- /dev/null
+++ b/router/src/test/java/stagepier/server/PoolBench.java
@@ -0,0 +1,304 @@
+package stagepier.server;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import stagepier.Api;
+import stagepier.exchange.Clock;
+import stagepier.exchange.Exchange;
+import stagepier.exchange.ModuleHost;
+import stagepier.memcache.CommandParser;
+import stagepier.memcache.RingBuffer;
+import stagepier.overload.LoopDelay;
+import stagepier.settings.SettingsParser;
+
+/** The pools of a router on a real event loop, with a module that does what a test says and a clock that a test moves on. */
+final class PoolBench implements Closeable {
+    static final int WAIT_MS = 5000;
+    /** Seconds after which a cache server closes an idle connection. */
+    static final double IDLE = 60;
+    /** Seconds for which repeats of class p are dropped. */
+    static final double WINDOW = 0.5;
+    private static final String SETTINGS = """
+            {"Classes":[{"Name":"p","Deadline":5,"GoalTime":1,"Repeat":"deduplicated","Group":"all","DedupWindow":0.5,
+            "Worth":1}],"Areas":["a"],"Flavors":["m"],"Limits":{"MaxAttempts":3,"MaxRetryAfter":1.2,"DialTimeout":2,
+            "IdleClose":60},"Obligations":{"DrainGrace":1}}""";
+
+    /** How an attempt ended. */
+    record End(long request, int attempt, Api.Outcome outcome) {
+    }
+
+    /** A clock that stands until it is put forward. Guards against tests that depend on how long their machine takes. */
+    static final class HandClock extends Clock {
+        private volatile double now = 1e9;
+
+        @Override
+        public double now() {
+            return now;
+        }
+    }
+
+    /** A cache server on loopback; the test is its mind. */
+    static final class Cache implements Closeable {
+        private final ServerSocket listening = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+
+        Cache() throws IOException {
+            listening.setSoTimeout(WAIT_MS);
+        }
+
+        InetSocketAddress address() {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), listening.getLocalPort());
+        }
+
+        Conversation accept() throws IOException {
+            return new Conversation(listening.accept());
+        }
+
+        @Override
+        public void close() throws IOException {
+            listening.close();
+        }
+    }
+
+    /** One connection, seen from the cache server. */
+    static final class Conversation {
+        final Socket socket;
+        private final BufferedReader in;
+
+        Conversation(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(WAIT_MS);
+            socket.setTcpNoDelay(true);
+            in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        }
+
+        /** The id of the next request, or null where the router has closed the connection. */
+        String nextId() throws IOException {
+            String line = in.readLine();
+            if (line != null && line.startsWith("ms ")) {
+                in.readLine();
+            }
+            return line == null ? null : line.replaceAll(".* O([^ ]*).*", "$1");
+        }
+
+        void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        void answer(String id) throws IOException {
+            write("HD O" + id + "\r\n");
+        }
+    }
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final EventLoop loop = group.next();
+    final HandClock clock = new HandClock();
+    final LoopDelay delay = new LoopDelay();
+    final ModuleHost host;
+    final ServerPools pools;
+    private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
+    /** Connections that wait to be allowed, where they are held. */
+    private List<Runnable> held;
+    private Runnable goOn;
+    /** What happens in the middle of the module's next decision. */
+    private Runnable beforeSend = () -> { };
+    private long server;
+    private double startWithin = Double.POSITIVE_INFINITY;
+
+    PoolBench(int linksMost, int descriptors) {
+        SettingsParser.Parsed settings = SettingsParser.parse(SETTINGS);
+        host = new ModuleHost(loop, clock, delay, settings);
+        pools = new ServerPools(loop, clock, delay, host, this::connect, linksMost, descriptors, settings.settings(), IDLE);
+        host.connect(new Module(), pools);
+    }
+
+    private ChannelFuture connect(ChannelHandler setUp, InetSocketAddress address) {
+        Channel channel = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false).handler(setUp).register().channel();
+        ChannelPromise up = channel.newPromise();
+        if (held == null) {
+            channel.connect(address, up);
+        } else {
+            held.add(() -> channel.connect(address, up));
+        }
+        return up;
+    }
+
+    /** Connections come up no sooner than they are let. */
+    void holdConnections() throws Exception {
+        on(() -> held = new ArrayList<>());
+    }
+
+    void letConnections() throws Exception {
+        on(() -> {
+            held.forEach(Runnable::run);
+            held = null;
+            return null;
+        });
+    }
+
+    /** The process stands still now; the list, asked for anew when that is seen, comes when the test says so. On the event loop. */
+    void standStill() {
+        delay.looks(clock.now());
+        pass(0.6);
+        host.connectList(then -> {
+            goOn = then;
+            host.connectList(Runnable::run);
+        });
+    }
+
+    /** Until the event loop has looked for input, and whatever is due then is done. */
+    void turn() throws Exception {
+        loop.schedule(() -> { }, 2, TimeUnit.MILLISECONDS).get(WAIT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    void awaitListAsked() throws Exception {
+        for (long end = System.nanoTime() + WAIT_MS * 1_000_000L; on(() -> goOn == null); Thread.onSpinWait()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("nobody asked for the list");
+            }
+        }
+    }
+
+    void beforeSend(Runnable what) {
+        beforeSend = what;
+    }
+
+    /** The list has come. On the event loop. */
+    Runnable listCame() {
+        goOn.run();
+        return goOn;
+    }
+
+    <T> T on(Callable<T> work) throws Exception {
+        return loop.submit(work).get(WAIT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    void pass(double seconds) {
+        clock.now += seconds;
+    }
+
+    void ready(long id, InetSocketAddress address) throws Exception {
+        on(() -> {
+            pools.ready(id, address, 0);
+            return null;
+        });
+    }
+
+    /** A write for that cache server. On the event loop. */
+    Exchange ask(String id, long to, double within) {
+        server = to;
+        startWithin = within;
+        try {
+            RingBuffer ring = new RingBuffer();
+            ring.put(("ms k 1 O" + id + " Pc=p,d=5000\r\nx\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            return host.take((x, reply) -> { }, CommandParser.next(ring), Double.POSITIVE_INFINITY);
+        } catch (stagepier.memcache.MalformedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    Exchange ask(String id) throws Exception {
+        return on(() -> ask(id, 1, Double.POSITIVE_INFINITY));
+    }
+
+    Api.Outcome nextOutcome() throws InterruptedException {
+        End end = ends.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+        if (end == null) {
+            throw new AssertionError("no attempt ended");
+        }
+        return end.outcome();
+    }
+
+    /** Outcomes that nobody has taken. */
+    int endsLeft() {
+        return ends.size();
+    }
+
+    long counter(String name) throws Exception {
+        return on(() -> {
+            AtomicLong found = new AtomicLong(-1);
+            pools.count((key, value) -> found.set(key.equals(name) ? value : found.get()));
+            return found.get();
+        });
+    }
+
+    /** Asks once on a link of its own and sees it answered: the link rests from then on. */
+    Conversation rested(Cache cache, String id) throws Exception {
+        ask(id);
+        Conversation c = cache.accept();
+        c.answer(c.nextId());
+        if (nextOutcome() != Api.Outcome.OK) {
+            throw new AssertionError("not answered");
+        }
+        pass(0.01);
+        return c;
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, WAIT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    /** Sends each request once to the server that the test named, and gives up after that. */
+    private final class Module implements Api.Events {
+        @Override
+        public void onMembers(double now, boolean complete, List<Api.Member> members) {
+        }
+
+        @Override
+        public void onMembersFailed(double now) {
+        }
+
+        @Override
+        public void onRequest(double now, Api.Request request) {
+            beforeSend.run();
+            beforeSend = () -> { };
+            host.send(request.id(), server, 0, startWithin);
+        }
+
+        @Override
+        public void onFirstByte(double now, long request, int attempt) {
+        }
+
+        @Override
+        public void onOutcome(double now, long request, int attempt, long on, Api.Outcome outcome, double elapsed,
+                boolean finished, Api.Lookup lookup, float[] report) {
+            ends.add(new End(request, attempt, outcome));
+            if (!finished) {
+                host.fail(request);
+            }
+        }
+
+        @Override
+        public void onClientGone(double now, long request) {
+        }
+
+        @Override
+        public void onTimer(double now, long token) {
+        }
+    }
+}
