--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -276,9 +276,6 @@
         if (owner.now() - lookedAt > LOOKED_LATELY) {
             lookedAt = owner.now();
             readNow();
-            if (!isClosed() && !isActive()) {
-                close();
-            }
         }
         return !isClosed();
     }
--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -130,6 +130,10 @@
         if (!closed && in.free() > 0 && wantsInput() && isActive()
                 && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
             unsafe.read();
+            if (!closed && !isActive()) {
+                // The channel tells of its end by way of a task, and nothing may be written until then.
+                nothingMoreComes();
+            }
         }
     }
 
@@ -237,7 +241,7 @@
         }
     }
 
-    protected final boolean isActive() {
+    private boolean isActive() {
         return channel != null && channel.isActive();
     }
 
--- a/router/src/test/java/stagepier/app/CrossingFixture.java
+++ b/router/src/test/java/stagepier/app/CrossingFixture.java
@@ -85,7 +85,7 @@
             }
             return up;
         };
-        servers = new ServerPools(loop, clock, delay, host, connector, 0, parsed.settings(), parsed.idleClose());
+        servers = new ServerPools(loop, clock, delay, host, connector, 0, Integer.MAX_VALUE, parsed.settings(), parsed.idleClose());
         host.connect(new Module(), servers);
         ClientListener clients = new ClientListener(loop, clock, delay, 300, host, () -> "END", new Drain());
         onLoop(() -> {
