Ask for the list anew beside an answer that comes bit by bit, and take no older list

Checked on the real watch against agents on sockets, in time moved by hand.

Change: when a call's time is up and its answer has only begun, a second connection asks what there is now; whichever is whole first counts. The chain's worst sum, 5.7 s, is written next to the constants. For 3.3 s after a move nothing older is taken (the agent may be behind); then, and at once where nothing moved, its whole list counts. Changes up to an older version are never applied.

--- a/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -1,5 +1,6 @@
 package stagepier.discovery;
 
+import com.google.gson.JsonElement;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import io.netty.bootstrap.Bootstrap;
@@ -44,6 +45,11 @@
  * watch misses counts 6 s after it fell silent: {@link #HOLD_MS} + {@link #SLACK_MS} is 4 s, which leaves time for one more
  * call that fails. What an agent gets at the end of an outage counts at once: {@link #NOW_WITHIN_MS} +
  * {@link #RETRY_MOST_MS} is how long nobody may be there to hear it.
+ *
+ * <p>The worst chain after a failed, refused or silent call, against those 6 s: the open call is given up after
+ * {@link #HOLD_MS} + {@link #SLACK_MS} = 4000; back-off 250; a connection that does not come up or, once up, is silent
+ * (300 + 300); back-off 250; connection 300 and answer 300 of the one that counts: 5700. An answer that comes bit by bit
+ * is in the same chain: when its call is due a second connection asks anew beside it, and whichever is whole first counts.
  */
 public final class DiscoveryWatch {
     private static final Logger LOG = LoggerFactory.getLogger(DiscoveryWatch.class);
@@ -57,10 +63,12 @@
     private static final int NOW_MS = 1;
     /** The agent is on this machine and answers such a call at once; so does its machine a connection. */
     private static final int NOW_WITHIN_MS = 300;
-    /** Between two pieces of an answer. */
+    /** Between two pieces of an answer; the whole of it has the time of its call before another is asked beside it. */
     private static final int PIECES_WITHIN_MS = 1000;
     private static final int RETRY_FIRST_MS = 100;
     private static final int RETRY_MOST_MS = 250;
+    /** So long after a move an agent with an older version is behind and may catch up; what it has counts 4 s after. */
+    private static final int BEHIND_MS = 3300;
     /** Whoever waits for the list to be fresh waits no longer than this for a silent agent. */
     private static final int FRESH_WITHIN_MS = 200;
     private static final int LARGEST_LIST = 1 << 20;
@@ -73,8 +81,22 @@
     /** The one that watches; null while there is none. */
     private Channel channel;
     private Future<?> callTimer;
-    /** The one that is coming up and then takes over; null while none is. */
+    /** When it is due another asks beside a call that is answered bit by bit. */
+    private Future<?> wholeTimer;
+    /** The one that is coming up, or asks beside a call that is late, and then takes over; null while none is. */
     private Channel connecting;
+    /** Of the call beside; null while there is none. */
+    private Future<?> besideTimer;
+    /** The version from which the call beside asks. */
+    private long besideFrom;
+    /** It was asked after whoever waits for the list to be fresh began to. */
+    private boolean besideAsksNow;
+    /** No connection to the address has been up since it changed. */
+    private boolean moved;
+    /** Pending while an agent with an older version may be behind; null before any move. */
+    private Future<?> behindTimer;
+    /** The agent's changes do not follow on the list here: the next call asks for the whole of it. */
+    private boolean asksWhole;
     private Future<?> retryTimer;
     private final RandomGenerator random;
     private final Backoff backoff;
@@ -138,6 +160,11 @@
         }
         address = to;
         isFresh = false;
+        moved = true;
+        if (behindTimer != null) {
+            behindTimer.cancel(false);
+        }
+        behindTimer = loop.schedule(() -> { }, BEHIND_MS, TimeUnit.MILLISECONDS);
         backoff.reset();
         dropConnecting();
         start();
@@ -164,6 +191,7 @@
         // An answer that is there by now may be an old one, whatever was asked for.
         isFresh = false;
         asksNow = false;
+        besideAsksNow = false;
         readNow();
         if (waits && calls == before && channel != null && channel.isActive()) {
             isFresh = true;
@@ -202,17 +230,25 @@
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            if (ctx.channel() == connecting) {
-                connecting = null;
-                dropWatch();
-                channel = ctx.channel();
-                call();
+            if (ctx.channel() != connecting) {
+                return;
+            }
+            if (channel != null && !moved) {
+                askBeside();
+                return;
             }
+            // Guards against a wait on a new agent that has not yet said what there is: the old one may have, after the move.
+            isFresh &= !moved;
+            moved = false;
+            takeOver();
+            call();
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (ctx.channel() == channel) {
+            if (ctx.channel() == connecting) {
+                answeredBeside(response);
+            } else if (ctx.channel() == channel) {
                 answered(response);
             }
         }
@@ -221,6 +257,8 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
                 failed("the connection ended");
+            } else if (ctx.channel() == connecting) {
+                failedBeside("the connection ended");
             }
         }
 
@@ -228,6 +266,8 @@
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (ctx.channel() == channel) {
                 failed(cause.toString());
+            } else if (ctx.channel() == connecting) {
+                failedBeside(cause.toString());
             }
         }
     }
@@ -237,11 +277,67 @@
         isOpen = true;
         asksNow = !isFresh;
         int hold = asksNow ? NOW_MS : HOLD_MS - random.nextInt(HOLD_SPREAD_MS);
-        String from = group.generation() < 0 ? "" : "?from=" + group.generation() + "&hold_ms=" + hold;
+        int most = asksNow ? NOW_WITHIN_MS : hold + SLACK_MS;
+        write(channel, hold);
+        within(most);
+        long call = calls;
+        wholeTimer = loop.schedule(() -> late(call), most, TimeUnit.MILLISECONDS);
+    }
+
+    private void write(Channel to, int hold) {
+        String from = group.generation() < 0 || asksWhole ? "" : "?from=" + group.generation() + "&hold_ms=" + hold;
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH + from);
         request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(address));
-        channel.writeAndFlush(request);
-        within(asksNow ? NOW_WITHIN_MS : hold + SLACK_MS);
+        to.writeAndFlush(request);
+    }
+
+    /** Guards against an agent that answers a byte now and then and so holds the watch on an old list for good. */
+    private void late(long call) {
+        readNow();
+        if (calls == call && isOpen) {
+            goOn(this::start);
+        }
+    }
+
+    /** Asks what there is now beside a call that is being answered slowly. */
+    private void askBeside() {
+        calls++;
+        besideFrom = group.generation();
+        besideAsksNow = true;
+        write(connecting, NOW_MS);
+        besideTimer = loop.schedule(() -> failedBeside("no whole answer in time"), NOW_WITHIN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void answeredBeside(FullHttpResponse response) {
+        if (besideFrom != group.generation()) {
+            // Guards against changes that follow on a list which is no longer the one here.
+            failedBeside("overtaken");
+            return;
+        }
+        takeOver();
+        asksNow = besideAsksNow;
+        answered(response);
+    }
+
+    private void failedBeside(String why) {
+        dropConnecting();
+        again(why);
+    }
+
+    /** The connection that came up is the one that watches. */
+    private void takeOver() {
+        Channel next = connecting;
+        connecting = null;
+        cancelBeside();
+        dropWatch();
+        channel = next;
+    }
+
+    private void cancelBeside() {
+        if (besideTimer != null) {
+            besideTimer.cancel(false);
+            besideTimer = null;
+        }
     }
 
     /** Something has to come on the connection within that time. */
@@ -265,25 +361,37 @@
     }
 
     private void answered(FullHttpResponse response) {
-        callTimer.cancel(false);
+        cancelCallTimers();
         isOpen = false;
+        boolean mayBeBehind = behindTimer != null && !behindTimer.isDone();
         HostGroup.Change change;
         try {
             if (response.status().code() != 200 || response.decoderResult().isFailure()) {
                 throw new IllegalArgumentException("status " + response.status());
             }
-            change = group.apply(JsonParser.parseString(response.content().toString(StandardCharsets.UTF_8)));
+            JsonElement message = JsonParser.parseString(response.content().toString(StandardCharsets.UTF_8));
+            if (group.goesBack(message, mayBeBehind)) {
+                asksWhole = !mayBeBehind;
+                throw new IllegalArgumentException("an older version");
+            }
+            change = group.apply(message);
         } catch (IllegalArgumentException | JsonParseException e) {
             // The last list stays in force: a bad message must not take servers away.
             failed(e.getMessage());
             return;
         }
         backoff.reset();
+        asksWhole = false;
         isFresh |= asksNow;
+        if (!moved) {
+            // Whoever asks beside is of no use any more.
+            dropConnecting();
+        }
         try {
             changed.accept(change);
         } finally {
-            next(HttpUtil.isKeepAlive(response));
+            // One without a length is whole when its connection has ended, whatever its head says of that.
+            next(HttpUtil.isKeepAlive(response) && channel != null && channel.isActive());
         }
         if (isFresh) {
             fresh();
@@ -329,9 +437,7 @@
 
     /** The one place where the connection that watches and its timer are given back. */
     private void dropWatch() {
-        if (callTimer != null) {
-            callTimer.cancel(false);
-        }
+        cancelCallTimers();
         isOpen = false;
         Channel old = channel;
         channel = null;
@@ -340,12 +446,22 @@
         }
     }
 
+    private void cancelCallTimers() {
+        if (callTimer != null) {
+            callTimer.cancel(false);
+        }
+        if (wholeTimer != null) {
+            wholeTimer.cancel(false);
+        }
+    }
+
     /** The one place where a connection that is not up yet, and the wait for the next one, are given back. */
     private void dropConnecting() {
         if (retryTimer != null) {
             retryTimer.cancel(false);
             retryTimer = null;
         }
+        cancelBeside();
         Channel old = connecting;
         connecting = null;
         if (old != null) {
--- a/router/src/main/java/stagepier/discovery/HostGroup.java
+++ b/router/src/main/java/stagepier/discovery/HostGroup.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -101,6 +102,19 @@
                 complete ? List.copyOf(before.values()) : List.of());
     }
 
+    /**
+     * Whether a message is older than the list here, so that it must not be taken. Changes up to an older version follow on
+     * another list than this one: taken, they would bring back servers or leave others unknown. A whole list may be older
+     * where its agent counts otherwise, unless that agent may only be behind.
+     */
+    boolean goesBack(JsonElement message, boolean mayBeBehind) {
+        if (message instanceof JsonObject o && o.get("generation") instanceof JsonPrimitive version
+                && o.get("reset") instanceof JsonPrimitive reset && version.isNumber()) {
+            return version.getAsLong() < generation && (mayBeBehind || !reset.getAsBoolean());
+        }
+        return false;
+    }
+
     /** Before the first list: from then on voluntary changes are asked about. The first list is what a process begins with. */
     public void holdBy(Admission admits) {
         admission = admits;
--- a/router/src/test/java/stagepier/discovery/HostGroupTest.java
+++ b/router/src/test/java/stagepier/discovery/HostGroupTest.java
@@ -41,6 +41,27 @@
         assertFalse(tell(5, true).left().iterator().hasNext());
     }
 
+    /** Guards against an answer that names a server twice: the last word counts, and nobody is left over. */
+    @Test
+    void ofAServerThatIsListedTwiceTheLastWordCounts() {
+        HostGroup.Change change = tell(1, true, entry(1, "up"), entry(1, "draining"));
+        assertEquals(Api.MemberState.DRAINING, change.hosts().get(change.hosts().size() - 1).member().state());
+        assertEquals(1, tell(2, true).left().size());
+    }
+
+    /** Guards against servers that come back or stay unknown since an agent counts otherwise. */
+    @Test
+    void changesUpToAnOlderVersionAreRefusedAndAWholeListOnlyWhileItsAgentMayBeBehind() {
+        tell(7, true, entry(1, "up"));
+        for (boolean whole : new boolean[] {false, true}) {
+            var older = JsonParser.parseString("{\"generation\":6,\"reset\":" + whole + ",\"instances\":[]}");
+            var newer = JsonParser.parseString("{\"generation\":7,\"reset\":" + whole + ",\"instances\":[]}");
+            assertTrue(group.goesBack(older, true));
+            assertEquals(!whole, group.goesBack(older, false));
+            assertFalse(group.goesBack(newer, true));
+        }
+    }
+
     /** Guards against a list that ends a ban, and against a server put back that counts as warm. */
     @Test
     void whoIsOutDrainsWhateverTheListSaysAndWhoIsBackStartedThen() {
