Word the refusal of a version that goes back without a name of another deployment

Cause: the test that looks for names of deployments found 'older', a machine kind of one of them, in a message of the list's watch.

--- a/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -372,7 +372,7 @@
             JsonElement message = JsonParser.parseString(response.content().toString(StandardCharsets.UTF_8));
             if (group.goesBack(message, mayBeBehind)) {
                 asksWhole = !mayBeBehind;
-                throw new IllegalArgumentException("an older version");
+                throw new IllegalArgumentException("its version goes back");
             }
             change = group.apply(message);
         } catch (IllegalArgumentException | JsonParseException e) {
