Draw a budget of less than one send a span by chance in place of saving whole tokens

Cause: WarmUp let each router save up max(1, half a span's rate). At 30 and 100 routers a part of N is far less than one, so a queue released at once on a cold server's key brought as many sends as routers. Change: a budget under one in a span is rounded by chance once a span, and none is kept. From one on as before.

--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -396,7 +396,7 @@
         }
         double perWeight = warmSends.rate(now, startedAt, warmFades) / Math.max(warmWeight, s.weight);
         double rate = COLD_BUDGET * settings.protection().overloadFactor() * share * perWeight * s.weight;
-        return share >= 1 || s.warmUp.affords(now, rate);
+        return share >= 1 || s.warmUp.affords(now, rate, random.nextDouble());
     }
 
     private double due(double all, Server s) {
--- a/router/src/main/java/stagepier/WarmUp.java
+++ b/router/src/main/java/stagepier/WarmUp.java
@@ -6,6 +6,7 @@
     final double startedAt;
     private double tokens;
     private double tokensAt;
+    private double drawnUntil;
 
     /** A random first token: by chance, all balancers together then send what their budgets add up to. */
     WarmUp(Api.Protection rules, double startedAt, double now, double chance) {
@@ -24,8 +25,18 @@
         return Math.min(1, rules.coldShare() + (1 - rules.coldShare()) * age / rules.warmUp());
     }
 
-    boolean affords(double now, double rate) {
-        tokens = Math.min(Math.max(1, rate * rules.overloadSpan() / 2), tokens + (now - tokensAt) * rate);
+    boolean affords(double now, double rate, double chance) {
+        double budget = rate * rules.overloadSpan();
+        if (budget < 1) {
+            // Of a budget of less than one, none is saved up: all balancers at once would send one each.
+            if (now >= drawnUntil) {
+                drawnUntil = now + rules.overloadSpan();
+                tokensAt = now;
+                tokens = chance < budget ? 1 : 0;
+            }
+            return tokens >= 1;
+        }
+        tokens = Math.min(Math.max(1, budget / 2), tokens + (now - tokensAt) * rate);
         tokensAt = now;
         return tokens >= 1;
     }
