Draw what is under one send a span to a cold server by the whole of what it bears

Change: the draw goes by the whole of N; the part aimed at holds from one a span on, as before. Result (ColdServersTest, virtual time, 2026-12-02): no start of 441 a row over N + 2 root N + 2, highest part of that 0.75 (before the draw 89 of 441 over, 1.27).

--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/Brain.java
@@ -395,8 +395,8 @@
                     .mapToDouble(x -> x.warmUp.share(now) < 1 ? 0 : x.weight).sum();
         }
         double perWeight = warmSends.rate(now, startedAt, warmFades) / Math.max(warmWeight, s.weight);
-        double rate = COLD_BUDGET * settings.protection().overloadFactor() * share * perWeight * s.weight;
-        return share >= 1 || s.warmUp.affords(now, rate, random.nextDouble());
+        double whole = settings.protection().overloadFactor() * share * perWeight * s.weight;
+        return share >= 1 || s.warmUp.affords(now, whole, COLD_BUDGET, random.nextDouble());
     }
 
     private double due(double all, Server s) {
--- a/router/src/main/java/stagepier/WarmUp.java
+++ b/router/src/main/java/stagepier/WarmUp.java
@@ -25,14 +25,17 @@
         return Math.min(1, rules.coldShare() + (1 - rules.coldShare()) * age / rules.warmUp());
     }
 
-    boolean affords(double now, double rate, double chance) {
+    /** @param part of what it bears, {@code whole} a second, that is aimed at */
+    boolean affords(double now, double whole, double part, double chance) {
+        double rate = part * whole;
         double budget = rate * rules.overloadSpan();
         if (budget < 1) {
-            // Of a budget of less than one, none is saved up: all balancers at once would send one each.
+            // Less than one is not saved up, or all balancers at once would send one each: it is drawn for a span at a time,
+            // by the whole, for what is drawn and not used is lost.
             if (now >= drawnUntil) {
                 drawnUntil = now + rules.overloadSpan();
                 tokensAt = now;
-                tokens = chance < budget ? 1 : 0;
+                tokens = chance < whole * rules.overloadSpan() ? 1 : 0;
             }
             return tokens >= 1;
         }
