--- a/router/src/main/java/stagepier/WarmUp.java
+++ b/router/src/main/java/stagepier/WarmUp.java
@@ -30,8 +30,8 @@
         double rate = part * whole;
         double budget = rate * rules.overloadSpan();
         if (budget < 1) {
-            // Less than one is not saved up, or all balancers at once would send one each: it is drawn for a span at a time,
-            // by the whole, for what is drawn and not used is lost.
+            // Less than one is not saved up, or all balancers at once would send one each: it is drawn for
+            // a span at a time, by the whole, for what is drawn and not used is lost.
             if (now >= drawnUntil) {
                 drawnUntil = now + rules.overloadSpan();
                 tokensAt = now;
