--- a/router/src/test/java/stagepier/server/PoolBench.java
+++ b/router/src/test/java/stagepier/server/PoolBench.java
@@ -113,8 +113,7 @@
         }
     }
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    final EventLoop loop = group.next();
+    final EventLoop loop;
     final HandClock clock = new HandClock();
     final LoopDelay delay = new LoopDelay();
     final ModuleHost host;
@@ -128,10 +127,17 @@
     private long server;
     private double startWithin = Double.POSITIVE_INFINITY;
 
+    /** One on sockets. */
     PoolBench(int linksMost, int descriptors) {
+        this(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next(), null, linksMost, descriptors);
+    }
+
+    /** @param connector null for one to sockets */
+    PoolBench(EventLoop loop, Connector connector, int linksMost, int descriptors) {
+        this.loop = loop;
         SettingsParser.Parsed settings = SettingsParser.parse(SETTINGS);
         host = new ModuleHost(loop, clock, delay, settings);
-        pools = new ServerPools(loop, clock, delay, host, this::connect, linksMost, descriptors, settings.settings(), IDLE);
+        pools = new ServerPools(loop, clock, delay, host, connector == null ? this::connect : connector, linksMost, descriptors, settings.settings(), IDLE);
         host.connect(new Module(), pools);
     }
 
@@ -233,6 +239,13 @@
         return end.outcome();
     }
 
+    /** All that ended since this was asked last. */
+    List<End> ended() {
+        List<End> all = new ArrayList<>();
+        ends.drainTo(all);
+        return all;
+    }
+
     /** Outcomes that nobody has taken. */
     int endsLeft() {
         return ends.size();
@@ -260,7 +273,7 @@
 
     @Override
     public void close() {
-        group.shutdownGracefully(0, WAIT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        loop.parent().shutdownGracefully(0, WAIT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
     /** Sends each request once to the server that the test named, and gives up after that. */
