Send no more on a link than its server has in work for one connection

Cause: the setting was not read. What was written behind a request that hangs waited at its server, and began there after its time was up and its client had been answered. Change: what is beyond the setting waits on this side, where it is withdrawn.

--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -90,7 +90,8 @@
         host = new ModuleHost(loop, clock, delay, config.settings());
         servers = new ServerPools(loop, clock, delay, host,
                 ServerPools.sockets(loop, settings.limits().connectTimeout()), (int) (SERVER_PART * config.sockets()),
-                serverLinks(config.sockets(), listed(config.known())), settings, config.settings().idleClose());
+                serverLinks(config.sockets(), listed(config.known())), settings, config.settings().idleClose(),
+                config.settings().streams());
         host.connect(new Brain(settings, config.seed(), host), servers);
         clients = new ClientListener(loop, clock, delay, clientPlaces(), host, this::stats, drain);
         watch = new DiscoveryWatch(loop, config.discovery(), hosts, this::changed, host::membersFailed,
--- a/router/src/main/java/stagepier/app/WarmUp.java
+++ b/router/src/main/java/stagepier/app/WarmUp.java
@@ -52,7 +52,7 @@
         LoopDelay delay = new LoopDelay();
         ModuleHost host = new ModuleHost(loop, clock, delay, settings);
         pools = new ServerPools(loop, clock, delay, host, this::connect, SERVERS * SERVERS, Integer.MAX_VALUE,
-                settings.settings(), 0);
+                settings.settings(), 0, Integer.MAX_VALUE);
         host.connect(new Brain(settings.settings(), 1, host), pools);
         List<Api.Member> members = new ArrayList<>();
         for (int i = 1; i <= SERVERS; i++) {
--- a/router/src/main/java/stagepier/exchange/Carrier.java
+++ b/router/src/main/java/stagepier/exchange/Carrier.java
@@ -6,7 +6,9 @@
     interface Sending {
         void cancel();
 
-        /** Nobody waits for it any more: it is not sent at all if not a byte of it was, and goes on otherwise. */
+        /**
+         * Nobody waits for it any more: it is not sent, or not to its end, if that can still be, and goes on where all of it was.
+         */
         default void withdraw() {
         }
 
--- a/router/src/main/java/stagepier/server/Execution.java
+++ b/router/src/main/java/stagepier/server/Execution.java
@@ -187,6 +187,8 @@
     public void withdraw() {
         if (!isOut()) {
             cancel();
+        } else if (!over) {
+            link.abandon(this);
         }
     }
 
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -164,6 +164,18 @@
         waiting.remove(execution);
     }
 
+    /**
+     * Nobody waits for an execution that was handed to the socket. Guards against a long request that is half sent when its
+     * client goes, and would begin at its server when its last byte comes there: it is cut off, unless somebody else waits here.
+     */
+    void abandon(Execution execution) {
+        boolean alone = !isWanted() && waiting.isEmpty() && sent.stream().allMatch(e -> e == execution || e.isOver());
+        if (alone && execution.endsAt() > takenBytes()) {
+            execution.cancel();
+            close();
+        }
+    }
+
     /**
      * The server drains or is gone: what waits here ends unsent, and so does what the socket has not taken a byte of. One that has
      * begun goes on. Guards against answers that are on their way here and would be cut off with it.
@@ -236,8 +248,8 @@
         if (isClosed() || isInputOver()) {
             return;
         }
-        // One at a time: what waits here can still be withdrawn, what is in the ring can not.
-        if (nothingQueued() && !waiting.isEmpty()) {
+        // One at a time: what waits here can still be withdrawn, what is in the ring, or waits at the server, can not.
+        if (nothingQueued() && !waiting.isEmpty() && sent.size() < pool.pools().streams()) {
             if (sent.isEmpty()) {
                 heardAt = pool.pools().now();
             }
@@ -295,7 +307,13 @@
     @Override
     protected void onBytes() {
         pool.pools().delay().reads(pool.pools().now());
+        workOn();
+    }
+
+    /** Takes answers, and sends what has waited for them. */
+    private void workOn() {
         digest();
+        pump();
     }
 
     @Override
@@ -306,7 +324,7 @@
     /** There may be room for the large value that waits for it. */
     private void unblock() {
         bytesAt = pool.pools().now();
-        digest();
+        workOn();
         readOn();
     }
 
@@ -354,7 +372,7 @@
             pool.pools().loop().execute(() -> {
                 goingOn = false;
                 if (!isClosed()) {
-                    digest();
+                    workOn();
                     readOn();
                 }
             });
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -66,6 +66,7 @@
     private final Map<Long, ServerPool> pools = new HashMap<>();
     private final int linksMost;
     private final int descriptors;
+    private final int streams;
     /** Links closed so short ago that their descriptors may still be held. */
     private int closing;
     private final double shortestDeadline;
@@ -83,9 +84,11 @@
     /**
      * @param linksMost   links to all servers together from which on each server gets one at the most
      * @param descriptors that all links may hold together, whatever waits for one
+     * @param streams     requests that a server has in work at a time for one connection
      */
     public ServerPools(EventLoop loop, Clock clock, LoopDelay delay, ModuleHost host, Connector connector, int linksMost,
-            int descriptors, Api.Settings settings, double idleClose) {
+            int descriptors, Api.Settings settings, double idleClose, int streams) {
+        this.streams = Math.max(1, streams);
         this.connector = connector;
         this.linksMost = linksMost;
         this.descriptors = descriptors;
@@ -242,6 +245,11 @@
         return LinkShare.most(linksMost, pools.size());
     }
 
+    /** Requests that may be out on one link. */
+    int streams() {
+        return streams;
+    }
+
     /** Seconds of rest from which on a link may not be used again. */
     double idleMost() {
         return idleMost;
--- a/router/src/main/java/stagepier/settings/SettingsParser.java
+++ b/router/src/main/java/stagepier/settings/SettingsParser.java
@@ -21,8 +21,10 @@
      * @param names        the words by which sockets name what the module knows by index
      * @param idleClose    a server closes a connection that was idle for so many seconds; 0 for never
      * @param slot         this balancer's number among all, from 0
+     * @param streams      requests that a server has in work at a time for one connection; what is beyond waits there
      */
-    public record Parsed(Api.Settings settings, int reportFields, Names names, double idleClose, int slot) {
+    public record Parsed(Api.Settings settings, int reportFields, Names names, double idleClose, int slot,
+            int streams) {
     }
 
     /** The names in the settings, each at its index. */
@@ -62,7 +64,7 @@
         Names names = new Names(named(array(o, "Classes")), named(array(o, "Realms")), strings(o, "Areas"),
                 strings(o, "Flavors"));
         return new Parsed(settings, fields.size(), names, number(object(o, "Limits"), "IdleClose", 0),
-                (int) number(o, "SlotNo", 0));
+                (int) number(o, "SlotNo", 0), (int) number(object(o, "Limits"), "StreamsPerConn", Integer.MAX_VALUE));
     }
 
     private static List<Api.RequestClass> classes(JsonObject o) {
--- a/router/src/test/java/stagepier/app/CrossingFixture.java
+++ b/router/src/test/java/stagepier/app/CrossingFixture.java
@@ -39,7 +39,7 @@
             {"Classes":[{"Name":"read","Deadline":4,"GoalTime":2,"Repeat":"idempotent","Worth":1},
             {"Name":"put","Deadline":4,"GoalTime":2,"Repeat":"deduplicated","Group":"all","DedupWindow":9,"Worth":1}],
             "Areas":["a"],"Flavors":["m"],"Limits":{"MaxAttempts":3,"MaxRetryAfter":1.2,"DialTimeout":3,
-            "IdleClose":60},"Obligations":{"DrainGrace":1}}""";
+            "IdleClose":60,"StreamsPerConn":%d},"Obligations":{"DrainGrace":1}}""";
 
     final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final EventLoop loop = group.next();
@@ -61,13 +61,18 @@
      * @param bufferBytes bytes that the sockets to the cache server hold; 0 for the usual
      */
     CrossingFixture(boolean held, int bufferBytes) throws Exception {
+        this(held, bufferBytes, 100);
+    }
+
+    /** @param streams requests that the cache server has in work at a time for one connection */
+    CrossingFixture(boolean held, int bufferBytes, int streams) throws Exception {
         cache = new ServerSocket();
         if (bufferBytes > 0) {
             cache.setReceiveBufferSize(bufferBytes);
         }
         cache.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         cache.setSoTimeout(RouterProcess.WAIT_MS);
-        SettingsParser.Parsed parsed = SettingsParser.parse(SETTINGS);
+        SettingsParser.Parsed parsed = SettingsParser.parse(SETTINGS.formatted(streams));
         host = new ModuleHost(loop, clock, delay, parsed);
         Connector connector = (setUp, address) -> {
             Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -85,7 +90,8 @@
             }
             return up;
         };
-        servers = new ServerPools(loop, clock, delay, host, connector, 0, Integer.MAX_VALUE, parsed.settings(), parsed.idleClose());
+        servers = new ServerPools(loop, clock, delay, host, connector, 0, Integer.MAX_VALUE, parsed.settings(),
+                parsed.idleClose(), parsed.streams());
         host.connect(new Module(), servers);
         ClientListener clients = new ClientListener(loop, clock, delay, 300, host, () -> "END", new Drain());
         onLoop(() -> {
--- a/router/src/test/java/stagepier/app/GoneClientTest.java
+++ b/router/src/test/java/stagepier/app/GoneClientTest.java
@@ -94,6 +94,24 @@
         }
     }
 
+    /** Guards against a long request that begins at its server long after its client went, when its last byte comes there. */
+    @Test
+    void aHalfSentRequestIsCutOffWhenItsClientGoes() throws Exception {
+        int length = 60_000;
+        try (CrossingFixture p = new CrossingFixture(false, 4096)) {
+            Socket leaves = p.client();
+            Rehearsal.write(leaves, "ms kput " + length + " Oput Pc=put,d=3500,k=1\r\n" + "x".repeat(length) + "\r\n");
+            Socket link = p.cache.accept();
+            link.setSoTimeout(RouterProcess.WAIT_MS);
+            BufferedReader asked = Rehearsal.reader(link);
+            assertTrue(asked.readLine().startsWith("ms kput "));
+            leaves.close();
+            p.awaitCount("requests_client_gone", 1);
+            String rest = asked.lines().reduce("", String::concat);
+            assertTrue(rest.length() < length, "all of it came");
+        }
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             latch.await();
--- a/router/src/test/java/stagepier/app/ShadowWorkTest.java
+++ b/router/src/test/java/stagepier/app/ShadowWorkTest.java
@@ -95,7 +95,7 @@
             Drain drain = new Drain();
             drain.started();
             ServerPools pools = new ServerPools(loop, clock, new LoopDelay(), host, ServerPools.sockets(loop, 1), 50, 50,
-                    settings.settings(), 0);
+                    settings.settings(), 0, settings.streams());
             host.connect(new Brain(settings.settings(), 1, host), pools);
             ShadowWork work = on(loop, () -> new ShadowWork(
                     new ShadowWork.Fleet(tasks, NOBODY, config, 1, () -> view, () -> Calendar.NONE, null, (event, values) -> { }),
--- a/router/src/test/java/stagepier/server/PoolBench.java
+++ b/router/src/test/java/stagepier/server/PoolBench.java
@@ -137,7 +137,8 @@
         this.loop = loop;
         SettingsParser.Parsed settings = SettingsParser.parse(SETTINGS);
         host = new ModuleHost(loop, clock, delay, settings);
-        pools = new ServerPools(loop, clock, delay, host, connector == null ? this::connect : connector, linksMost, descriptors, settings.settings(), IDLE);
+        pools = new ServerPools(loop, clock, delay, host, connector == null ? this::connect : connector, linksMost,
+                descriptors, settings.settings(), IDLE, settings.streams());
         host.connect(new Module(), pools);
     }
 
