--- a/lab/src/main/java/stagepier/lab/check/CalendarPromises.java
+++ b/lab/src/main/java/stagepier/lab/check/CalendarPromises.java
@@ -11,8 +11,8 @@
     private static final double ACCEPTED_WITHIN = 2;
     private static final double KNOWN_WITHIN = 3;
     /** All changes that may wait; whatever else is held is held wrongly. */
-    private static final Set<String> VOLUNTARY = Set.of("ADD_SERVER", "WEIGHT", "ZONE", "ADDRESS", "MOVE_DISCOVERY", "RESTORE",
-            "PROMOTE");
+    private static final Set<String> VOLUNTARY =
+            Set.of("ADD_SERVER", "WEIGHT", "ZONE", "ADDRESS", "MOVE_DISCOVERY", "RESTORE", "PROMOTE");
 
     private final Evidence evidence;
     private final Timeline timeline;
@@ -24,25 +24,27 @@
         majority = timeline.routers() / 2 + 1;
     }
 
-    private static boolean isTakenUp(Told t) {
+    private static boolean isTakenUp(HistoryEntry t) {
         return t.is("calendar.accepted") || t.is("calendar.learned");
     }
 
     Verdict oneSequence() {
         int looks = 0;
-        Map<Version, Told> byVersion = new HashMap<>();
-        Map<String, Told> byProcess = new HashMap<>();
-        for (Told t : evidence.told()) {
+        Map<Version, HistoryEntry> byVersion = new HashMap<>();
+        Map<String, HistoryEntry> byProcess = new HashMap<>();
+        for (HistoryEntry t : evidence.told()) {
             if (!isTakenUp(t)) {
                 continue;
             }
-            Told first = byVersion.putIfAbsent(Version.of(t), t);
+            HistoryEntry first = byVersion.putIfAbsent(Version.of(t), t);
             if (first != null && !first.text("hash").equals(t.text("hash"))) {
-                return Verdict.broken(Promise.P5, "%s and %s hold different calendars as version %s".formatted(first.router(),
-                        t.router(),
-                        t.text("version")), List.of(first, t));
+                return Verdict.broken(
+                        Promise.P5,
+                        "%s and %s hold different calendars as version %s"
+                                .formatted(first.router(), t.router(), t.text("version")),
+                        List.of(first, t));
             }
-            Told before = byProcess.put(t.router() + ":" + t.process(), t);
+            HistoryEntry before = byProcess.put(t.router() + ":" + t.process(), t);
             if (before != null && Version.of(t).compareTo(Version.of(before)) < 0) {
                 return Verdict.broken(Promise.P5, t.router() + " goes back to an earlier version", List.of(before, t));
             }
@@ -54,20 +56,28 @@
     Verdict nothingInAWindow() {
         Windows windows = new Windows(evidence);
         int looks = 0;
-        for (Told t : evidence.told()) {
+        for (HistoryEntry t : evidence.told()) {
             if (!t.is("topology.admitted") && !t.is("topology.released")) {
                 continue;
             }
-            Told by = windows.forbids(t.text("kind"), t.text("zone"), t, evidence.limits().lease() + evidence.limits().skew());
+            HistoryEntry by = windows.forbids(
+                    t.text("kind"),
+                    t.text("zone"),
+                    t,
+                    evidence.limits().lease() + evidence.limits().skew());
             if (by != null) {
-                return Verdict.broken(Promise.P6, "%s admits %s of '%s' inside a window that was accepted %.1f s before"
-                        .formatted(
-                        t.router(), t.text("kind"), t.text("server"), t.at() - by.at()), List.of(by, t));
+                return Verdict.broken(
+                        Promise.P6,
+                        "%s admits %s of '%s' inside a window that was accepted %.1f s before"
+                                .formatted(t.router(), t.text("kind"), t.text("server"), t.at() - by.at()),
+                        List.of(by, t));
             }
             looks++;
         }
         // What was held shows as well that there was something to hold.
-        return Verdict.kept(Promise.P6, windows.areKnown() ? looks + evidence.of("topology.held").size() : 0);
+        return Verdict.kept(
+                Promise.P6,
+                windows.areKnown() ? looks + evidence.of("topology.held").size() : 0);
     }
 
     Verdict othersNeverWait() {
@@ -75,14 +85,16 @@
             return Verdict.broken(Promise.P7, evidence.seen().drains().get(0), List.of());
         }
         int looks = 0;
-        for (Told t : evidence.told()) {
+        for (HistoryEntry t : evidence.told()) {
             if (!t.event().startsWith("topology.")) {
                 continue;
             }
             boolean waits = t.is("topology.held") || t.is("topology.refused");
             if (waits && !VOLUNTARY.contains(t.text("kind"))) {
-                return Verdict.broken(Promise.P7, "%s lets %s of '%s' wait".formatted(t.router(), t.text("kind"), t.text(
-                        "server")), List.of(t));
+                return Verdict.broken(
+                        Promise.P7,
+                        "%s lets %s of '%s' wait".formatted(t.router(), t.text("kind"), t.text("server")),
+                        List.of(t));
             }
             looks++;
         }
@@ -90,7 +102,7 @@
     }
 
     Verdict inTime() {
-        Map<Integer, List<Told>> taken = evidence.byRouter(CalendarPromises::isTakenUp);
+        Map<Integer, List<HistoryEntry>> taken = evidence.byRouter(CalendarPromises::isTakenUp);
         int looks = 0;
         for (Evidence.Proposal p : evidence.proposals()) {
             double due = p.at() + ACCEPTED_WITHIN + ViewPromises.SLACK;
@@ -98,22 +110,25 @@
                 continue;
             }
             if (taken.getOrDefault(p.router(), List.of()).stream().noneMatch(t -> t.at() >= p.at() && t.at() <= due)) {
-                return Verdict.broken(Promise.P8,
-                        "what staff proposed at n%d at %.1f s, in a majority, was not accepted within 2 s".formatted(
-                        p.router(), p.at()), taken.getOrDefault(p.router(), List.of()));
+                return Verdict.broken(
+                        Promise.P8,
+                        "what staff proposed at n%d at %.1f s, in a majority, was not accepted within 2 s"
+                                .formatted(p.router(), p.at()),
+                        taken.getOrDefault(p.router(), List.of()));
             }
             looks++;
         }
-        for (Told first : evidence.of("calendar.accepted")) {
+        for (HistoryEntry first : evidence.of("calendar.accepted")) {
             double due = Math.max(first.at(), evidence.lastFault()) + KNOWN_WITHIN + ViewPromises.SLACK;
             for (int r = 0; r < timeline.routers() && due <= evidence.until(); r++) {
                 if (!timeline.among(r, majority, due - KNOWN_WITHIN - ViewPromises.SLACK, due)) {
                     continue;
                 }
-                Told last = Evidence.at(ofItsProcess(taken.getOrDefault(r, List.of()), r, due), due);
+                HistoryEntry last = Evidence.at(ofItsProcess(taken.getOrDefault(r, List.of()), r, due), due);
                 if (last == null || Version.of(last).compareTo(Version.of(first)) < 0) {
-                    return Verdict.broken(Promise.P8, "n%d does not know version %s at %.1f s".formatted(r, first.text("version"),
-                            due),
+                    return Verdict.broken(
+                            Promise.P8,
+                            "n%d does not know version %s at %.1f s".formatted(r, first.text("version"), due),
                             last == null ? List.of(first) : List.of(first, last));
                 }
                 looks++;
@@ -123,8 +138,10 @@
     }
 
     /** What an earlier process of that router held, the one that runs at a moment does not. */
-    private List<Told> ofItsProcess(List<Told> of, int router, double at) {
-        Told last = Evidence.at(evidence.byRouter(t -> true).getOrDefault(router, List.of()), at);
-        return of.stream().filter(t -> last != null && t.process() == last.process()).toList();
+    private List<HistoryEntry> ofItsProcess(List<HistoryEntry> of, int router, double at) {
+        HistoryEntry last = Evidence.at(evidence.byRouter(t -> true).getOrDefault(router, List.of()), at);
+        return of.stream()
+                .filter(t -> last != null && t.process() == last.process())
+                .toList();
     }
 }
--- a/lab/src/main/java/stagepier/lab/check/Checker.java
+++ b/lab/src/main/java/stagepier/lab/check/Checker.java
@@ -7,8 +7,7 @@
 
 /** Judges each promise by itself. */
 public final class Checker {
-    private Checker() {
-    }
+    private Checker() {}
 
     /** One verdict a promise, in their order. */
     public static List<Verdict> judge(Evidence evidence) {
@@ -28,7 +27,9 @@
         judges.put(Promise.P10, shadow::withinBudget);
         judges.put(Promise.P11, shadow::countersAreSums);
         judges.put(Promise.P12, shadow::oneMap);
-        return judges.entrySet().stream().map(e -> judge(e.getKey(), e.getValue())).toList();
+        return judges.entrySet().stream()
+                .map(e -> judge(e.getKey(), e.getValue()))
+                .toList();
     }
 
     /** A history that says what cannot be read keeps nothing. */
--- a/lab/src/main/java/stagepier/lab/check/Evidence.java
+++ b/lab/src/main/java/stagepier/lab/check/Evidence.java
@@ -18,11 +18,16 @@
  * @param limits    what holds for this fleet
  * @param seen      what the lab saw from outside
  */
-public record Evidence(List<Told> told, Timeline timeline, double lastFault, double until, List<Proposal> proposals,
-        Limits limits, Seen seen) {
+public record Evidence(
+        List<HistoryEntry> told,
+        Timeline timeline,
+        double lastFault,
+        double until,
+        List<Proposal> proposals,
+        Limits limits,
+        Seen seen) {
     /** Staff have had a changed calendar read at a router. */
-    public record Proposal(double at, int router) {
-    }
+    public record Proposal(double at, int router) {}
 
     /**
      * @param lease        seconds for which a confirmed calendar is relied on
@@ -30,20 +35,21 @@
      * @param trafficMost  bytes a second that a router may send to others, as a mean of 10 s; 0 for no bound
      * @param copiesBudget copies a second over all routers; 0 for no shadow
      */
-    public record Limits(double lease, double skew, double trafficMost, double copiesBudget) {
-    }
+    public record Limits(double lease, double skew, double trafficMost, double copiesBudget) {}
 
     /**
      * @param drains  broken rules on drains and what staff take out, as the ledger has them
      * @param traffic bytes that each router sent to others, a number a second
      * @param without the histories of the same run with the shadow off; empty where it was not played
      */
-    public record Seen(List<String> drains, Map<Integer, List<Long>> traffic, List<Told> without) {
+    public record Seen(List<String> drains, Map<Integer, List<Long>> traffic, List<HistoryEntry> without) {
         public static final Seen NOTHING = new Seen(List.of(), Map.of(), List.of());
     }
 
     public Evidence {
-        told = told.stream().sorted(Comparator.comparingDouble(Told::at)).toList();
+        told = told.stream()
+                .sorted(Comparator.comparingDouble(HistoryEntry::at))
+                .toList();
     }
 
     /** The number of a router by its name, as the lab names them; -1 for a stranger. */
@@ -56,22 +62,24 @@
         }
     }
 
-    List<Told> of(String event) {
+    List<HistoryEntry> of(String event) {
         return told.stream().filter(t -> t.is(event) && number(t.router()) >= 0).toList();
     }
 
     /** Some events by who wrote them, each list in the order of time. */
-    Map<Integer, List<Told>> byRouter(Predicate<Told> which) {
-        Map<Integer, List<Told>> all = new TreeMap<>();
-        told.stream().filter(t -> number(t.router()) >= 0 && which.test(t))
-                .forEach(t -> all.computeIfAbsent(number(t.router()), r -> new ArrayList<>()).add(t));
+    Map<Integer, List<HistoryEntry>> byRouter(Predicate<HistoryEntry> which) {
+        Map<Integer, List<HistoryEntry>> all = new TreeMap<>();
+        told.stream()
+                .filter(t -> number(t.router()) >= 0 && which.test(t))
+                .forEach(t -> all.computeIfAbsent(number(t.router()), r -> new ArrayList<>())
+                        .add(t));
         return all;
     }
 
     /** The last of them at a moment, or null. */
-    static Told at(List<Told> of, double when) {
-        Told last = null;
-        for (Told t : of) {
+    static HistoryEntry at(List<HistoryEntry> of, double when) {
+        HistoryEntry last = null;
+        for (HistoryEntry t : of) {
             if (t.at() > when) {
                 break;
             }
--- a/lab/src/main/java/stagepier/lab/check/Told.java
+++ b/lab/src/main/java/stagepier/lab/check/HistoryEntry.java
@@ -17,7 +17,8 @@
  * @param values      what else the line holds
  * @param line        the line itself, to be shown
  */
-public record Told(double at, long wall, String router, long process, String event, JsonObject values, String line) {
+public record HistoryEntry(
+        double at, long wall, String router, long process, String event, JsonObject values, String line) {
     boolean is(String name) {
         return event.equals(name);
     }
@@ -33,7 +34,7 @@
         JsonElement e = values.get(name);
         try {
             return e != null && e.isJsonPrimitive() ? e.getAsDouble() : absent;
-        } catch (NumberFormatException x) {
+        } catch (NumberFormatException notANumber) {
             return absent;
         }
     }
--- a/lab/src/main/java/stagepier/lab/check/HistoryLines.java
+++ b/lab/src/main/java/stagepier/lab/check/HistoryLines.java
@@ -11,8 +11,7 @@
 public final class HistoryLines {
     private static final double NANOS = 1e9;
 
-    private HistoryLines() {
-    }
+    private HistoryLines() {}
 
     /**
      * Adds the lines of one router's file to those of the others. The last line may have been broken off when its process was
@@ -22,7 +21,7 @@
      * @param zero   monotonic nanoseconds at which the lab's clock began
      * @return what is wrong with the file, a line each
      */
-    public static List<String> read(String router, List<String> lines, long zero, List<Told> into) {
+    public static List<String> read(String router, List<String> lines, long zero, List<HistoryEntry> into) {
         List<String> wrong = new ArrayList<>();
         Processes processes = new Processes();
         for (int i = 0; i < lines.size(); i++) {
@@ -31,9 +30,14 @@
             }
             try {
                 into.add(told(router, lines.get(i), zero, processes));
-            } catch (JsonParseException | IllegalStateException | UnsupportedOperationException | NumberFormatException e) {
+            } catch (JsonParseException
+                    | IllegalStateException
+                    | UnsupportedOperationException
+                    | NumberFormatException e) {
                 // A killed process leaves half a line, to which the next one's first is joined.
-                if (i < lines.size() - 1 && !lines.get(i).contains("}{") && lines.get(i).endsWith("}")) {
+                if (i < lines.size() - 1
+                        && !lines.get(i).contains("}{")
+                        && lines.get(i).endsWith("}")) {
                     wrong.add("history of " + router + ":" + (i + 1) + ": no event: " + e.getMessage());
                 }
             }
@@ -65,15 +69,20 @@
         }
     }
 
-    private static Told told(String router, String line, long zero, Processes processes) {
+    private static HistoryEntry told(String router, String line, long zero, Processes processes) {
         JsonObject o = JsonParser.parseString(line).getAsJsonObject();
         JsonElement event = o.get("event");
         JsonElement nano = o.get("nano");
         if (event == null || nano == null) {
             throw new JsonParseException("event or nano is missing");
         }
-        return new Told((nano.getAsLong() - zero) / NANOS, o.has("at") ? o.get("at").getAsLong() : 0,
+        return new HistoryEntry(
+                (nano.getAsLong() - zero) / NANOS,
+                o.has("at") ? o.get("at").getAsLong() : 0,
                 o.has("router") ? o.get("router").getAsString() : router,
-                processes.of(o), event.getAsString(), o, line);
+                processes.of(o),
+                event.getAsString(),
+                o,
+                line);
     }
 }
--- a/lab/src/main/java/stagepier/lab/check/Timeline.java
+++ b/lab/src/main/java/stagepier/lab/check/Timeline.java
@@ -37,7 +37,10 @@
             BitSet up = new BitSet();
             for (int r = 0; r < routers; r++) {
                 double from = i * STEP;
-                up.set(r, still.getOrDefault(r, List.of()).stream().noneMatch(s -> s.from() < from + STEP && s.until() > from));
+                up.set(
+                        r,
+                        still.getOrDefault(r, List.of()).stream()
+                                .noneMatch(s -> s.from() < from + STEP && s.until() > from));
             }
             runs.add(up);
             hears.add(pairs(hearing, i * STEP));
@@ -114,8 +117,9 @@
 
     private boolean hearsOneWay(int router, int step) {
         for (int other = 0; other < routers; other++) {
-            if (runs(other, step) && hears.get(step).get(router * routers + other) != hears.get(step).get(other * routers
-                    + router)) {
+            if (runs(other, step)
+                    && hears.get(step).get(router * routers + other)
+                            != hears.get(step).get(other * routers + router)) {
                 return true;
             }
         }
--- a/lab/src/main/java/stagepier/lab/check/Verdict.java
+++ b/lab/src/main/java/stagepier/lab/check/Verdict.java
@@ -11,17 +11,26 @@
  */
 public record Verdict(Promise promise, State state, String what, List<String> lines) {
     /** How it turned out. */
-    public enum State { KEPT, BROKEN, NOT_SEEN }
+    public enum State {
+        KEPT,
+        BROKEN,
+        NOT_SEEN
+    }
 
     private static final int LINES_MOST = 8;
 
     static Verdict kept(Promise promise, int looks) {
-        return looks == 0 ? new Verdict(promise, State.NOT_SEEN, "nothing in the run could have broken it", List.of())
+        return looks == 0
+                ? new Verdict(promise, State.NOT_SEEN, "nothing in the run could have broken it", List.of())
                 : new Verdict(promise, State.KEPT, looks + " looks", List.of());
     }
 
-    static Verdict broken(Promise promise, String what, List<Told> lines) {
-        return new Verdict(promise, State.BROKEN, what, lines.stream().limit(LINES_MOST).map(Told::toString).toList());
+    static Verdict broken(Promise promise, String what, List<HistoryEntry> lines) {
+        return new Verdict(
+                promise,
+                State.BROKEN,
+                what,
+                lines.stream().limit(LINES_MOST).map(HistoryEntry::toString).toList());
     }
 
     public boolean isBroken() {
@@ -31,8 +40,10 @@
     /** What it is, in one line. */
     @Override
     public String toString() {
-        return "%s %s: %s".formatted(promise, state == State.NOT_SEEN ? "not seen"
-                : state.name().toLowerCase(java.util.Locale.ROOT),
-                state == State.BROKEN ? what : promise.words() + " (" + what + ")");
+        return "%s %s: %s"
+                .formatted(
+                        promise,
+                        state == State.NOT_SEEN ? "not seen" : state.name().toLowerCase(java.util.Locale.ROOT),
+                        state == State.BROKEN ? what : promise.words() + " (" + what + ")");
     }
 }
--- a/lab/src/main/java/stagepier/lab/check/Windows.java
+++ b/lab/src/main/java/stagepier/lab/check/Windows.java
@@ -12,10 +12,11 @@
     record Version(long generation, long number) implements Comparable<Version> {
         static final Version NONE = new Version(0, 0);
 
-        static Version of(Told told) {
+        static Version of(HistoryEntry told) {
             String[] words = told.text("version").split("\\.");
             try {
-                return words.length == 2 ? new Version(Long.parseLong(words[0]), Long.parseLong(words[1]))
+                return words.length == 2
+                        ? new Version(Long.parseLong(words[0]), Long.parseLong(words[1]))
                         : new Version(0, Long.parseLong(words[0]));
             } catch (NumberFormatException e) {
                 return NONE;
@@ -24,20 +25,21 @@
 
         @Override
         public int compareTo(Version o) {
-            return Comparator.comparingLong(Version::generation).thenComparingLong(Version::number).compare(this, o);
+            return Comparator.comparingLong(Version::generation)
+                    .thenComparingLong(Version::number)
+                    .compare(this, o);
         }
     }
 
     /** The first word of a version, with its windows as texts {@code START..END SCOPE}; null where nobody told them. */
-    private record Accepted(Told first, List<String> windows) {
-    }
+    private record Accepted(HistoryEntry first, List<String> windows) {}
 
     private final TreeMap<Version, Accepted> versions = new TreeMap<>();
 
     Windows(Evidence evidence) {
         Map<Version, List<String>> windows = new HashMap<>();
         evidence.of("calendar.windows").forEach(t -> windows.putIfAbsent(Version.of(t), t.texts("windows")));
-        for (Told t : evidence.of("calendar.accepted")) {
+        for (HistoryEntry t : evidence.of("calendar.accepted")) {
             versions.putIfAbsent(Version.of(t), new Accepted(t, windows.get(Version.of(t))));
         }
     }
@@ -46,8 +48,8 @@
      * The word of the version that forbids a change at a moment, or null. One that was accepted within the last {@code known}
      * seconds may not be known yet, and one that is newer than that may already hold: both have to forbid it.
      */
-    Told forbids(String kind, String zone, Told when, double known) {
-        Told forbidding = null;
+    HistoryEntry forbids(String kind, String zone, HistoryEntry when, double known) {
+        HistoryEntry forbidding = null;
         for (Accepted a : versions.descendingMap().values()) {
             if (a.first().at() > when.at() + known) {
                 continue;
--- a/lab/src/main/java/stagepier/lab/cli/Cli.java
+++ b/lab/src/main/java/stagepier/lab/cli/Cli.java
@@ -4,10 +4,14 @@
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import stagepier.lab.scale.PlanTooLargeException;
 import stagepier.lab.scenario.BadScenarioException;
 
 /** The command line: one word each for what a person does with the project. */
-@Command(name = "stagepier", mixinStandardHelpOptions = true, version = "stagepier 0.3.0",
+@Command(
+        name = "stagepier",
+        mixinStandardHelpOptions = true,
+        version = "stagepier 0.3.0",
         description = "A router for keyed requests over cache servers, and the laboratory in which it is tried.",
         subcommands = {Demo.class, Lab.class, CommandLine.HelpCommand.class, AutoComplete.GenerateCompletion.class})
 public final class Cli implements Runnable {
@@ -26,21 +30,27 @@
 
     /** The command line as it is run, for tests too. */
     public static CommandLine commandLine() {
-        return new CommandLine(new Cli()).setCaseInsensitiveEnumValuesAllowed(true)
+        return new CommandLine(new Cli())
+                .setCaseInsensitiveEnumValuesAllowed(true)
                 .setParameterExceptionHandler((e, args) -> {
                     CommandLine at = e.getCommandLine();
                     at.getErr().println(at.getCommandSpec().qualifiedName() + ": " + e.getMessage() + " (try --help)");
                     return USAGE;
                 })
                 .setExecutionExceptionHandler((e, at, parsed) -> {
-                    at.getErr().println(e instanceof BadScenarioException ? e.getMessage()
-                            : at.getCommandSpec().qualifiedName() + ": " + oneLine(e));
-                    return e instanceof BadScenarioException ? BAD_CONFIG : e instanceof IOException ? IO_ERROR : BROKEN;
+                    at.getErr()
+                            .println(
+                                    e instanceof BadScenarioException
+                                            ? e.getMessage()
+                                            : at.getCommandSpec().qualifiedName() + ": " + oneLine(e));
+                    boolean badConfig = e instanceof BadScenarioException || e instanceof PlanTooLargeException;
+                    return badConfig ? BAD_CONFIG : e instanceof IOException ? IO_ERROR : BROKEN;
                 });
     }
 
     private static String oneLine(Exception e) {
-        String message = e instanceof java.nio.file.NoSuchFileException ? "no such file: " + e.getMessage() : e.getMessage();
+        String message =
+                e instanceof java.nio.file.NoSuchFileException ? "no such file: " + e.getMessage() : e.getMessage();
         return message == null ? e.toString() : message.replaceAll("\\s+", " ");
     }
 
--- a/lab/src/main/java/stagepier/lab/cli/Demo.java
+++ b/lab/src/main/java/stagepier/lab/cli/Demo.java
@@ -11,8 +11,8 @@
 import picocli.CommandLine.Option;
 import stagepier.lab.fleet.Experiment;
 import stagepier.lab.fleet.RouterProcess;
-import stagepier.lab.report.ResultFolder;
 import stagepier.lab.measure.Series;
+import stagepier.lab.report.ResultFolder;
 import stagepier.lab.report.Summary;
 import stagepier.lab.scenario.BadScenarioException;
 import stagepier.lab.scenario.Fault;
@@ -20,23 +20,33 @@
 import stagepier.lab.scenario.ScenarioReader;
 
 /** The newcomer's first command: a whole fleet on this machine, a fault if wanted, and a report. */
-@Command(name = "demo", mixinStandardHelpOptions = true,
-        description = "Starts a fleet of stand-ins and real routers on this machine, shows it at work and leaves a report.")
+@Command(
+        name = "demo",
+        mixinStandardHelpOptions = true,
+        description =
+                "Starts a fleet of stand-ins and real routers on this machine, shows it at work and leaves a report.")
 final class Demo implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
+
     @Option(names = "--seconds", defaultValue = "20", description = "length of the load (${DEFAULT-VALUE})")
     private int seconds;
+
     @Option(names = "--routers", defaultValue = "2", description = "router processes (${DEFAULT-VALUE})")
     private int routers;
+
     @Option(names = "--nodes", defaultValue = "6", description = "cache nodes (${DEFAULT-VALUE})")
     private int nodes;
+
     @Option(names = "--rate", defaultValue = "300", description = "requests a second (${DEFAULT-VALUE})")
     private double rate;
+
     @Option(names = "--fault", description = "what goes wrong after a third of the time: ${COMPLETION-CANDIDATES}")
     private Fault.Kind fault;
+
     @Option(names = "--seed", defaultValue = "1", description = "of all that is random (${DEFAULT-VALUE})")
     private long seed;
+
     @Option(names = "--out", defaultValue = "results/demo", description = "folder of the report (${DEFAULT-VALUE})")
     private Path out;
 
@@ -44,18 +54,27 @@
     public Integer call() throws IOException, InterruptedException, BadScenarioException {
         PrintWriter to = spec.commandLine().getOut();
         Scenario scenario = scenario();
-        to.printf("%d cache nodes, %d routers, %.0f requests a second for %d s%s%n", nodes, routers, rate, seconds,
+        to.printf(
+                "%d cache nodes, %d routers, %.0f requests a second for %d s%s%n",
+                nodes,
+                routers,
+                rate,
+                seconds,
                 fault == null ? "" : "; " + word(fault) + " of a quarter of them after " + seconds / 3 + " s");
-        to.printf("%6s %8s %8s %8s %8s %9s %9s  %s%n", "second", "service", "refused", "failed", "p99 ms", "fetches",
-                "held", "nodes");
+        to.printf(
+                "%6s %8s %8s %8s %8s %9s %9s  %s%n",
+                "second", "service", "refused", "failed", "p99 ms", "fetches", "held", "nodes");
         to.flush();
         try (ResultFolder results = new ResultFolder(out);
-                Experiment experiment = new Experiment(scenario, seed,
-                        RouterProcess.command(Lab.routerJar().toAbsolutePath()), results.path())) {
+                Experiment experiment = new Experiment(
+                        scenario, seed, RouterProcess.command(Lab.routerJar().toAbsolutePath()), results.path())) {
             Summary summary = results.finish(experiment.run(p -> show(to, p)));
             to.println(summary.line());
             summary.breaches().stream().limit(10).forEach(b -> to.println("  " + b));
-            to.println(summary.clean() ? "all rules kept" : summary.valid() ? "RULES BROKEN" : "not valid: the load was not sent as planned");
+            to.println(
+                    summary.clean()
+                            ? "all rules kept"
+                            : summary.valid() ? "RULES BROKEN" : "not valid: the load was not sent as planned");
             to.println("report: " + out.resolve("report.html"));
             to.flush();
             return summary.clean() ? 0 : Cli.BROKEN;
@@ -99,9 +118,16 @@
             return;
         }
         Series.Second s = all.get(i);
-        to.printf("%6d %8.3f %8d %8d %8.1f %9d %9d  %s%n", i, s.service(), s.of(Series.Fate.REFUSED),
+        to.printf(
+                "%6d %8.3f %8d %8d %8.1f %9d %9d  %s%n",
+                i,
+                s.service(),
+                s.of(Series.Fate.REFUSED),
                 s.of(Series.Fate.FAILED) + s.of(Series.Fate.UNANSWERED),
-                s.latencyAt(99) / 1e3, s.fetches(), s.held(), String.join(" ", p.glance().nodes()));
+                s.latencyAt(99) / 1e3,
+                s.fetches(),
+                s.held(),
+                String.join(" ", p.glance().nodes()));
         to.flush();
     }
 }
--- a/lab/src/main/java/stagepier/lab/cli/HuntCommand.java
+++ b/lab/src/main/java/stagepier/lab/cli/HuntCommand.java
@@ -21,25 +21,40 @@
 import stagepier.lab.scenario.ScenarioReader;
 
 /** Looks for faults under which a fleet breaks what it promises. */
-@Command(name = "hunt", mixinStandardHelpOptions = true,
-        description = "Plays a scenario under faults drawn by seed; shrinks the first that fail to a scenario file that replays them, "
-                + "and then ends with exit code 1.")
+@Command(
+        name = "hunt",
+        mixinStandardHelpOptions = true,
+        description =
+                "Plays a scenario under faults drawn by seed; shrinks the first that fail to a scenario file that replays them, "
+                        + "and then ends with exit code 1.")
 final class HuntCommand implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
+
     @Parameters(paramLabel = "SCENARIO.toml")
     private Path file;
+
     @Option(names = "--seeds", defaultValue = "10", description = "schedules to be played (${DEFAULT-VALUE})")
     private int seeds;
+
     @Option(names = "--seed", defaultValue = "1", description = "first seed (${DEFAULT-VALUE})")
     private long first;
-    @Option(names = "--plays", defaultValue = "30", description = "plays for the shrinking at the most (${DEFAULT-VALUE})")
+
+    @Option(
+            names = "--plays",
+            defaultValue = "30",
+            description = "plays for the shrinking at the most (${DEFAULT-VALUE})")
     private int plays;
-    @Option(names = "--tries", defaultValue = "1",
+
+    @Option(
+            names = "--tries",
+            defaultValue = "1",
             description = "plays of one schedule until it fails, where it does not always (${DEFAULT-VALUE})")
     private int tries;
+
     @Option(names = "--out", description = "folder of the results (results/hunt-SCENARIO)")
     private Path out;
+
     @Option(names = "--router", description = "the router's jar")
     private Path router;
 
@@ -47,8 +62,8 @@
     public Integer call() throws IOException, InterruptedException, BadScenarioException {
         for (int n : new int[] {seeds, plays, tries}) {
             if (n < 1 || n > 100_000) {
-                throw new CommandLine.ParameterException(spec.commandLine(),
-                        "--seeds, --plays and --tries must lie between 1 and 100000");
+                throw new CommandLine.ParameterException(
+                        spec.commandLine(), "--seeds, --plays and --tries must lie between 1 and 100000");
             }
         }
         String base = Files.readString(file);
@@ -62,10 +77,11 @@
         }
         PrintWriter to = spec.commandLine().getOut();
         try {
-            Hunt.Found found = Hunt.run(grammar, seed -> player(base, scenario, seed, folder), first, seeds, plays, line -> {
-                to.println(line);
-                to.flush();
-            });
+            Hunt.Found found =
+                    Hunt.run(grammar, seed -> player(base, scenario, seed, folder), first, seeds, plays, line -> {
+                        to.println(line);
+                        to.flush();
+                    });
             return tell(found, base, scenario, folder, to);
         } catch (UncheckedIOException e) {
             throw e.getCause();
@@ -80,9 +96,15 @@
         }
         Path replay = Files.createDirectories(folder).resolve(scenario.name() + "-found-" + found.seed() + ".toml");
         Files.writeString(replay, found.scenario(base));
-        to.printf("seed %d breaks %s: %d faults shrunk to %d by %d plays%nreplay: lab run %s --seed %d%n", found.seed(),
+        to.printf(
+                "seed %d breaks %s: %d faults shrunk to %d by %d plays%nreplay: lab run %s --seed %d%n",
+                found.seed(),
                 found.broken(),
-                found.drawn().size(), found.shrunk().size(), found.plays(), replay, found.seed());
+                found.drawn().size(),
+                found.shrunk().size(),
+                found.plays(),
+                replay,
+                found.seed());
         to.flush();
         return Cli.BROKEN;
     }
@@ -93,7 +115,10 @@
                 Scenario drawn = ScenarioReader.parse(scenario.name() + ".toml", Hunt.replay(base, schedule));
                 Set<String> broken = new TreeSet<>();
                 for (int i = 0; i < tries && broken.isEmpty(); i++) {
-                    Summary summary = Lab.one(drawn, seed, (router != null ? router : Lab.routerJar()).toAbsolutePath(),
+                    Summary summary = Lab.one(
+                            drawn,
+                            seed,
+                            (router != null ? router : Lab.routerJar()).toAbsolutePath(),
                             folder.resolve("seed-" + seed));
                     // Each breach begins with the name of its rule or promise.
                     summary.breaches().forEach(b -> broken.add(b.split(" ")[0]));
--- a/lab/src/main/java/stagepier/lab/fleet/Console.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Console.java
@@ -13,8 +13,7 @@
     /** A caller waits so long, however busy the router is. */
     private static final int WAIT_MS = 1000;
 
-    private Console() {
-    }
+    private Console() {}
 
     /**
      * The answer to one call.
@@ -26,7 +25,9 @@
             caller.connect(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), WAIT_MS);
             caller.setSoTimeout(WAIT_MS);
             caller.getOutputStream().write((line + "\n").getBytes(StandardCharsets.ISO_8859_1));
-            String answer = new BufferedReader(new InputStreamReader(caller.getInputStream(), StandardCharsets.ISO_8859_1)).readLine();
+            String answer = new BufferedReader(
+                            new InputStreamReader(caller.getInputStream(), StandardCharsets.ISO_8859_1))
+                    .readLine();
             if (answer == null) {
                 throw new IOException("no answer to " + line);
             }
--- a/lab/src/main/java/stagepier/lab/fleet/Experiment.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Experiment.java
@@ -19,11 +19,11 @@
 import stagepier.lab.ledger.Breach;
 import stagepier.lab.ledger.Event;
 import stagepier.lab.ledger.Ledger;
+import stagepier.lab.measure.Series;
 import stagepier.lab.model.Arrivals;
 import stagepier.lab.model.OriginModel;
 import stagepier.lab.model.Planned;
 import stagepier.lab.model.Randoms;
-import stagepier.lab.measure.Series;
 import stagepier.lab.report.RunResult;
 import stagepier.lab.scenario.Fault;
 import stagepier.lab.scenario.Scenario;
@@ -39,17 +39,19 @@
  */
 public final class Experiment implements AutoCloseable {
     /** What can be seen while it runs. */
-    public record Progress(double seconds, Series series, Fleet.Glance glance) {
-    }
+    public record Progress(double seconds, Series series, Fleet.Glance glance) {}
 
     /** Later than this at the 99th percentile, the generator was too slow for what it had to send. */
     private static final long LAG_MOST_US = 20_000;
+
     private static final int ENDS_WITHIN_S = 12;
     /** Seconds after SUSPEND at which a node is restarted by hand, and that this takes. */
     private static final double RESTARTED_AFTER = 1.5;
+
     private static final double RESTART_TAKES = 0.5;
     /** Seconds for which new clients still come to a router that says no, and after which all have to be gone. */
     private static final double FRONT_NOTICES = 0.3;
+
     private static final double GONE_WITHIN = 4;
     /** Seconds after SIGCONT for which a router is not yet held to its answers. */
     private static final double THAW_TAKES = 0.3;
@@ -109,7 +111,12 @@
             ready.add(router.awaitReady());
         }
         List<Planned> plan = Arrivals.draw(randoms, scenario.demand(), scenario.kinds());
-        clients = new Clients(clientLoop, clock, recorder, scenario, plan,
+        clients = new Clients(
+                clientLoop,
+                clock,
+                recorder,
+                scenario,
+                plan,
                 routers.stream().mapToInt(RouterProcess::port).toArray());
         List<Double> cpuBefore = routers.stream().map(RouterProcess::cpuSeconds).toList();
         CountDownLatch over = new CountDownLatch(1);
@@ -128,7 +135,8 @@
             cpu.add(routers.get(r).cpuSeconds() - cpuBefore.get(r));
         }
         List<Double> resident = routers.stream().map(RouterProcess::residentMb).toList();
-        List<Map<String, Long>> counters = routers.stream().map(RouterProcess::counters).toList();
+        List<Map<String, Long>> counters =
+                routers.stream().map(RouterProcess::counters).toList();
         Map<OriginModel.Cause, Long> fetches = new EnumMap<>(OriginModel.Cause.class);
         for (OriginModel.Cause cause : OriginModel.Cause.values()) {
             fetches.put(cause, fleet.fetches(cause));
@@ -144,27 +152,47 @@
             }
         });
         List<Breach> breaches = new Ledger(scenario.kinds(), Scenario.DRAIN_GRACE).judge(recorder.all(), until);
-        List<Verdict> verdicts = scenario.together() == null ? List.of()
+        List<Verdict> verdicts = scenario.together() == null
+                ? List.of()
                 : judgement.verdicts(clock.zero(), from, until, fleet::hears, recorder.all(), breaches, traffic);
         boolean valid = ended && clients.starved() == 0 && clients.lag().getValueAtPercentile(99) <= LAG_MOST_US;
-        return new RunResult(scenario, seed, series, breaches, valid, clients.lag(), ready, cpu, resident, counters,
-                totals, fetches, verdicts);
+        return new RunResult(
+                scenario,
+                seed,
+                series,
+                breaches,
+                valid,
+                clients.lag(),
+                ready,
+                cpu,
+                resident,
+                counters,
+                totals,
+                fetches,
+                verdicts);
     }
 
     private RouterProcess process(int r) throws IOException {
         if (scenario.together() == null) {
             return new RouterProcess(r, command, Map.of(), folder, scenario.hasStaff());
         }
-        return new RouterProcess(r, HistoryCommand.of(command, r, folder, scenario.together().clockOffset(r)), files.write(r,
-                fleet),
-                folder, scenario.hasStaff());
+        return new RouterProcess(
+                r,
+                HistoryCommand.of(command, r, folder, scenario.together().clockOffset(r)),
+                files.write(r, fleet),
+                folder,
+                scenario.hasStaff());
     }
 
     private void proposeLater(Instant startOfLoad) {
-        for (Together.Proposal p : scenario.together() == null ? List.<Together.Proposal>of() : scenario.together().proposals()) {
+        for (Together.Proposal p : scenario.together() == null
+                ? List.<Together.Proposal>of()
+                : scenario.together().proposals()) {
             later(p.at(), () -> p.routers().forEach(r -> propose(p, r, startOfLoad)));
         }
-        for (Together.Candidate c : scenario.together() == null ? List.<Together.Candidate>of() : scenario.together().candidates()) {
+        for (Together.Candidate c : scenario.together() == null
+                ? List.<Together.Candidate>of()
+                : scenario.together().candidates()) {
             later(c.at(), () -> c.routers().forEach(r -> reread(c, r)));
         }
     }
--- a/lab/src/main/java/stagepier/lab/fleet/FleetFiles.java
+++ b/lab/src/main/java/stagepier/lab/fleet/FleetFiles.java
@@ -16,7 +16,8 @@
  * The operators' files of a fleet that decides together, a set for each router: what is between two routers differs by router.
  */
 final class FleetFiles {
-    private static final DateTimeFormatter LOCAL = DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss").withZone(ZoneOffset.UTC);
+    private static final DateTimeFormatter LOCAL =
+            DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss").withZone(ZoneOffset.UTC);
 
     private final Scenario scenario;
     private final Path folder;
@@ -29,8 +30,8 @@
     /** Writes those of one router, and tells what its process has to find in its environment. */
     Map<String, String> write(int router, Fleet doors) throws IOException {
         Together t = scenario.together();
-        StringBuilder text = new StringBuilder("listen = \"127.0.0.1:%d\"%nlease_ms = %d%nskew_ms = %d%n".formatted(
-                doors.door(router, router), Math.round(t.lease() * 1e3), Math.round(t.skew() * 1e3)));
+        StringBuilder text = new StringBuilder("listen = \"127.0.0.1:%d\"%nlease_ms = %d%nskew_ms = %d%n"
+                .formatted(doors.door(router, router), Math.round(t.lease() * 1e3), Math.round(t.skew() * 1e3)));
         if (t.hasCalendar()) {
             text.append("calendar = \"").append(calendar(router).getFileName()).append("\"\n");
             Files.writeString(calendar(router), t.calendar());
@@ -40,7 +41,8 @@
             text.append("candidate = \"candidate-%d.toml\"%n".formatted(router));
         }
         for (int other = 0; other < scenario.routers(); other++) {
-            text.append("%n[[member]]%nname = \"n%d\"%naddress = \"127.0.0.1:%d\"%n".formatted(other, doors.door(router, other)));
+            text.append("%n[[member]]%nname = \"n%d\"%naddress = \"127.0.0.1:%d\"%n"
+                    .formatted(other, doors.door(router, other)));
         }
         Path file = Files.writeString(folder.resolve("fleet-" + router + ".toml"), text);
         return Map.of("GW_FLEET", file.toString());
@@ -64,9 +66,11 @@
     static String text(List<Together.Window> windows, Instant startOfLoad) {
         StringBuilder text = new StringBuilder("zone = \"UTC\"\n");
         for (Together.Window w : windows) {
-            text.append("%n[[window]]%nname = \"%s\"%nstart = %s%nend = %s%nscope = \"%s\"%nreason = \"played by the lab\"%n".formatted(
-                    w.name(), LOCAL.format(startOfLoad.plusMillis((long) (w.from() * 1e3))),
-                    LOCAL.format(startOfLoad.plusMillis((long) (w.until() * 1e3) + 999)), w.scope()));
+            text.append(
+                    "%n[[window]]%nname = \"%s\"%nstart = %s%nend = %s%nscope = \"%s\"%nreason = \"played by the lab\"%n"
+                            .formatted(
+                                    w.name(), LOCAL.format(startOfLoad.plusMillis((long) (w.from() * 1e3))),
+                                    LOCAL.format(startOfLoad.plusMillis((long) (w.until() * 1e3) + 999)), w.scope()));
         }
         return text.toString();
     }
--- a/lab/src/main/java/stagepier/lab/fleet/HistoryCommand.java
+++ b/lab/src/main/java/stagepier/lab/fleet/HistoryCommand.java
@@ -13,8 +13,7 @@
 final class HistoryCommand {
     private static final String CONFIGURATION = "history-logback.xml";
 
-    private HistoryCommand() {
-    }
+    private HistoryCommand() {}
 
     /** Where a router's history is, a JSON object a line. */
     static Path file(Path folder, int router) {
@@ -39,9 +38,13 @@
             all.set(path, "-cp");
             all.add(path + 2, main(program));
         }
-        all.addAll(1, List.of("-Dslf4j.provider=ch.qos.logback.classic.spi.LogbackServiceProvider",
-                "-Dlogback.configurationFile=" + configuration(folder), "-Dstagepier.history=" + file(folder, router),
-                "-Dstagepier.clock.offset.ms=" + clockOffset));
+        all.addAll(
+                1,
+                List.of(
+                        "-Dslf4j.provider=ch.qos.logback.classic.spi.LogbackServiceProvider",
+                        "-Dlogback.configurationFile=" + configuration(folder),
+                        "-Dstagepier.history=" + file(folder, router),
+                        "-Dstagepier.clock.offset.ms=" + clockOffset));
         return all;
     }
 
@@ -58,7 +61,11 @@
     /** The build puts the library beside the lab's own classes. */
     private static Path library() throws IOException {
         try {
-            Path here = Path.of(HistoryCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            Path here = Path.of(HistoryCommand.class
+                    .getProtectionDomain()
+                    .getCodeSource()
+                    .getLocation()
+                    .toURI());
             Path library = here.resolveSibling("history");
             if (!Files.isDirectory(library)) {
                 throw new IOException("no logging library at " + library + "; build the lab first");
--- a/lab/src/main/java/stagepier/lab/fleet/Judgement.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Judgement.java
@@ -11,10 +11,10 @@
 import java.util.TreeMap;
 import stagepier.lab.check.Checker;
 import stagepier.lab.check.Evidence;
+import stagepier.lab.check.HistoryEntry;
 import stagepier.lab.check.HistoryLines;
 import stagepier.lab.check.Span;
 import stagepier.lab.check.Timeline;
-import stagepier.lab.check.Told;
 import stagepier.lab.check.Verdict;
 import stagepier.lab.ledger.Breach;
 import stagepier.lab.ledger.Event;
@@ -43,27 +43,47 @@
      * @param until   when the run was over
      * @param hearing who heard whom
      */
-    List<Verdict> verdicts(long zero, double start, double until, Timeline.Hearing hearing, List<Event> events,
+    List<Verdict> verdicts(
+            long zero,
+            double start,
+            double until,
+            Timeline.Hearing hearing,
+            List<Event> events,
             List<Breach> breaches,
-            Map<Integer, List<Long>> traffic) throws IOException {
-        List<Told> told = new ArrayList<>();
+            Map<Integer, List<Long>> traffic)
+            throws IOException {
+        List<HistoryEntry> told = new ArrayList<>();
         for (int r = 0; r < scenario.routers(); r++) {
             Path file = HistoryCommand.file(folder, r);
             if (!Files.exists(file)) {
                 throw new IOException("router " + r + " left no history at " + file);
             }
-            List<String> wrong = HistoryLines.read("n" + r, new String(Files.readAllBytes(file),
-                    StandardCharsets.UTF_8).lines().toList(),
-                    zero, told);
+            List<String> wrong = HistoryLines.read(
+                    "n" + r,
+                    new String(Files.readAllBytes(file), StandardCharsets.UTF_8)
+                            .lines()
+                            .toList(),
+                    zero,
+                    told);
             if (!wrong.isEmpty()) {
                 throw new IOException(wrong.get(0));
             }
         }
         Together t = scenario.together();
-        Timeline timeline = new Timeline(scenario.routers(), still(events, scenario.routers(), start, until), hearing, until);
-        return Checker.judge(new Evidence(told, timeline, lastFault(events, start, until), until, List.copyOf(proposals),
+        Timeline timeline =
+                new Timeline(scenario.routers(), still(events, scenario.routers(), start, until), hearing, until);
+        return Checker.judge(new Evidence(
+                told,
+                timeline,
+                lastFault(events, start, until),
+                until,
+                List.copyOf(proposals),
                 new Evidence.Limits(t.lease(), t.skew(), t.trafficMost(), t.copiesBudget()),
-                new Evidence.Seen(breaches.stream().filter(b -> b.rule() == Breach.Rule.DRAINS).map(Breach::toString).toList(),
+                new Evidence.Seen(
+                        breaches.stream()
+                                .filter(b -> b.rule() == Breach.Rule.DRAINS)
+                                .map(Breach::toString)
+                                .toList(),
                         traffic,
                         List.of())));
     }
@@ -82,11 +102,17 @@
                 change(all, since, "stalled", x.router(), x.stalled(), x.at());
             }
         });
-        since.forEach((key, at) -> all.get(Integer.parseInt(key.split(" ")[1])).add(new Span(at, Math.max(at, until) + 1)));
+        since.forEach((key, at) ->
+                all.get(Integer.parseInt(key.split(" ")[1])).add(new Span(at, Math.max(at, until) + 1)));
         return all;
     }
 
-    private static void change(Map<Integer, List<Span>> all, Map<String, Double> since, String what, int router, boolean still,
+    private static void change(
+            Map<Integer, List<Span>> all,
+            Map<String, Double> since,
+            String what,
+            int router,
+            boolean still,
             double at) {
         String key = what + " " + router;
         if (still) {
@@ -98,7 +124,11 @@
 
     /** When the last fault was over, and the last router up again; beyond the end of the run where one never is. */
     private double lastFault(List<Event> events, double start, double until) {
-        double last = start + scenario.linkFaults().stream().mapToDouble(f -> f.until()).max().orElse(0);
+        double last = start
+                + scenario.linkFaults().stream()
+                        .mapToDouble(f -> f.until())
+                        .max()
+                        .orElse(0);
         for (List<Span> spans : still(events, scenario.routers(), start, until).values()) {
             last = Math.max(last, spans.stream().mapToDouble(Span::until).max().orElse(0));
         }
--- a/lab/src/main/java/stagepier/lab/fleet/PassedSocket.java
+++ b/lab/src/main/java/stagepier/lab/fleet/PassedSocket.java
@@ -65,7 +65,8 @@
     }
 
     private void listen() {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(perl.getInputStream(), StandardCharsets.US_ASCII))) {
+        try (BufferedReader in =
+                new BufferedReader(new InputStreamReader(perl.getInputStream(), StandardCharsets.US_ASCII))) {
             for (String line = in.readLine(); line != null; line = in.readLine()) {
                 String[] words = line.split(" ");
                 switch (words[0]) {
@@ -94,15 +95,16 @@
 
     /** Starts one more process on the socket. */
     RouterProcess.Running start(Path config, int console, Path log) throws IOException {
-        perl.getOutputStream().write("%d %s %s%n".formatted(console, config, log).getBytes(StandardCharsets.UTF_8));
+        perl.getOutputStream()
+                .write("%d %s %s%n".formatted(console, config, log).getBytes(StandardCharsets.UTF_8));
         perl.getOutputStream().flush();
         try {
             Long pid = started.poll(WAIT_S, TimeUnit.SECONDS);
             if (pid == null) {
                 throw new IOException("no process was started");
             }
-            return new RouterProcess.Running(ProcessHandle.of(pid).orElseThrow(() -> new IOException("it ended at once")), end(pid),
-                    console);
+            return new RouterProcess.Running(
+                    ProcessHandle.of(pid).orElseThrow(() -> new IOException("it ended at once")), end(pid), console);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException(e);
--- a/lab/src/main/java/stagepier/lab/fleet/Ports.java
+++ b/lab/src/main/java/stagepier/lab/fleet/Ports.java
@@ -5,34 +5,40 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 
 /** Free ports on loopback. */
-final class Ports {
+public final class Ports {
     private static final int LOWEST = 20_000;
     /** From here on Linux gives ports out by itself. */
     private static final int GIVEN_OUT_FROM = 32_768;
 
-    private Ports() {
-    }
+    private Ports() {}
 
-    /** The same for datagrams, so many at a time. */
-    static int[] freeForDatagrams(int count) throws IOException {
-        DatagramSocket[] taken = new DatagramSocket[count];
-        int[] ports = new int[count];
+    /**
+     * So many for datagrams that nobody has now, below those that the system gives out by itself: a relay that is
+     * opened meanwhile is not given a router's.
+     */
+    public static int[] freeForDatagrams(int count) throws IOException {
+        List<DatagramSocket> taken = new ArrayList<>();
         try {
-            for (int i = 0; i < count; i++) {
-                taken[i] = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
-                ports[i] = taken[i].getLocalPort();
-            }
-        } finally {
-            for (DatagramSocket s : taken) {
-                if (s != null) {
-                    s.close();
+            int next = ThreadLocalRandom.current().nextInt(LOWEST, GIVEN_OUT_FROM - 1000);
+            for (; taken.size() < count; next++) {
+                if (next >= GIVEN_OUT_FROM) {
+                    throw new IOException("no " + count + " free ports for datagrams below " + GIVEN_OUT_FROM);
+                }
+                try {
+                    taken.add(new DatagramSocket(next, InetAddress.getByName("127.0.0.1")));
+                } catch (BindException e) {
+                    // Taken: the next one.
                 }
             }
+            return taken.stream().mapToInt(DatagramSocket::getLocalPort).toArray();
+        } finally {
+            taken.forEach(DatagramSocket::close);
         }
-        return ports;
     }
 
     /**
--- a/lab/src/main/java/stagepier/lab/fleet/RouterProcess.java
+++ b/lab/src/main/java/stagepier/lab/fleet/RouterProcess.java
@@ -20,18 +20,27 @@
 /** One real router as a process of its own; during an upgrade as two, on a socket that both inherit. */
 public final class RouterProcess {
     /** A process that was started: its exit code, below 0 for a signal, and where its console is; 0 for nowhere. */
-    record Running(ProcessHandle process, CompletableFuture<Integer> exit, int console) {
-    }
+    record Running(ProcessHandle process, CompletableFuture<Integer> exit, int console) {}
 
     /** A new version has so long to say yes; seconds. */
     private static final int UPGRADE_READY_MS = 6000;
     /** After SIGTERM the old one has the longest deadline, counted as 3 s, and 0.7 s. */
     private static final int OLD_ENDS_MS = 3700;
+
     private static final int READY_WITHIN_S = 30;
     /** As in the deployment: a small heap, one compiler, the classes from the archive if the build made one. */
-    private static final List<String> FLAGS = List.of("-Xms24m", "-Xmx64m", "-Xss512k", "-XX:MaxDirectMemorySize=16m",
-            "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-XX:-UsePerfData", "-Xshare:auto", "-Xlog:disable",
-            "-Dio.netty.allocator.type=unpooled", "-Dio.netty.leakDetection.level=disabled");
+    private static final List<String> FLAGS = List.of(
+            "-Xms24m",
+            "-Xmx64m",
+            "-Xss512k",
+            "-XX:MaxDirectMemorySize=16m",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:+UseSerialGC",
+            "-XX:-UsePerfData",
+            "-Xshare:auto",
+            "-Xlog:disable",
+            "-Dio.netty.allocator.type=unpooled",
+            "-Dio.netty.leakDetection.level=disabled");
 
     private final int number;
     private final List<String> command;
@@ -40,20 +49,23 @@
     private final int port;
     /** Null where no staff call and no version is put in another's place. */
     private final PassedSocket socket;
+
     private Running running;
 
     /**
      * @param environment what it finds there besides its configuration
      * @param staff       whether it has a console, and its clients' socket is held outside of it
      */
-    RouterProcess(int number, List<String> command, Map<String, String> environment, Path folder,
-            boolean staff) throws IOException {
+    public RouterProcess(int number, List<String> command, Map<String, String> environment, Path folder, boolean staff)
+            throws IOException {
         this.number = number;
         this.command = List.copyOf(command);
         this.environment = Map.copyOf(environment);
         this.folder = folder;
-        socket = staff ? new PassedSocket(command, environment,
-                Files.createDirectories(folder.resolve("router-" + number + ".shared"))) : null;
+        socket = staff
+                ? new PassedSocket(
+                        command, environment, Files.createDirectories(folder.resolve("router-" + number + ".shared")))
+                : null;
         port = staff ? socket.port() : Ports.free();
     }
 
@@ -82,12 +94,12 @@
         return Path.of(System.getProperty("java.home"), "bin", "java").toString();
     }
 
-    int port() {
+    public int port() {
         return port;
     }
 
     /** Writes its configuration and starts it; does not wait. */
-    void start(String config) throws IOException {
+    public void start(String config) throws IOException {
         running = launch(config);
     }
 
@@ -100,8 +112,7 @@
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().putAll(environment);
         builder.environment().put("GW_CONFIG", file.toString());
-        builder.redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         Process process = builder.start();
         return new Running(process.toHandle(), process.onExit().thenApply(Process::exitValue), 0);
     }
@@ -165,12 +176,13 @@
     }
 
     /** Waits until it says that it can serve; returns the seconds that it took. */
-    double awaitReady() throws IOException, InterruptedException {
+    public double awaitReady() throws IOException, InterruptedException {
         long from = System.nanoTime();
         while (System.nanoTime() - from < TimeUnit.SECONDS.toNanos(READY_WITHIN_S)) {
             if (!running.process().isAlive()) {
-                throw new IOException("router " + number + " ended with " + running.exit().getNow(null)
-                        + " before it was ready; see " + folder.resolve("router-" + number + ".log"));
+                throw new IOException(
+                        "router " + number + " ended with " + running.exit().getNow(null) + " before it was ready; see "
+                                + folder.resolve("router-" + number + ".log"));
             }
             if (isAlive(2000)) {
                 return (System.nanoTime() - from) / 1e9;
@@ -185,7 +197,7 @@
     }
 
     /** Its own counters; empty where it does not answer. */
-    Map<String, Long> counters() {
+    public Map<String, Long> counters() {
         Map<String, Long> all = new LinkedHashMap<>();
         try (Socket s = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
             s.setSoTimeout(2000);
@@ -201,16 +213,27 @@
         return all;
     }
 
+    /** Number of its process; of one that was started. */
+    public long pid() {
+        return running.process().pid();
+    }
+
     /** Processor seconds that it has taken so far, or NaN. */
     double cpuSeconds() {
-        return running == null ? Double.NaN
-                : running.process().info().totalCpuDuration().map(d -> d.toNanos() / 1e9).orElse(Double.NaN);
+        return running == null
+                ? Double.NaN
+                : running.process()
+                        .info()
+                        .totalCpuDuration()
+                        .map(d -> d.toNanos() / 1e9)
+                        .orElse(Double.NaN);
     }
 
     /** Resident memory in MB as the system tells it, or NaN where it does not. */
     double residentMb() {
         try {
-            for (String line : Files.readAllLines(Path.of("/proc", Long.toString(running.process().pid()), "status"))) {
+            for (String line : Files.readAllLines(
+                    Path.of("/proc", Long.toString(running.process().pid()), "status"))) {
                 if (line.startsWith("VmRSS:")) {
                     return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024.0;
                 }
@@ -228,7 +251,7 @@
     }
 
     /** Ends whatever it started. */
-    void close() {
+    public void close() {
         kill();
         if (socket != null) {
             socket.close();
@@ -236,7 +259,7 @@
     }
 
     /** Tells it to end in order; returns whether it did so with exit code 0 within that time. */
-    boolean end(int seconds) throws InterruptedException {
+    public boolean end(int seconds) throws InterruptedException {
         if (running == null) {
             return true;
         }
@@ -255,7 +278,7 @@
     }
 
     /** Its process stands still until it is told to go on. */
-    void stall(boolean still) throws IOException {
+    public void stall(boolean still) throws IOException {
         signal(still ? "STOP" : "CONT");
     }
 
--- a/lab/src/main/java/stagepier/lab/hunt/Grammar.java
+++ b/lab/src/main/java/stagepier/lab/hunt/Grammar.java
@@ -27,12 +27,12 @@
 public final class Grammar {
     /** Seconds at the end of a run without any fault, in which a fleet has to settle. */
     public static final double CALM = 8;
+
     private static final int STEPS_MOST = 5;
     private static final double FIRST_AT = 2;
     private static final double LASTS_MOST = 6;
-    private static final List<Shape> SHAPES = List.of(Shape.PARTITION, Shape.BRIDGE, Shape.ONE_WAY, Shape.FLAP, Shape.SLOW,
-            Shape.DELAY,
-            Shape.CUT);
+    private static final List<Shape> SHAPES =
+            List.of(Shape.PARTITION, Shape.BRIDGE, Shape.ONE_WAY, Shape.FLAP, Shape.SLOW, Shape.DELAY, Shape.CUT);
     private static final int KINDS = SHAPES.size() + 2;
 
     private final int routers;
@@ -45,8 +45,8 @@
      */
     public Grammar(int routers, double seconds) {
         if (routers < 2 || seconds < FIRST_AT + LASTS_MOST + CALM) {
-            throw new IllegalArgumentException("a hunt takes 2 routers and " + (FIRST_AT + LASTS_MOST + CALM)
-                    + " s of load at the least");
+            throw new IllegalArgumentException(
+                    "a hunt takes 2 routers and " + (FIRST_AT + LASTS_MOST + CALM) + " s of load at the least");
         }
         this.routers = routers;
         this.seconds = seconds;
@@ -78,16 +78,26 @@
         List<Integer> side = sorted(all.subList(0, size));
         if (kind >= SHAPES.size()) {
             boolean kill = kind == SHAPES.size();
-            return new Step.OfRouters(new Fault(kill ? Fault.Kind.ROUTER_KILL : Fault.Kind.ROUTER_STALL, at, kill ? lasts : 4,
-                    side, 0, 0));
+            return new Step.OfRouters(new Fault(
+                    kill ? Fault.Kind.ROUTER_KILL : Fault.Kind.ROUTER_STALL, at, kill ? lasts : 4, side, 0, 0));
         }
         Shape shape = SHAPES.get(kind);
         // Between two routers there is no third that bridges.
         boolean bridges = shape == Shape.BRIDGE && routers > size + 1;
-        List<Integer> via = bridges ? sorted(all.subList(size, Math.min(routers - 1, size + 1 + random.nextInt(2)))) : List.of();
-        return new Step.OfLinks(new LinkFault(shape == Shape.BRIDGE && !bridges ? Shape.PARTITION : shape, at, lasts, side,
-                List.of(), via,
-                EnumSet.of(Link.PEERS, Link.DISCOVERY, Link.FLEET), shape == Shape.CUT ? 0.05 : 0.3, 0.2, 0.05, 2));
+        List<Integer> via =
+                bridges ? sorted(all.subList(size, Math.min(routers - 1, size + 1 + random.nextInt(2)))) : List.of();
+        return new Step.OfLinks(new LinkFault(
+                shape == Shape.BRIDGE && !bridges ? Shape.PARTITION : shape,
+                at,
+                lasts,
+                side,
+                List.of(),
+                via,
+                EnumSet.of(Link.PEERS, Link.DISCOVERY, Link.FLEET),
+                shape == Shape.CUT ? 0.05 : 0.3,
+                0.2,
+                0.05,
+                2));
     }
 
     private static double half(UniformRandomProvider random, double most) {
--- a/lab/src/main/java/stagepier/lab/hunt/Hunt.java
+++ b/lab/src/main/java/stagepier/lab/hunt/Hunt.java
@@ -27,8 +27,7 @@
         Player of(long seed);
     }
 
-    private Hunt() {
-    }
+    private Hunt() {}
 
     /** A scenario's text with the faults of a schedule besides its own. */
     public static String replay(String base, List<Step> schedule) {
@@ -44,14 +43,15 @@
      * @param watcher   is told a line for each schedule
      * @return null where none failed
      */
-    public static Found run(Grammar grammar, Players players, long first, int seeds, int playsMost, Consumer<String> watcher)
+    public static Found run(
+            Grammar grammar, Players players, long first, int seeds, int playsMost, Consumer<String> watcher)
             throws InterruptedException {
         for (long seed = first; seed < first + seeds; seed++) {
             List<Step> schedule = grammar.draw(seed);
             Player player = players.of(seed);
             Set<String> broken = player.play(schedule);
-            watcher.accept("seed %d: %d faults, %s".formatted(seed, schedule.size(), broken.isEmpty() ? "kept" : "broken: "
-                    + broken));
+            watcher.accept("seed %d: %d faults, %s"
+                    .formatted(seed, schedule.size(), broken.isEmpty() ? "kept" : "broken: " + broken));
             if (!broken.isEmpty()) {
                 Shrinker shrinker = new Shrinker(player, broken, playsMost);
                 List<Step> shrunk = shrinker.shrink(schedule);
--- a/lab/src/main/java/stagepier/lab/ledger/Breach.java
+++ b/lab/src/main/java/stagepier/lab/ledger/Breach.java
@@ -3,7 +3,14 @@
 /** One broken rule: which, when, and who had part in it. */
 public record Breach(Rule rule, double at, String what) {
     /** The rules that a run is held to. */
-    public enum Rule { ONE_ANSWER, MADE_FOR_IT, REPEATS, DRAINS, COLD_NODES, ORIGIN }
+    public enum Rule {
+        ONE_ANSWER,
+        MADE_FOR_IT,
+        REPEATS,
+        DRAINS,
+        COLD_NODES,
+        ORIGIN
+    }
 
     @Override
     public String toString() {
--- a/lab/src/main/java/stagepier/lab/ledger/Event.java
+++ b/lab/src/main/java/stagepier/lab/ledger/Event.java
@@ -8,12 +8,13 @@
     double at();
 
     /** A client wrote the last byte of a request. {@code deadline}: seconds that it will wait from then on. */
-    record Asked(double at, long request, int router, int kind, long key, double deadline) implements Event {
-    }
+    record Asked(double at, long request, int router, int kind, long key, double deadline) implements Event {}
 
     /** How a request ended at its client. */
     enum End {
-        SERVED, REFUSED, FAILED,
+        SERVED,
+        REFUSED,
+        FAILED,
         /** The router closed the connection instead. */
         CLOSED,
         /** The same on one that had been idle: the router may have closed it before it could read the request. */
@@ -22,42 +23,32 @@
     }
 
     /** A request's end. {@code token}: of what was served, 0 otherwise. */
-    record Ended(double at, long request, End end, long token) implements Event {
-    }
+    record Ended(double at, long request, End end, long token) implements Event {}
 
     /** A line came that answers nothing that was asked on that connection, or a second answer. */
-    record Stray(double at, int router, String line) implements Event {
-    }
+    record Stray(double at, int router, String line) implements Event {}
 
     /** A whole request arrived at a cache node, which will run it or turn it away. */
-    record Arrived(double at, double firstByteAt, long request, int router, int node, boolean runs) implements Event {
-    }
+    record Arrived(double at, double firstByteAt, long request, int router, int node, boolean runs) implements Event {}
 
     /** A cache node made an answer for a request. */
-    record Made(double at, long request, int node, long token) implements Event {
-    }
+    record Made(double at, long request, int node, long token) implements Event {}
 
     /** Discovery wrote to a router that a node drains or is gone ({@code usable} false), or that it may be used. */
-    record Told(double at, int router, int node, boolean usable) implements Event {
-    }
+    record Told(double at, int router, int node, boolean usable) implements Event {}
 
     /** A router has told staff that a node is out, or that it is back; whatever discovery says, that holds. */
-    record Staff(double at, int router, int node, boolean out) implements Event {
-    }
+    record Staff(double at, int router, int node, boolean out) implements Event {}
 
     /** A router was killed or ended, or is up again. */
-    record Router(double at, int router, boolean up) implements Event {
-    }
+    record Router(double at, int router, boolean up) implements Event {}
 
     /** A router's process stands still from now on, or goes on: it owes no answers meanwhile, and remembers all it was told. */
-    record Stalled(double at, int router, boolean stalled) implements Event {
-    }
+    record Stalled(double at, int router, boolean stalled) implements Event {}
 
     /** A cold node was pushed over. */
-    record Fell(double at, int node) implements Event {
-    }
+    record Fell(double at, int node) implements Event {}
 
     /** The origin stopped. {@code coldPart}: part of what it was sent that came from cold nodes. */
-    record Stopped(double at, double coldPart) implements Event {
-    }
+    record Stopped(double at, double coldPart) implements Event {}
 }
--- a/lab/src/main/java/stagepier/lab/ledger/Ledger.java
+++ b/lab/src/main/java/stagepier/lab/ledger/Ledger.java
@@ -94,13 +94,21 @@
         } else if (event instanceof Event.Stalled e) {
             goesOn.computeIfAbsent(e.router(), r -> new TreeMap<>()).put(e.at(), !e.stalled());
         } else if (event instanceof Event.Stray e) {
-            breach(Rule.ONE_ANSWER, e.at(), "router %d said '%s', which answers nothing".formatted(e.router(), e.line()));
+            breach(
+                    Rule.ONE_ANSWER,
+                    e.at(),
+                    "router %d said '%s', which answers nothing".formatted(e.router(), e.line()));
         } else if (event instanceof Event.Fell e) {
-            breach(Rule.COLD_NODES, e.at(), "node %d was pushed over while cold; sent by router %s".formatted(e.node(),
-                    senders.getOrDefault(e.node(), Map.of())));
+            breach(
+                    Rule.COLD_NODES,
+                    e.at(),
+                    "node %d was pushed over while cold; sent by router %s"
+                            .formatted(e.node(), senders.getOrDefault(e.node(), Map.of())));
         } else if (event instanceof Event.Stopped e && e.coldPart() > COLD_PART_MOST) {
-            breach(Rule.ORIGIN, e.at(), "the origin stopped, %.0f%% of its load from cold nodes".formatted(
-                    100 * e.coldPart()));
+            breach(
+                    Rule.ORIGIN,
+                    e.at(),
+                    "the origin stopped, %.0f%% of its load from cold nodes".formatted(100 * e.coldPart()));
         }
     }
 
@@ -116,8 +124,11 @@
     private void judgeDrain(Event.Arrived e, Map<Integer, Map<Integer, Double>> sinceWhen, String what) {
         Double since = sinceWhen.getOrDefault(e.router(), Map.of()).get(e.node());
         if (since != null && e.firstByteAt() > since + drainGrace + SLACK) {
-            breach(Rule.DRAINS, e.at(), "router %d sent request %x to node %d, %.3f s after %s".formatted(e.router(), e.request(),
-                    e.node(), e.firstByteAt() - since, what));
+            breach(
+                    Rule.DRAINS,
+                    e.at(),
+                    "router %d sent request %x to node %d, %.3f s after %s"
+                            .formatted(e.router(), e.request(), e.node(), e.firstByteAt() - since, what));
         }
     }
 
@@ -125,7 +136,10 @@
         if (story.asked == null) {
             if (id >= 0 && !story.runs.isEmpty()) {
                 Event.Arrived e = story.runs.get(0);
-                breach(Rule.ONE_ANSWER, e.at(), "router %d sent request %x, which no client asked".formatted(e.router(), id));
+                breach(
+                        Rule.ONE_ANSWER,
+                        e.at(),
+                        "router %d sent request %x, which no client asked".formatted(e.router(), id));
             }
             return;
         }
@@ -137,8 +151,15 @@
         Event.Asked asked = story.asked;
         double due = asked.at() + asked.deadline() + SLACK;
         if (story.ends.size() > 1) {
-            breach(Rule.ONE_ANSWER, story.ends.get(1).at(), "request %x at router %d ended %d times: %s".formatted(id,
-                    asked.router(), story.ends.size(), story.ends.stream().map(e -> e.end().name()).toList()));
+            breach(
+                    Rule.ONE_ANSWER,
+                    story.ends.get(1).at(),
+                    "request %x at router %d ended %d times: %s"
+                            .formatted(
+                                    id,
+                                    asked.router(),
+                                    story.ends.size(),
+                                    story.ends.stream().map(e -> e.end().name()).toList()));
         }
         if (story.ends.isEmpty()) {
             if (due < until && upAllThrough(asked.router(), asked.at(), due)) {
@@ -151,23 +172,41 @@
         switch (end.end()) {
             case SERVED -> {
                 if (!story.made.contains(end.token())) {
-                    breach(Rule.MADE_FOR_IT, end.at(), "request %x at router %d was served what was not made for it"
-                            .formatted(id, asked.router()));
+                    breach(
+                            Rule.MADE_FOR_IT,
+                            end.at(),
+                            "request %x at router %d was served what was not made for it"
+                                    .formatted(id, asked.router()));
                 }
             }
             case CLOSED, CLOSED_IDLE, UNANSWERED -> {
                 // Closed between requests: no answer is owed for what the router has not read.
                 boolean unread = end.end() == Event.End.CLOSED_IDLE && story.runs.isEmpty();
                 if (!excused && !unread) {
-                    breach(Rule.ONE_ANSWER, end.at(), "request %x at router %d, asked at %.3f s with %.3f s left, had no answer: %s"
-                            .formatted(id, asked.router(), asked.at(), asked.deadline(), end.end().name().toLowerCase(java.util.Locale.ROOT)));
+                    breach(
+                            Rule.ONE_ANSWER,
+                            end.at(),
+                            "request %x at router %d, asked at %.3f s with %.3f s left, had no answer: %s"
+                                    .formatted(
+                                            id,
+                                            asked.router(),
+                                            asked.at(),
+                                            asked.deadline(),
+                                            end.end().name().toLowerCase(java.util.Locale.ROOT)));
                 }
             }
             default -> {
                 if (end.at() > due) {
-                    breach(Rule.ONE_ANSWER, end.at(), "request %x at router %d, asked at %.3f s with %.3f s left, was answered %.3f s late"
-                            .formatted(id, asked.router(), asked.at(), asked.deadline(),
-                                    end.at() - asked.at() - asked.deadline()));
+                    breach(
+                            Rule.ONE_ANSWER,
+                            end.at(),
+                            "request %x at router %d, asked at %.3f s with %.3f s left, was answered %.3f s late"
+                                    .formatted(
+                                            id,
+                                            asked.router(),
+                                            asked.at(),
+                                            asked.deadline(),
+                                            end.at() - asked.at() - asked.deadline()));
                 }
             }
         }
@@ -182,8 +221,8 @@
             return true;
         }
         Map.Entry<Double, Boolean> before = of.floorEntry(from);
-        return (before == null || before.getValue()) && of.subMap(from, true, to + SLACK, true).values().stream()
-                .allMatch(up -> up);
+        return (before == null || before.getValue())
+                && of.subMap(from, true, to + SLACK, true).values().stream().allMatch(up -> up);
     }
 
     private void judgeRepeats(long id, Story story) {
@@ -197,8 +236,11 @@
                 case UNSAFE -> false;
             };
             if (!allowed) {
-                breach(Rule.REPEATS, again.at(), "request %x of class %s ran at node %d and %.3f s later at node %d"
-                        .formatted(id, kind.name(), first.node(), again.at() - first.at(), again.node()));
+                breach(
+                        Rule.REPEATS,
+                        again.at(),
+                        "request %x of class %s ran at node %d and %.3f s later at node %d"
+                                .formatted(id, kind.name(), first.node(), again.at() - first.at(), again.node()));
             }
         }
     }
--- a/lab/src/main/java/stagepier/lab/measure/Series.java
+++ b/lab/src/main/java/stagepier/lab/measure/Series.java
@@ -10,7 +10,13 @@
  */
 public final class Series {
     /** How a request ended for its user, over all its tries. */
-    public enum Fate { IN_TIME, LATE, REFUSED, FAILED, UNANSWERED }
+    public enum Fate {
+        IN_TIME,
+        LATE,
+        REFUSED,
+        FAILED,
+        UNANSWERED
+    }
 
     /** One second. */
     public static final class Second {
--- a/lab/src/main/java/stagepier/lab/model/Arrivals.java
+++ b/lab/src/main/java/stagepier/lab/model/Arrivals.java
@@ -7,7 +7,11 @@
 /** Draws all requests of a run ahead: an open loop, in which no answer that is late holds back the next request. */
 public final class Arrivals {
     /** How the rate goes with time. */
-    public enum Shape { STEADY, WAVE, BURST }
+    public enum Shape {
+        STEADY,
+        WAVE,
+        BURST
+    }
 
     /**
      * What is asked for.
@@ -18,24 +22,31 @@
      * @param routers how many routers it is spread over
      * @param skew    0 where routers get the same; 1 where the busiest gets several times the least
      */
-    public record Demand(double rate, double seconds, Shape shape, double swing, int routers, double skew, int keys,
-            double zipf, double drift, int tenants) {
-    }
+    public record Demand(
+            double rate,
+            double seconds,
+            Shape shape,
+            double swing,
+            int routers,
+            double skew,
+            int keys,
+            double zipf,
+            double drift,
+            int tenants) {}
 
     private static final double WAVE_PERIOD = 20;
     private static final double BURST_EVERY = 10;
     private static final double BURST_LASTS = 1;
 
-    private Arrivals() {
-    }
+    private Arrivals() {}
 
     /** The plan, in the order of time; the same for the same seed and demand. */
     public static List<Planned> draw(Randoms randoms, Demand d, List<RequestKind> kinds) {
         UniformRandomProvider times = randoms.of("arrivals");
         UniformRandomProvider rest = randoms.of("requests");
         KeySource keys = new KeySource(randoms.of("keys"), d.keys(), d.zipf(), d.drift());
-        double most = d.rate() * (d.shape() == Shape.STEADY ? 1 : d.shape() == Shape.WAVE ? 1 + d.swing()
-                : Math.max(1, d.swing()));
+        double most = d.rate()
+                * (d.shape() == Shape.STEADY ? 1 : d.shape() == Shape.WAVE ? 1 + d.swing() : Math.max(1, d.swing()));
         double[] routers = routerShares(d);
         List<Planned> plan = new ArrayList<>((int) (d.rate() * d.seconds() * 1.1) + 16);
         double at = 0;
@@ -46,8 +57,13 @@
             }
             // Thinned: a Poisson process of the highest rate of which some are passed over.
             if (times.nextDouble() * most < rateAt(d, at)) {
-                plan.add(new Planned(plan.size(), at, pick(routers, rest.nextDouble()), kind(kinds, rest.nextDouble()),
-                        keys.next(at), rest.nextInt(Math.max(1, d.tenants()))));
+                plan.add(new Planned(
+                        plan.size(),
+                        at,
+                        pick(routers, rest.nextDouble()),
+                        kind(kinds, rest.nextDouble()),
+                        keys.next(at),
+                        rest.nextInt(Math.max(1, d.tenants()))));
             }
         }
     }
--- a/lab/src/main/java/stagepier/lab/model/NodeModel.java
+++ b/lab/src/main/java/stagepier/lab/model/NodeModel.java
@@ -20,12 +20,20 @@
      * @param down         ... for so long
      * @param memory       copies that it keeps
      */
-    public record Traits(int cores, double speed, int held, int connections, double handshake, double coldShare,
-            double warmUp, double fallMultiple, double fallSpan, double down, int memory) {
-    }
-
-    private record Sent(double at, double work) {
-    }
+    public record Traits(
+            int cores,
+            double speed,
+            int held,
+            int connections,
+            double handshake,
+            double coldShare,
+            double warmUp,
+            double fallMultiple,
+            double fallSpan,
+            double down,
+            int memory) {}
+
+    private record Sent(double at, double work) {}
 
     private final Traits traits;
     private final double[] freeAt;
--- a/lab/src/main/java/stagepier/lab/model/OriginModel.java
+++ b/lab/src/main/java/stagepier/lab/model/OriginModel.java
@@ -7,7 +7,12 @@
 /** The slow origin that all cache nodes share. Pure: told the time, it tells when a fetch is done. */
 public final class OriginModel {
     /** Why a fetch is made. */
-    public enum Cause { PLAIN_MISS, COLD_NODE, VOID, WRITE }
+    public enum Cause {
+        PLAIN_MISS,
+        COLD_NODE,
+        VOID,
+        WRITE
+    }
 
     /**
      * What it can do.
@@ -19,16 +24,15 @@
      * @param fallSpan     ... for so long, in seconds, it stops ...
      * @param down         ... for so long
      */
-    public record Traits(int places, double service, double queueMost, double fallMultiple, double fallSpan,
-            double down) {
+    public record Traits(
+            int places, double service, double queueMost, double fallMultiple, double fallSpan, double down) {
         /** Fetches a second that it can do. */
         public double capacity() {
             return places / service;
         }
     }
 
-    private record Sent(double at, Cause cause) {
-    }
+    private record Sent(double at, Cause cause) {}
 
     private final Traits traits;
     private final UniformRandomProvider random;
@@ -57,7 +61,8 @@
         }
         if (recent.size() > traits.fallMultiple() * traits.capacity() * traits.fallSpan()) {
             stops++;
-            coldPartAtStop = recent.stream().filter(s -> s.cause() == Cause.COLD_NODE).count() / (double) recent.size();
+            coldPartAtStop =
+                    recent.stream().filter(s -> s.cause() == Cause.COLD_NODE).count() / (double) recent.size();
             stoppedUntil = now + traits.down();
             Arrays.fill(freeAt, stoppedUntil);
             return Double.NaN;
--- a/lab/src/main/java/stagepier/lab/model/RequestKind.java
+++ b/lab/src/main/java/stagepier/lab/model/RequestKind.java
@@ -12,8 +12,21 @@
  * @param dedupWindow seconds for which all cache nodes drop a repeat, for keyed ones
  * @param write       whether it changes its key
  */
-public record RequestKind(String name, double share, double aim, double deadline, double worth, double workLeast,
-        double workMost, Repeat repeat, double dedupWindow, boolean write) {
+public record RequestKind(
+        String name,
+        double share,
+        double aim,
+        double deadline,
+        double worth,
+        double workLeast,
+        double workMost,
+        Repeat repeat,
+        double dedupWindow,
+        boolean write) {
     /** What a repeat of a request may do. */
-    public enum Repeat { SAFE, KEYED, UNSAFE }
+    public enum Repeat {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 }
--- a/lab/src/main/java/stagepier/lab/nemesis/LinkFault.java
+++ b/lab/src/main/java/stagepier/lab/nemesis/LinkFault.java
@@ -18,8 +18,19 @@
  * @param jitter seconds
  * @param period seconds from one beginning of a flap to the next; the sides are apart for the first half of each
  */
-public record LinkFault(Shape shape, double at, double lasts, List<Integer> a, List<Integer> b, List<Integer> via,
-        Set<Link> links, double part, double delay, double jitter, double period) {
+public record LinkFault(
+        Shape shape,
+        double at,
+        double lasts,
+        List<Integer> a,
+        List<Integer> b,
+        List<Integer> via,
+        Set<Link> links,
+        double part,
+        double delay,
+        double jitter,
+        double period)
+        implements TimedFault {
     /** Named shapes. */
     public enum Shape {
         /** Neither side hears the other. */
--- a/lab/src/main/java/stagepier/lab/nemesis/Treatment.java
+++ b/lab/src/main/java/stagepier/lab/nemesis/Treatment.java
@@ -22,8 +22,13 @@
 
     /** Both at a time. */
     public Treatment and(Treatment o) {
-        return new Treatment(either(lost, o.lost), delay + o.delay, jitter + o.jitter, either(duplicated, o.duplicated),
-                either(reordered, o.reordered), either(cut, o.cut));
+        return new Treatment(
+                either(lost, o.lost),
+                delay + o.delay,
+                jitter + o.jitter,
+                either(duplicated, o.duplicated),
+                either(reordered, o.reordered),
+                either(cut, o.cut));
     }
 
     private static double either(double a, double b) {
--- a/lab/src/main/java/stagepier/lab/report/Charts.java
+++ b/lab/src/main/java/stagepier/lab/report/Charts.java
@@ -24,40 +24,72 @@
 final class Charts {
     private static final int WIDTH = 900;
     private static final int HEIGHT = 300;
-    private static final Color[] COLOURS = {new Color(0x1f5fa8), new Color(0xc8502a), new Color(0x3a8f4d),
-        new Color(0x8a5bb0), new Color(0x777777)};
+    private static final Color[] COLOURS = {
+        new Color(0x1f5fa8), new Color(0xc8502a), new Color(0x3a8f4d), new Color(0x8a5bb0), new Color(0x777777)
+    };
 
     /** A line of a chart. */
-    private record Line(String name, ToDoubleFunction<Series.Second> value) {
-    }
+    private record Line(String name, ToDoubleFunction<Series.Second> value) {}
 
-    private Charts() {
-    }
+    private Charts() {}
 
     /** Writes all charts of a run; returns their names, without ending. */
     static List<String> write(RunResult r, Path folder) throws IOException {
-        chart(r, folder, "service", "Worth served in time, of what was asked for", "share",
+        chart(
+                r,
+                folder,
+                "service",
+                "Worth served in time, of what was asked for",
+                "share",
                 List.of(new Line("service", Series.Second::service)));
-        chart(r, folder, "latency", "Latency from the planned time of sending", "ms",
-                List.of(new Line("p50", s -> s.latencyAt(50) / 1e3), new Line("p99", s -> s.latencyAt(99) / 1e3),
+        chart(
+                r,
+                folder,
+                "latency",
+                "Latency from the planned time of sending",
+                "ms",
+                List.of(
+                        new Line("p50", s -> s.latencyAt(50) / 1e3),
+                        new Line("p99", s -> s.latencyAt(99) / 1e3),
                         new Line("p99.9", s -> s.latencyAt(99.9) / 1e3)));
-        chart(r, folder, "fates", "How requests ended", "requests a second", List.of(
-                new Line("in time", s -> s.of(Series.Fate.IN_TIME)), new Line("late", s -> s.of(Series.Fate.LATE)),
-                new Line("refused", s -> s.of(Series.Fate.REFUSED)), new Line("failed", s -> s.of(Series.Fate.FAILED)),
-                new Line("unanswered", s -> s.of(Series.Fate.UNANSWERED))));
-        chart(r, folder, "attempts", "Attempts at cache nodes for each request", "attempts",
+        chart(
+                r,
+                folder,
+                "fates",
+                "How requests ended",
+                "requests a second",
+                List.of(
+                        new Line("in time", s -> s.of(Series.Fate.IN_TIME)),
+                        new Line("late", s -> s.of(Series.Fate.LATE)),
+                        new Line("refused", s -> s.of(Series.Fate.REFUSED)),
+                        new Line("failed", s -> s.of(Series.Fate.FAILED)),
+                        new Line("unanswered", s -> s.of(Series.Fate.UNANSWERED))));
+        chart(
+                r,
+                folder,
+                "attempts",
+                "Attempts at cache nodes for each request",
+                "attempts",
                 List.of(new Line("attempts", Series.Second::attempts)));
         double capacity = r.scenario().origin().capacity();
-        chart(r, folder, "origin", "Load of the origin", "fetches a second", List.of(
-                new Line("fetches", Series.Second::fetches), new Line("capacity", s -> capacity),
-                new Line("held at nodes", Series.Second::held)));
+        chart(
+                r,
+                folder,
+                "origin",
+                "Load of the origin",
+                "fetches a second",
+                List.of(
+                        new Line("fetches", Series.Second::fetches),
+                        new Line("capacity", s -> capacity),
+                        new Line("held at nodes", Series.Second::held)));
         return List.of("service", "latency", "fates", "attempts", "origin");
     }
 
     private static void chart(RunResult r, Path folder, String name, String title, String unit, List<Line> lines)
             throws IOException {
         XYSeriesCollection data = new XYSeriesCollection();
-        int until = Math.min(r.series().seconds().size(), (int) Math.ceil(r.scenario().demand().seconds()));
+        int until = Math.min(r.series().seconds().size(), (int)
+                Math.ceil(r.scenario().demand().seconds()));
         for (Line line : lines) {
             XYSeries one = new XYSeries(line.name());
             for (int i = 0; i < until; i++) {
--- a/lab/src/main/java/stagepier/lab/report/Comparison.java
+++ b/lab/src/main/java/stagepier/lab/report/Comparison.java
@@ -20,8 +20,7 @@
         }
     }
 
-    private Comparison() {
-    }
+    private Comparison() {}
 
     /** Pairs runs by seed where both sets have the same seeds; otherwise each set is drawn from for itself. */
     public static List<Row> of(List<Summary> first, List<Summary> second) {
@@ -33,7 +32,10 @@
         rows.add(row("p99 ms", first, second, Summary::p99));
         rows.add(row("p99.9 ms", first, second, Summary::p999));
         rows.add(row("origin fetches", first, second, s -> s.fetches()));
-        rows.add(row("CPU seconds of all routers", first, second,
+        rows.add(row(
+                "CPU seconds of all routers",
+                first,
+                second,
                 s -> s.cpuSeconds().stream().mapToDouble(d -> d).sum()));
         return rows;
     }
@@ -41,7 +43,10 @@
     private static Row row(String figure, List<Summary> first, List<Summary> second, ToDoubleFunction<Summary> value) {
         double[] a = first.stream().mapToDouble(value).toArray();
         double[] b = second.stream().mapToDouble(value).toArray();
-        boolean paired = first.stream().map(Summary::seed).toList().equals(second.stream().map(Summary::seed).toList());
+        boolean paired = first.stream()
+                .map(Summary::seed)
+                .toList()
+                .equals(second.stream().map(Summary::seed).toList());
         UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(1L);
         double[] differences = new double[RESAMPLES];
         for (int i = 0; i < RESAMPLES; i++) {
@@ -59,7 +64,12 @@
         Arrays.sort(differences);
         double meanA = Arrays.stream(a).average().orElse(Double.NaN);
         double meanB = Arrays.stream(b).average().orElse(Double.NaN);
-        return new Row(figure, meanA, meanB, meanB - meanA, differences[(int) (TAIL * RESAMPLES)],
+        return new Row(
+                figure,
+                meanA,
+                meanB,
+                meanB - meanA,
+                differences[(int) (TAIL * RESAMPLES)],
                 differences[(int) ((1 - TAIL) * RESAMPLES) - 1]);
     }
 
--- a/lab/src/main/java/stagepier/lab/report/ResultFolder.java
+++ b/lab/src/main/java/stagepier/lab/report/ResultFolder.java
@@ -58,21 +58,30 @@
             for (Series.Fate fate : Series.Fate.values()) {
                 b.append(',').append(s.of(fate));
             }
-            b.append(String.format(Locale.ROOT, ",%.4f,%.3f,%d,%d,%.2f,%.2f,%.2f%n", s.service(), s.attempts(),
-                    s.fetches(), s.held(), s.latencyAt(50) / 1e3, s.latencyAt(99) / 1e3, s.latencyAt(99.9) / 1e3));
+            b.append(String.format(
+                    Locale.ROOT,
+                    ",%.4f,%.3f,%d,%d,%.2f,%.2f,%.2f%n",
+                    s.service(),
+                    s.attempts(),
+                    s.fetches(),
+                    s.held(),
+                    s.latencyAt(50) / 1e3,
+                    s.latencyAt(99) / 1e3,
+                    s.latencyAt(99.9) / 1e3));
         }
         return b.toString();
     }
 
     private void histogram(RunResult r) throws IOException {
-        try (PrintStream out = new PrintStream(new FileOutputStream(partial.resolve("latency.hlog").toFile()), false,
-                StandardCharsets.UTF_8)) {
+        try (PrintStream out = new PrintStream(
+                new FileOutputStream(partial.resolve("latency.hlog").toFile()), false, StandardCharsets.UTF_8)) {
             HistogramLogWriter writer = new HistogramLogWriter(out);
             writer.outputLogFormatVersion();
-            writer.outputComment("microseconds from the planned time of sending; scenario " + r.scenario().name()
-                    + ", seed " + r.seed());
+            writer.outputComment("microseconds from the planned time of sending; scenario "
+                    + r.scenario().name() + ", seed " + r.seed());
             writer.outputLegend();
-            writer.outputIntervalHistogram(0, r.scenario().demand().seconds(), r.series().latency(), 1000);
+            writer.outputIntervalHistogram(
+                    0, r.scenario().demand().seconds(), r.series().latency(), 1000);
         }
     }
 
--- a/lab/src/main/java/stagepier/lab/report/RunResult.java
+++ b/lab/src/main/java/stagepier/lab/report/RunResult.java
@@ -5,8 +5,8 @@
 import org.HdrHistogram.Histogram;
 import stagepier.lab.check.Verdict;
 import stagepier.lab.ledger.Breach;
-import stagepier.lab.model.OriginModel;
 import stagepier.lab.measure.Series;
+import stagepier.lab.model.OriginModel;
 import stagepier.lab.scenario.Scenario;
 
 /**
@@ -23,9 +23,20 @@
  * @param fetches        fetches by cause
  * @param verdicts       on what a fleet that decides together promises; empty where it does not
  */
-public record RunResult(Scenario scenario, long seed, Series series, List<Breach> breaches, boolean valid,
-        Histogram lag, List<Double> readySeconds, List<Double> cpuSeconds, List<Double> residentMb,
-        List<Map<String, Long>> counters, List<Long> nodeTotals, Map<OriginModel.Cause, Long> fetches, List<Verdict> verdicts) {
+public record RunResult(
+        Scenario scenario,
+        long seed,
+        Series series,
+        List<Breach> breaches,
+        boolean valid,
+        Histogram lag,
+        List<Double> readySeconds,
+        List<Double> cpuSeconds,
+        List<Double> residentMb,
+        List<Map<String, Long>> counters,
+        List<Long> nodeTotals,
+        Map<OriginModel.Cause, Long> fetches,
+        List<Verdict> verdicts) {
     public boolean isClean() {
         return breaches.isEmpty() && valid && verdicts.stream().noneMatch(Verdict::isBroken);
     }
@@ -42,7 +53,11 @@
 
     /** Attempts for each request in the worst second. */
     public double worstAttempts() {
-        return series.seconds().stream().filter(s -> s.offered() >= 20).mapToDouble(Series.Second::attempts).max().orElse(0);
+        return series.seconds().stream()
+                .filter(s -> s.offered() >= 20)
+                .mapToDouble(Series.Second::attempts)
+                .max()
+                .orElse(0);
     }
 
     /**
@@ -50,8 +65,13 @@
      * where it never fell below, NaN where it does not come back.
      */
     public double recovery() {
-        double at = scenario.faults().stream().mapToDouble(f -> f.at()).min()
-                .orElse(scenario.linkFaults().stream().mapToDouble(f -> f.until()).max().orElse(Double.NaN));
+        double at = scenario.faults().stream()
+                .mapToDouble(f -> f.at())
+                .min()
+                .orElse(scenario.linkFaults().stream()
+                        .mapToDouble(f -> f.until())
+                        .max()
+                        .orElse(Double.NaN));
         if (Double.isNaN(at)) {
             return 0;
         }
--- /dev/null
+++ b/lab/src/main/java/stagepier/lab/scale/Conversation.java
@@ -0,0 +1,16 @@
+package stagepier.lab.scale;
+
+/** A control conversation that a router has with other machines, or all of a process together. */
+public enum Conversation {
+    /** UDP datagrams between routers: attempts in flight and open circuits. */
+    LOAD_REPORTS,
+    /** The watch on the list of cache servers, over HTTP. */
+    DISCOVERY,
+    /**
+     * The same of a process as {@link #PROCESS}, before any client has come: an upper bound of what control takes, for the
+     * process's own life is in it.
+     */
+    CONTROL_PROCESS,
+    /** What cannot be told apart by conversation: processor time, memory, threads and descriptors of a process. */
+    PROCESS
+}
--- /dev/null
+++ b/lab/src/main/java/stagepier/lab/scale/discovery/DiscoverySetting.java
@@ -0,0 +1,11 @@
+package stagepier.lab.scale.discovery;
+
+import stagepier.lab.standin.ServiceManners;
+
+/**
+ * What is measured.
+ *
+ * @param watches routers that watch the one service
+ * @param servers cache servers on its list
+ */
+public record DiscoverySetting(int watches, int servers, long seed, ServiceManners manners, WatchTimes times) {}
--- a/lab/src/main/java/stagepier/lab/scenario/Fault.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Fault.java
@@ -1,6 +1,7 @@
 package stagepier.lab.scenario;
 
 import java.util.List;
+import stagepier.lab.nemesis.TimedFault;
 
 /**
  * One thing that goes wrong, by script.
@@ -11,7 +12,8 @@
  * @param part   part of all nodes or routers, chosen by the seed
  * @param factor how much: a slowness, a part of answers
  */
-public record Fault(Kind kind, double at, double lasts, List<Integer> nodes, double part, double factor) {
+public record Fault(Kind kind, double at, double lasts, List<Integer> nodes, double part, double factor)
+        implements TimedFault {
     /** Kinds of faults: what befalls cache nodes, then discovery, then routers. */
     public enum Kind {
         /** The process dies: connections reset, new ones refused; it comes back cold. */
--- a/lab/src/main/java/stagepier/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/stagepier/lab/scenario/ScenarioReader.java
@@ -20,8 +20,7 @@
 public final class ScenarioReader {
     private static final double FOR_EVER = 86_400;
 
-    private ScenarioReader() {
-    }
+    private ScenarioReader() {}
 
     public static Scenario read(Path file) throws IOException, BadScenarioException {
         return parse(file.toString(), Files.readString(file));
@@ -31,7 +30,8 @@
         TomlParseResult toml = Toml.parse(text);
         if (toml.hasErrors()) {
             throw new BadScenarioException(toml.errors().stream()
-                    .map(e -> file + ":" + e.position().line() + ": " + e.getMessage().lines().findFirst().orElse(""))
+                    .map(e -> file + ":" + e.position().line() + ": "
+                            + e.getMessage().lines().findFirst().orElse(""))
                     .toList());
         }
         List<String> errors = new ArrayList<>();
@@ -55,16 +55,23 @@
         int sockets = fleet.whole("sockets", 512, 128, 4096);
         double notice = fleet.number("notice_s", 1, 0, 60);
         boolean peers = fleet.flag("peers", false);
+        int stated = fleet.whole("stated_routers", routers, routers, 10_000);
         double silentNotice = fleet.number("silent_notice_s", 6, 0, 60);
         fleet.end();
         NodeModel.Traits node = node(root.sub("node"));
         OriginModel.Traits origin = origin(root.sub("origin"));
         Table load = root.sub("load");
         double seconds = load.number("seconds", 20, 1, 3600);
-        Arrivals.Demand demand = new Arrivals.Demand(load.number("rate", 200, 1, 100_000), seconds,
-                load.choice("shape", Arrivals.Shape.class, Arrivals.Shape.STEADY), load.number("swing", 0.2, 0, 20),
-                routers, load.number("router_skew", 0.2, 0, 5), load.whole("keys", 20_000, 1, 10_000_000),
-                load.number("zipf", 0.9, 0.01, 3), load.number("drift", 0, 0, 100_000),
+        Arrivals.Demand demand = new Arrivals.Demand(
+                load.number("rate", 200, 1, 100_000),
+                seconds,
+                load.choice("shape", Arrivals.Shape.class, Arrivals.Shape.STEADY),
+                load.number("swing", 0.2, 0, 20),
+                routers,
+                load.number("router_skew", 0.2, 0, 5),
+                load.whole("keys", 20_000, 1, 10_000_000),
+                load.number("zipf", 0.9, 0.01, 3),
+                load.number("drift", 0, 0, 100_000),
                 load.whole("tenants", 3, 1, 64));
         Scenario.Retries retries = load.choice("retries", Scenario.Retries.class, Scenario.Retries.WAIT);
         int retryMost = load.whole("retry_most", 2, 0, 10);
@@ -81,25 +88,53 @@
         }
         Together together = TogetherReader.read(root, routers, seconds);
         root.end();
-        return new Scenario(name, about, nodes, routers, zones, sockets, node, origin, notice, silentNotice, demand,
-                kinds, retries, retryMost, value, List.copyOf(faults), List.copyOf(linkFaults), peers, together);
+        return new Scenario(
+                name,
+                about,
+                nodes,
+                routers,
+                zones,
+                sockets,
+                node,
+                origin,
+                notice,
+                silentNotice,
+                demand,
+                kinds,
+                retries,
+                retryMost,
+                value,
+                List.copyOf(faults),
+                List.copyOf(linkFaults),
+                peers,
+                stated,
+                together);
     }
 
     private static NodeModel.Traits node(Table t) {
-        NodeModel.Traits traits = new NodeModel.Traits(t.whole("cores", 3, 1, 64), t.number("speed", 1, 0.01, 100),
-                t.whole("held", 40, 1, 100_000), t.whole("connections", 75, 1, 100_000),
-                t.number("handshake_ms", 14, 0, 1000) / 1e3, t.number("cold_share", 0.3, 0.01, 1),
-                t.number("warm_up_s", 6, 0, 600), t.number("fall_multiple", 4, 1, 1000),
-                t.number("fall_span_s", 1, 0.1, 60), t.number("down_s", 8, 0, 600),
+        NodeModel.Traits traits = new NodeModel.Traits(
+                t.whole("cores", 3, 1, 64),
+                t.number("speed", 1, 0.01, 100),
+                t.whole("held", 40, 1, 100_000),
+                t.whole("connections", 75, 1, 100_000),
+                t.number("handshake_ms", 14, 0, 1000) / 1e3,
+                t.number("cold_share", 0.3, 0.01, 1),
+                t.number("warm_up_s", 6, 0, 600),
+                t.number("fall_multiple", 4, 1, 1000),
+                t.number("fall_span_s", 1, 0.1, 60),
+                t.number("down_s", 8, 0, 600),
                 t.whole("memory", 20_000, 1, 10_000_000));
         t.end();
         return traits;
     }
 
     private static OriginModel.Traits origin(Table t) {
-        OriginModel.Traits traits = new OriginModel.Traits(t.whole("places", 8, 1, 10_000),
-                t.number("service_ms", 60, 0.01, 60_000) / 1e3, t.number("queue_s", 1, 0, 600),
-                t.number("fall_multiple", 3, 1, 1000), t.number("fall_span_s", 3, 0.1, 60),
+        OriginModel.Traits traits = new OriginModel.Traits(
+                t.whole("places", 8, 1, 10_000),
+                t.number("service_ms", 60, 0.01, 60_000) / 1e3,
+                t.number("queue_s", 1, 0, 600),
+                t.number("fall_multiple", 3, 1, 1000),
+                t.number("fall_span_s", 3, 0.1, 60),
                 t.number("down_s", 4, 0, 600));
         t.end();
         return traits;
@@ -122,9 +157,17 @@
             if (most < least) {
                 t.error("work_most_ms", "must not be below work_ms");
             }
-            kinds.add(new RequestKind(name, t.number("share", 1, 0, 1e6), aim, deadline, t.number("worth", 1, 0, 1e6),
-                    least, most, t.choice("repeat", RequestKind.Repeat.class, RequestKind.Repeat.SAFE),
-                    t.number("dedup_s", 12, 0, FOR_EVER), t.flag("write", false)));
+            kinds.add(new RequestKind(
+                    name,
+                    t.number("share", 1, 0, 1e6),
+                    aim,
+                    deadline,
+                    t.number("worth", 1, 0, 1e6),
+                    least,
+                    most,
+                    t.choice("repeat", RequestKind.Repeat.class, RequestKind.Repeat.SAFE),
+                    t.number("dedup_s", 12, 0, FOR_EVER),
+                    t.flag("write", false)));
             t.end();
         }
         if (kinds.isEmpty()) {
@@ -164,8 +207,17 @@
                 default -> t.error("links", "must hold some of peers, discovery, fleet, nodes");
             }
         }
-        LinkFault fault = new LinkFault(shape, at, lasts, a, b, via, links, t.number("part", 0.3, 0, 1),
-                t.number("delay_ms", 200, 0, 60_000) / 1e3, t.number("jitter_ms", 50, 0, 60_000) / 1e3,
+        LinkFault fault = new LinkFault(
+                shape,
+                at,
+                lasts,
+                a,
+                b,
+                via,
+                links,
+                t.number("part", 0.3, 0, 1),
+                t.number("delay_ms", 200, 0, 60_000) / 1e3,
+                t.number("jitter_ms", 50, 0, 60_000) / 1e3,
                 t.number("period_s", 2, 0.01, 3600));
         t.end();
         return fault;
--- a/lab/src/main/java/stagepier/lab/scenario/Table.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Table.java
@@ -151,7 +151,8 @@
     }
 
     void error(String key, String reason) {
-        TomlPosition at = table == null ? null
+        TomlPosition at = table == null
+                ? null
                 : has(key) ? table.inputPositionOf(List.of(key)) : table.inputPositionOf(List.of());
         errors.add(file + ":" + (at == null ? 1 : at.line()) + ": " + path + key + ": " + reason);
     }
@@ -172,6 +173,8 @@
     }
 
     private static String text(double value) {
-        return value == Math.rint(value) && Math.abs(value) < 1e9 ? Long.toString((long) value) : Double.toString(value);
+        return value == Math.rint(value) && Math.abs(value) < 1e9
+                ? Long.toString((long) value)
+                : Double.toString(value);
     }
 }
--- a/lab/src/main/java/stagepier/lab/scenario/Together.java
+++ b/lab/src/main/java/stagepier/lab/scenario/Together.java
@@ -16,8 +16,16 @@
  * @param proposals     what staff propose meanwhile
  * @param candidates    candidate maps that staff give meanwhile
  */
-public record Together(double lease, double skew, double trafficMost, double copiesBudget, List<Integer> clockOffsets,
-        String candidate, boolean hasCalendar, String calendar, List<Proposal> proposals,
+public record Together(
+        double lease,
+        double skew,
+        double trafficMost,
+        double copiesBudget,
+        List<Integer> clockOffsets,
+        String candidate,
+        boolean hasCalendar,
+        String calendar,
+        List<Proposal> proposals,
         List<Candidate> candidates) {
     /**
      * Staff write a new calendar and have it read.
@@ -26,8 +34,7 @@
      * @param routers at which it is read, at the same moment
      * @param windows all that the new calendar holds
      */
-    public record Proposal(double at, List<Integer> routers, List<Window> windows) {
-    }
+    public record Proposal(double at, List<Integer> routers, List<Window> windows) {}
 
     /**
      * Staff write a new candidate map, or what they wish of it, and have it read.
@@ -35,16 +42,14 @@
      * @param at      seconds after the start of the load
      * @param routers at which it is read
      */
-    public record Candidate(double at, List<Integer> routers, String text) {
-    }
+    public record Candidate(double at, List<Integer> routers, String text) {}
 
     /**
      * @param from  seconds after the start of the load
      * @param until the same; a day where it is endless for a run
      * @param scope {@code all}, {@code zone:NAME} or {@code kind:NAME}
      */
-    public record Window(String name, double from, double until, String scope) {
-    }
+    public record Window(String name, double from, double until, String scope) {}
 
     /** Milliseconds by which a router's wall clock is off. */
     public int clockOffset(int router) {
--- a/lab/src/main/java/stagepier/lab/scenario/TogetherReader.java
+++ b/lab/src/main/java/stagepier/lab/scenario/TogetherReader.java
@@ -7,8 +7,7 @@
 final class TogetherReader {
     private static final double DAY = 86_400;
 
-    private TogetherReader() {
-    }
+    private TogetherReader() {}
 
     /** @return null where the scenario says nothing of it, or says that it is off */
     static Together read(Table root, int routers, double seconds) {
@@ -22,16 +21,21 @@
         List<Together.Candidate> candidates = new ArrayList<>();
         for (Table c : t.subs("candidate_read")) {
             List<Integer> where = c.wholes("routers", 0, routers - 1);
-            candidates.add(new Together.Candidate(c.number("at_s", 1, 0, seconds), where.isEmpty() ? List.of(0) : where,
-                    c.word("candidate", "")));
+            candidates.add(new Together.Candidate(
+                    c.number("at_s", 1, 0, seconds), where.isEmpty() ? List.of(0) : where, c.word("candidate", "")));
             c.end();
         }
-        Together together = new Together(t.number("lease_ms", 3000, 100, 600_000) / 1e3, t.number("skew_ms", 2000, 0,
-                600_000) / 1e3,
-                t.number("link_bytes_per_s", 0, 0, 1e9), t.number("copies_per_s", 0, 0, 1e6),
-                t.wholes("clock_offsets_ms", -3_600_000, 3_600_000), t.word("candidate", ""),
-                t.flag("has_calendar", true), t.word("calendar", ""),
-                List.copyOf(proposals), List.copyOf(candidates));
+        Together together = new Together(
+                t.number("lease_ms", 3000, 100, 600_000) / 1e3,
+                t.number("skew_ms", 2000, 0, 600_000) / 1e3,
+                t.number("link_bytes_per_s", 0, 0, 1e9),
+                t.number("copies_per_s", 0, 0, 1e6),
+                t.wholes("clock_offsets_ms", -3_600_000, 3_600_000),
+                t.word("candidate", ""),
+                t.flag("has_calendar", true),
+                t.word("calendar", ""),
+                List.copyOf(proposals),
+                List.copyOf(candidates));
         if (together.clockOffsets().size() > routers) {
             t.error("clock_offsets_ms", "names more routers than there are");
         }
--- a/lab/src/main/java/stagepier/lab/standin/CacheNode.java
+++ b/lab/src/main/java/stagepier/lab/standin/CacheNode.java
@@ -42,6 +42,7 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** They fill the queue of connections of a machine that is silent, so that further ones hang. */
     private final List<Channel> fillers = new ArrayList<>();
+
     private String id;
     private boolean running = true;
     private boolean silent;
@@ -51,9 +52,11 @@
     private double spoiltPart;
     /** Whether a shadow's copies are answered wrongly here, and by how many seconds late. */
     private boolean copiesWrong;
+
     private double copiesLate;
     /** What was begun before the last start is of no consequence. */
     private int process;
+
     private long opened;
     private long turnedAway;
     private int connectionsPeak;
@@ -117,14 +120,20 @@
     }
 
     private io.netty.channel.ChannelFuture bind(int router) {
-        return new ServerBootstrap().group(world.loop()).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
+        return new ServerBootstrap()
+                .group(world.loop())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new MetaDecoder(world.clock(), world.sent()), new Connection(router));
+                        channel.pipeline()
+                                .addLast(new MetaDecoder(world.clock(), world.sent()), new Connection(router));
                     }
-                }).bind("127.0.0.1", ports[router]);
+                })
+                .bind("127.0.0.1", ports[router]);
     }
 
     // ---- what befalls it; on the event loop ---------------------------------------------------------------
@@ -145,8 +154,12 @@
         listening.forEach(l -> l.config().setAutoRead(false));
         for (int port : ports) {
             for (int i = 0; i <= BACKLOG + 1; i++) {
-                fillers.add(new Bootstrap().group(world.loop()).channel(NioSocketChannel.class)
-                        .handler(new ChannelInboundHandlerAdapter()).connect("127.0.0.1", port).channel());
+                fillers.add(new Bootstrap()
+                        .group(world.loop())
+                        .channel(NioSocketChannel.class)
+                        .handler(new ChannelInboundHandlerAdapter())
+                        .connect("127.0.0.1", port)
+                        .channel());
             }
         }
     }
@@ -166,8 +179,12 @@
                     if (f.isSuccess()) {
                         listening.add(f.channel());
                     } else {
-                        world.recorder().add(new Event.Stray(world.clock().now(), -1, "node " + number
-                                + " of the lab cannot listen again: " + f.cause().getMessage()));
+                        world.recorder()
+                                .add(new Event.Stray(
+                                        world.clock().now(),
+                                        -1,
+                                        "node " + number + " of the lab cannot listen again: "
+                                                + f.cause().getMessage()));
                     }
                 });
             }
@@ -321,19 +338,27 @@
         }
 
         /** The work here is done; what is not kept comes from the origin. */
-        private void worked(int of, byte[][] slot, MetaDecoder.Message m, int kind, long request, long key,
-                boolean isWrite) {
+        private void worked(
+                int of, byte[][] slot, MetaDecoder.Message m, int kind, long request, long key, boolean isWrite) {
             long copy = isWrite ? -1 : model.copy(key);
             String idempotencyKey = m.attribute("k");
-            long before = isWrite ? world.alreadyDone(idempotencyKey, world.scenario().kinds().get(kind).dedupWindow()) : 0;
+            long before = isWrite
+                    ? world.alreadyDone(
+                            idempotencyKey, world.scenario().kinds().get(kind).dedupWindow())
+                    : 0;
             if (copy >= 0) {
                 value(slot, m, key, request, copy, "h1");
             } else if (before > 0) {
                 receipt(slot, request, before);
             } else {
-                double done = world.fetch(isWrite ? OriginModel.Cause.WRITE
-                        : model.isCold(world.clock().now()) ? OriginModel.Cause.COLD_NODE
-                        : world.version(key) > 0 ? OriginModel.Cause.VOID : OriginModel.Cause.PLAIN_MISS);
+                double done = world.fetch(
+                        isWrite
+                                ? OriginModel.Cause.WRITE
+                                : model.isCold(world.clock().now())
+                                        ? OriginModel.Cause.COLD_NODE
+                                        : world.version(key) > 0
+                                                ? OriginModel.Cause.VOID
+                                                : OriginModel.Cause.PLAIN_MISS);
                 if (Double.isNaN(done)) {
                     model.release();
                     answer(slot, "SERVER_ERROR failed\r\n");
@@ -367,8 +392,14 @@
             }
             String body = text + "x".repeat(Math.max(0, world.scenario().value() - text.length()));
             world.recorder().add(new Event.Made(world.clock().now(), request, number, Tokens.of(body)));
-            answer(slot, "VA %d O%s %s\r\n%s\r\n".formatted(body.length(), Copies.is(request) ? m.flag('O')
-                    : "%016x".formatted(request), hit, body));
+            answer(
+                    slot,
+                    "VA %d O%s %s\r\n%s\r\n"
+                            .formatted(
+                                    body.length(),
+                                    Copies.is(request) ? m.flag('O') : "%016x".formatted(request),
+                                    hit,
+                                    body));
         }
 
         private void receipt(byte[][] slot, long request, long serial) {
@@ -395,16 +426,21 @@
             }
             byte[] half = java.util.Arrays.copyOf(bytes, bytes.length / 2);
             switch (spoils) {
-                case RESET -> channel.writeAndFlush(Unpooled.wrappedBuffer(half)).addListener(f -> reset());
+                case RESET ->
+                    channel.writeAndFlush(Unpooled.wrappedBuffer(half)).addListener(f -> reset());
                 case HALF -> {
                     channel.writeAndFlush(Unpooled.wrappedBuffer(half));
                     muted = true;
                 }
                 default -> {
-                    String[] noises = {"VA 3000000000 Ox h1\r\n", "\u0001\u0002\r\n", "HD O0000000000000000 cbad\r\n",
-                        "VA -1 O0 h1\r\n"};
-                    channel.writeAndFlush(Unpooled.wrappedBuffer(noises[chance.nextInt(noises.length)]
-                            .getBytes(StandardCharsets.ISO_8859_1)));
+                    String[] noises = {
+                        "VA 3000000000 Ox h1\r\n",
+                        "\u0001\u0002\r\n",
+                        "HD O0000000000000000 cbad\r\n",
+                        "VA -1 O0 h1\r\n"
+                    };
+                    channel.writeAndFlush(Unpooled.wrappedBuffer(
+                            noises[chance.nextInt(noises.length)].getBytes(StandardCharsets.ISO_8859_1)));
                     muted = true;
                 }
             }
--- a/lab/src/main/java/stagepier/lab/standin/Clients.java
+++ b/lab/src/main/java/stagepier/lab/standin/Clients.java
@@ -19,9 +19,9 @@
 import org.HdrHistogram.Histogram;
 import stagepier.lab.ledger.Event;
 import stagepier.lab.ledger.Ledger;
+import stagepier.lab.measure.Series;
 import stagepier.lab.model.Planned;
 import stagepier.lab.model.RequestKind;
-import stagepier.lab.measure.Series;
 import stagepier.lab.scenario.Scenario;
 
 /**
@@ -31,6 +31,7 @@
 public final class Clients {
     /** A client's pause before it asks again where nobody tells it how long. */
     private static final double WAIT = 0.1;
+
     private static final double TICK = 0.0005;
     /**
      * A client asks again, or on a connection that took its time to come up, only with this part of its class's time left:
@@ -50,6 +51,7 @@
     private final int[] open;
     /** Where the clients of each router go now: the front sends those of one that is drained elsewhere. */
     private final int[] at;
+
     private final Series series = new Series();
     private final Histogram lag = new Histogram(60_000_000, 3);
     private double startedAt;
@@ -72,8 +74,8 @@
     }
 
     /** @param ports where the routers listen */
-    public Clients(EventLoop loop, LabClock clock, Recorder recorder, Scenario scenario, List<Planned> plan,
-            int[] ports) {
+    public Clients(
+            EventLoop loop, LabClock clock, Recorder recorder, Scenario scenario, List<Planned> plan, int[] ports) {
         this.loop = loop;
         this.clock = clock;
         this.recorder = recorder;
@@ -170,14 +172,18 @@
         }
         Connection fresh = new Connection(router);
         open[router]++;
-        ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 3000)
+        ChannelFuture connect = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 3000)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new MetaDecoder(clock, new SentTimes()), fresh);
                     }
-                }).connect("127.0.0.1", ports[router]);
+                })
+                .connect("127.0.0.1", ports[router]);
         fresh.channel = connect.channel();
         connect.addListener(f -> {
             if (f.isSuccess()) {
@@ -194,7 +200,9 @@
         double wait = scenario.retries() == Scenario.Retries.AT_ONCE ? 0 : retryAfter > 0 ? retryAfter : WAIT;
         boolean mayRepeat = fate == Series.Fate.REFUSED
                 || scenario.kinds().get(w.planned.kind()).repeat() != RequestKind.Repeat.UNSAFE;
-        if (scenario.retries() == Scenario.Retries.NONE || !mayRepeat || w.tries > scenario.retryMost()
+        if (scenario.retries() == Scenario.Retries.NONE
+                || !mayRepeat
+                || w.tries > scenario.retryMost()
                 || clock.now() + wait >= w.until - leastLeft(w)) {
             end(w, fate);
         } else {
@@ -209,7 +217,10 @@
     private void end(Wanted w, Series.Fate fate) {
         RequestKind kind = scenario.kinds().get(w.planned.kind());
         double took = clock.now() - startedAt - w.planned.at();
-        series.ended(w.planned.at(), took, kind.worth(),
+        series.ended(
+                w.planned.at(),
+                took,
+                kind.worth(),
                 fate == Series.Fate.IN_TIME && took > kind.aim() ? Series.Fate.LATE : fate);
         unfinished--;
         finishIfOver();
@@ -242,8 +253,13 @@
             sent++;
             // A new id for each try.
             request = ((long) p.index() + 1) << 8 | w.tries++;
-            String rest = " O%016x Pc=%s,t=t%d,d=%d%s".formatted(request, kind.name(), p.tenant(),
-                    Math.max(1, Math.round(left * 1e3)), w.tries > 1 ? ",r=1" : "");
+            String rest = " O%016x Pc=%s,t=t%d,d=%d%s"
+                    .formatted(
+                            request,
+                            kind.name(),
+                            p.tenant(),
+                            Math.max(1, Math.round(left * 1e3)),
+                            w.tries > 1 ? ",r=1" : "");
             String line = kind.write()
                     ? "ms %016x 8%s,k=%016x\r\n12345678\r\n".formatted(p.key(), rest, (long) p.index() + 1)
                     : "mg %016x v%s\r\n".formatted(p.key(), rest);
@@ -297,8 +313,8 @@
                 wanted = null;
                 timer.cancel(false);
                 boolean idleBefore = sent > 1;
-                recorder.add(new Event.Ended(clock.now(), request,
-                        idleBefore ? Event.End.CLOSED_IDLE : Event.End.CLOSED, 0));
+                recorder.add(new Event.Ended(
+                        clock.now(), request, idleBefore ? Event.End.CLOSED_IDLE : Event.End.CLOSED, 0));
                 if (idleBefore && !w.resent) {
                     w.resent = true;
                     ask(w);
--- a/lab/src/main/java/stagepier/lab/standin/DatagramRelay.java
+++ b/lab/src/main/java/stagepier/lab/standin/DatagramRelay.java
@@ -25,6 +25,7 @@
     private final int[] ports;
     /** By receiver and then sender. */
     private final Channel[][] doors;
+
     private final List<Channel> toAll = new ArrayList<>();
     private long sent;
     private long delivered;
@@ -49,11 +50,12 @@
     }
 
     /** What a router has sent. */
-    private record Said(int from, byte[] bytes) {
-    }
+    private record Said(int from, byte[] bytes) {}
 
     private Channel open(int router, java.util.function.Consumer<Said> then) throws InterruptedException {
-        return new Bootstrap().group(world.loop()).channelFactory(() -> new NioDatagramChannel(SocketProtocolFamily.INET))
+        return new Bootstrap()
+                .group(world.loop())
+                .channelFactory(() -> new NioDatagramChannel(SocketProtocolFamily.INET))
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
@@ -69,10 +71,14 @@
 
                     @Override
                     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                        // A router that is down refuses datagrams, which is told to who sent last: they are lost, and that is all.
+                        // A router that is down refuses datagrams, which is told to who sent last: they are lost, and
+                        // that is all.
                         ctx.fireChannelReadComplete();
                     }
-                }).bind("127.0.0.1", 0).sync().channel();
+                })
+                .bind("127.0.0.1", 0)
+                .sync()
+                .channel();
     }
 
     private void passToAll(Said said) {
@@ -97,7 +103,8 @@
     private void deliver(Said said, int to) {
         delivered++;
         Channel door = doors[to][said.from()];
-        door.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(said.bytes()), new InetSocketAddress("127.0.0.1", ports[to])),
+        door.writeAndFlush(
+                new DatagramPacket(Unpooled.wrappedBuffer(said.bytes()), new InetSocketAddress("127.0.0.1", ports[to])),
                 door.voidPromise());
     }
 
--- a/lab/src/main/java/stagepier/lab/standin/DiscoveryAgent.java
+++ b/lab/src/main/java/stagepier/lab/standin/DiscoveryAgent.java
@@ -1,29 +1,7 @@
 package stagepier.lab.standin;
 
-import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.QueryStringDecoder;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import stagepier.lab.ledger.Event;
 import stagepier.lab.nemesis.Link;
 import stagepier.lab.nemesis.Nemesis;
@@ -31,123 +9,74 @@
 
 /** One router's agent of discovery, on loopback: the whole list, and a watch that waits for what is newer. */
 final class DiscoveryAgent {
-    /** A version of one entry. */
-    record Entry(String id, int node, String hostPort, String zone, String lifecycle, long startedAtMs) {
-        private JsonObject json() {
-            JsonObject o = new JsonObject();
-            o.addProperty("instanceId", id);
-            o.addProperty("hostPort", hostPort);
-            o.addProperty("zone", zone);
-            o.addProperty("machineType", "m");
-            o.addProperty("cell", node);
-            o.addProperty("lifecycle", lifecycle);
-            o.addProperty("weight", 1.0);
-            o.addProperty("startedAtMs", startedAtMs);
-            return o;
-        }
-    }
-
     private static final double LOOK_AGAIN = 0.01;
 
     private final World world;
     private final Nemesis nemesis;
     private final int router;
-    private final List<Entry> log = new ArrayList<>();
-    private final List<Waiting> waiting = new ArrayList<>();
-    private Channel listening;
-    private boolean down;
-
-    /** A watch that waits. */
-    private record Waiting(ChannelHandlerContext ctx, int from, double until) {
-    }
+    private final DiscoveryService service;
+    private final DiscoveryFront front;
 
-    DiscoveryAgent(World world, Nemesis nemesis, int router) {
+    /** @param observer is told what goes over the connections to it */
+    DiscoveryAgent(World world, Nemesis nemesis, int router, DiscoveryFront.Observer observer) {
         this.world = world;
         this.nemesis = nemesis;
         this.router = router;
+        service = new DiscoveryService(new LoopScheduler(world.loop(), world.clock()), ServiceManners.PUSHED);
+        front = new DiscoveryFront(world.loop(), service, new DiscoveryFront.Observer() {
+            @Override
+            public void opened() {
+                observer.opened();
+            }
+
+            @Override
+            public void requested(String target, int bytes) {
+                observer.requested(target, bytes);
+            }
+
+            @Override
+            public void answered(HostList.Message message, int bytes) {
+                observer.answered(message, bytes);
+                toldOnceHeard(message.entries());
+            }
+
+            @Override
+            public void refused(int bytes) {
+                observer.refused(bytes);
+            }
+        });
     }
 
     /** Waits; not on the event loop. */
     void listen() throws InterruptedException {
-        listening = new ServerBootstrap().group(world.loop()).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(4096), new Calls());
-                    }
-                }).bind("127.0.0.1", 0).sync().channel();
+        front.listen();
     }
 
     int port() {
-        return ((InetSocketAddress) listening.localAddress()).getPort();
+        return front.port();
     }
 
     /** Something has changed, and this router's agent has heard of it. On the event loop. */
-    void publish(Entry entry) {
-        log.add(entry);
-        flush();
+    void publish(HostList.Entry entry) {
+        service.publish(entry);
+    }
+
+    /** Version of the list that it has. On the event loop. */
+    int generation() {
+        return service.list().generation();
     }
 
     void down(boolean isDown) {
-        down = isDown;
-        flush();
+        service.down(isDown);
     }
 
     /** The list as this router has it now, as its configuration tells it after a restart. */
     JsonObject known() {
-        return message(log.size(), true, current().values());
-    }
-
-    private Map<String, Entry> current() {
-        Map<String, Entry> all = new LinkedHashMap<>();
-        for (Entry e : log) {
-            if (e.lifecycle().equals("removed")) {
-                all.remove(e.id());
-            } else {
-                all.put(e.id(), e);
-            }
-        }
-        return all;
-    }
-
-    private static JsonObject message(int generation, boolean reset, Iterable<Entry> entries) {
-        JsonObject o = new JsonObject();
-        o.addProperty("generation", generation);
-        o.addProperty("reset", reset);
-        JsonArray instances = new JsonArray();
-        entries.forEach(e -> instances.add(e.json()));
-        o.add("instances", instances);
-        return o;
+        return service.list().json();
     }
 
-    private void flush() {
-        double now = world.clock().now();
-        for (Waiting w : new ArrayList<>(waiting)) {
-            if (!w.ctx().channel().isActive()) {
-                waiting.remove(w);
-            } else if (!down && (w.from() < log.size() || now >= w.until())) {
-                waiting.remove(w);
-                answer(w.ctx(), message(log.size(), false, log.subList(w.from(), log.size())),
-                        log.subList(w.from(), log.size()));
-            }
-        }
-    }
-
-    private void answer(ChannelHandlerContext ctx, JsonObject message, Iterable<Entry> told) {
-        byte[] bytes = message.toString().getBytes(StandardCharsets.UTF_8);
-        var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                Unpooled.wrappedBuffer(bytes));
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length)
-                .set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        ctx.writeAndFlush(response);
-        List<Entry> news = new ArrayList<>();
-        told.forEach(news::add);
-        toldOnceHeard(news);
-    }
-
-    /** A router has been told of what was written to it once that has come through: nobody can act on what is held up. */
-    private void toldOnceHeard(List<Entry> news) {
+    /** A router has been told of what was written to it once that has come through. */
+    private void toldOnceHeard(List<HostList.Entry> news) {
         double now = world.clock().now();
         Treatment t = nemesis.treatment(Link.DISCOVERY, Link.AGENT, router, now);
         if (t.isSilence()) {
@@ -155,39 +84,11 @@
             return;
         }
         double heard = now + t.delay() + t.jitter();
-        news.forEach(e -> world.recorder().add(new Event.Told(heard, router, e.node(), e.lifecycle().equals("up"))));
+        news.forEach(e -> world.recorder()
+                .add(new Event.Told(heard, router, e.node(), e.lifecycle().equals("up"))));
     }
 
     void close() {
-        if (listening != null) {
-            listening.close();
-        }
-    }
-
-    private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            QueryStringDecoder uri = new QueryStringDecoder(request.uri());
-            List<String> from = uri.parameters().getOrDefault("from", List.of());
-            int at = from.isEmpty() ? -1 : Integer.parseInt(from.get(0));
-            if (at < 0 || at > log.size()) {
-                if (down) {
-                    return;
-                }
-                Map<String, Entry> all = current();
-                answer(ctx, message(log.size(), true, all.values()), all.values());
-                return;
-            }
-            double hold = Math.min(60, Integer.parseInt(uri.parameters().getOrDefault("hold_ms", List.of("0")).get(0)) / 1e3);
-            double until = world.clock().now() + hold;
-            waiting.add(new Waiting(ctx, at, until));
-            world.at(until + 0.001, DiscoveryAgent.this::flush);
-            flush();
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
-        }
+        front.close();
     }
 }
--- a/lab/src/main/java/stagepier/lab/standin/Fleet.java
+++ b/lab/src/main/java/stagepier/lab/standin/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import stagepier.lab.model.Arrivals;
 import stagepier.lab.model.KeySource;
@@ -26,8 +27,15 @@
 /** All cache nodes, the origin and discovery, on one event loop; knows who has to be told of what, and when. */
 public final class Fleet {
     /** What a running fleet looks like, for people to see. */
-    public record Glance(List<String> nodes, long held, long fetches, long connections) {
-    }
+    public record Glance(List<String> nodes, long held, long fetches, long connections) {}
+
+    /**
+     * A change of the list.
+     *
+     * @param at          when all agents had it, in seconds
+     * @param generations version of the list with it, by router
+     */
+    public record Announcement(double at, List<Integer> generations) {}
 
     /** Draws of keys, for each place of a node's memory, that fill it before the run. */
     private static final int PREFILLED = 3;
@@ -36,17 +44,32 @@
     private final Scenario scenario;
     private final Randoms randoms;
     private final List<DiscoveryAgent> agents = new ArrayList<>();
+    private final IntFunction<DiscoveryFront.Observer> observers;
     private final Nemesis nemesis;
     /** Between each router and its agent of discovery; empty where the scenario has no faults between processes. */
     private final List<StreamRelay> toAgents = new ArrayList<>();
     /** Null where routers tell each other nothing. */
     private DatagramRelay peers;
+    /** Null where all routers of the fleet are processes of this run. */
+    private PeerAddresses wider;
     /** Null where routers do not decide together. */
     private FleetLinks links;
     /** By node and router; empty where no fault lies between them. */
     private final List<List<StreamRelay>> toNodes = new ArrayList<>();
 
     public Fleet(EventLoop loop, LabClock clock, Recorder recorder, Scenario scenario, Randoms randoms) {
+        this(loop, clock, recorder, scenario, randoms, router -> DiscoveryFront.Observer.NONE);
+    }
+
+    /** @param observers by router: is told, on the event loop, what that router and its agent of discovery exchange */
+    public Fleet(
+            EventLoop loop,
+            LabClock clock,
+            Recorder recorder,
+            Scenario scenario,
+            Randoms randoms,
+            IntFunction<DiscoveryFront.Observer> observers) {
+        this.observers = observers;
         this.scenario = scenario;
         this.randoms = randoms;
         nemesis = new Nemesis(randoms, scenario.linkFaults());
@@ -59,12 +82,42 @@
      * @param peerPorts where each router is to listen for others, if they tell each other anything
      */
     public void start(int[] peerPorts) throws InterruptedException {
+        startStandIns();
+        if (scenario.peers()) {
+            peers = new DatagramRelay(world, nemesis, peerPorts);
+            peers.listen();
+        }
+        publishAll();
+    }
+
+    /**
+     * The same for the router processes of a fleet that is wider than these; somebody else passes on what routers tell
+     * each other.
+     */
+    public void start(PeerAddresses addresses) throws InterruptedException {
+        wider = addresses;
+        startStandIns();
+        publishAll();
+    }
+
+    private void startStandIns() throws InterruptedException {
         for (int i = 0; i < scenario.nodes(); i++) {
             // Half of the machines are slower, as in a fleet that grew.
             NodeModel.Traits t = scenario.node();
             double speed = t.speed() * (i % 2 == 0 ? 1 : 0.75);
-            NodeModel model = new NodeModel(new NodeModel.Traits(t.cores(), speed, t.held(), t.connections(),
-                    t.handshake(), t.coldShare(), t.warmUp(), t.fallMultiple(), t.fallSpan(), t.down(), t.memory()),
+            NodeModel model = new NodeModel(
+                    new NodeModel.Traits(
+                            t.cores(),
+                            speed,
+                            t.held(),
+                            t.connections(),
+                            t.handshake(),
+                            t.coldShare(),
+                            t.warmUp(),
+                            t.fallMultiple(),
+                            t.fallSpan(),
+                            t.down(),
+                            t.memory()),
                     Double.NEGATIVE_INFINITY);
             CacheNode node = new CacheNode(world, i, model, randoms.of("node-" + i), scenario.routers());
             node.listen();
@@ -73,7 +126,7 @@
         relayNodes();
         prefill();
         for (int r = 0; r < scenario.routers(); r++) {
-            DiscoveryAgent agent = new DiscoveryAgent(world, nemesis, r);
+            DiscoveryAgent agent = new DiscoveryAgent(world, nemesis, r, observers.apply(r));
             agent.listen();
             agents.add(agent);
             if (!scenario.linkFaults().isEmpty()) {
@@ -82,10 +135,9 @@
                 toAgents.add(relay);
             }
         }
-        if (scenario.peers()) {
-            peers = new DatagramRelay(world, nemesis, peerPorts);
-            peers.listen();
-        }
+    }
+
+    private void publishAll() throws InterruptedException {
         onLoop(() -> {
             for (CacheNode node : world.nodes()) {
                 for (int r = 0; r < agents.size(); r++) {
@@ -126,8 +178,8 @@
         for (CacheNode node : needed ? world.nodes() : List.<CacheNode>of()) {
             List<StreamRelay> of = new ArrayList<>();
             for (int r = 0; r < scenario.routers(); r++) {
-                StreamRelay relay = new StreamRelay(world, nemesis, Link.NODES, r, Link.node(node.number()), node.port(r),
-                        new ToNode(r));
+                StreamRelay relay = new StreamRelay(
+                        world, nemesis, Link.NODES, r, Link.node(node.number()), node.port(r), new ToNode(r));
                 relay.listen();
                 of.add(relay);
             }
@@ -162,7 +214,9 @@
     }
 
     private int nodePort(CacheNode node, int router) {
-        return toNodes.isEmpty() ? node.port(router) : toNodes.get(node.number()).get(router).port();
+        return toNodes.isEmpty()
+                ? node.port(router)
+                : toNodes.get(node.number()).get(router).port();
     }
 
     /** Nodes that have been running for long hold what was asked for lately. */
@@ -175,9 +229,14 @@
         }
     }
 
-    private DiscoveryAgent.Entry entry(CacheNode node, int router, String lifecycle, long startedAtMs) {
-        return new DiscoveryAgent.Entry(node.id(), node.number(), "127.0.0.1:" + nodePort(node, router),
-                "z" + node.number() % scenario.zones(), lifecycle, startedAtMs);
+    private HostList.Entry entry(CacheNode node, int router, String lifecycle, long startedAtMs) {
+        return new HostList.Entry(
+                node.id(),
+                node.number(),
+                "127.0.0.1:" + nodePort(node, router),
+                "z" + node.number() % scenario.zones(),
+                lifecycle,
+                startedAtMs);
     }
 
     /** The configuration of a router as it is to find it now. */
@@ -186,9 +245,19 @@
             JsonObject o = new JsonObject();
             o.addProperty("name", "n" + router);
             o.addProperty("listen", "127.0.0.1:" + listenPort);
-            o.addProperty("discovery", "127.0.0.1:"
-                    + (toAgents.isEmpty() ? agents.get(router).port() : toAgents.get(router).port()));
-            if (peers != null) {
+            o.addProperty(
+                    "discovery",
+                    "127.0.0.1:"
+                            + (toAgents.isEmpty()
+                                    ? agents.get(router).port()
+                                    : toAgents.get(router).port()));
+            if (wider != null) {
+                o.addProperty("peer_listen", wider.listen().get(router));
+                o.addProperty("peers_all", wider.all().get(router));
+                JsonArray every = new JsonArray();
+                wider.routers().forEach(every::add);
+                o.add("peers", every);
+            } else if (peers != null) {
                 o.addProperty("peer_listen", "127.0.0.1:" + peers.port(router));
                 o.addProperty("peers_all", "127.0.0.1:" + peers.toAll(router));
                 JsonArray others = new JsonArray();
@@ -209,7 +278,7 @@
 
     private JsonObject settings(int router) {
         JsonObject o = new JsonObject();
-        o.addProperty("Siblings", scenario.routers());
+        o.addProperty("Siblings", wider != null ? wider.routers().size() : scenario.stated());
         o.addProperty("SlotNo", router);
         o.addProperty("Zone", router % scenario.zones());
         JsonArray classes = new JsonArray();
@@ -219,11 +288,13 @@
             c.addProperty("Deadline", k.deadline());
             c.addProperty("GoalTime", k.aim());
             c.addProperty("Worth", k.worth());
-            c.addProperty("Repeat", switch (k.repeat()) {
-                case SAFE -> "idempotent";
-                case KEYED -> "deduplicated";
-                case UNSAFE -> "at_most_once";
-            });
+            c.addProperty(
+                    "Repeat",
+                    switch (k.repeat()) {
+                        case SAFE -> "idempotent";
+                        case KEYED -> "deduplicated";
+                        case UNSAFE -> "at_most_once";
+                    });
             c.addProperty("Group", "all");
             c.addProperty("DedupWindow", k.dedupWindow());
             classes.add(c);
@@ -347,7 +418,9 @@
                 world.at(over, () -> node.spoil(null, 0));
             }
             case COPY_SPOIL, COPY_SLOW -> {
-                node.copies(fault.kind() == Fault.Kind.COPY_SPOIL, fault.kind() == Fault.Kind.COPY_SLOW ? fault.factor() : 0);
+                node.copies(
+                        fault.kind() == Fault.Kind.COPY_SPOIL,
+                        fault.kind() == Fault.Kind.COPY_SLOW ? fault.factor() : 0);
                 world.at(over, () -> node.copies(false, 0));
             }
             case MUTE -> node.mute(fault.factor());
@@ -382,28 +455,54 @@
         double now = world.clock().now();
         for (int r = 0; r < agents.size(); r++) {
             DiscoveryAgent agent = agents.get(r);
-            DiscoveryAgent.Entry entry = entry(node, r, lifecycle, startedAtMs);
+            HostList.Entry entry = entry(node, r, lifecycle, startedAtMs);
             world.at(now + after + 0.03 * r, () -> agent.publish(entry));
         }
     }
 
+    /**
+     * The list says of a node that it drains, or that it is up again; all agents have it at once, and nothing else happens
+     * to the node.
+     */
+    public Announcement announce(int node, boolean draining) throws InterruptedException {
+        return onLoop(() -> {
+            double now = world.clock().now();
+            for (int router = 0; router < agents.size(); router++) {
+                String lifecycle = draining ? "draining" : "up";
+                agents.get(router).publish(entry(world.nodes().get(node), router, lifecycle, 0));
+            }
+            return new Announcement(
+                    now, agents.stream().map(DiscoveryAgent::generation).toList());
+        });
+    }
+
     // ---- what it looks like -------------------------------------------------------------------------------
     public Glance glance() throws InterruptedException {
         return onLoop(() -> {
             List<String> states = new ArrayList<>();
             double now = world.clock().now();
             for (CacheNode n : world.nodes()) {
-                states.add(!n.isRunning() ? "down" : n.isFull() ? "full" : n.model().isCold(now) ? "cold" : "up");
+                states.add(
+                        !n.isRunning()
+                                ? "down"
+                                : n.isFull() ? "full" : n.model().isCold(now) ? "cold" : "up");
             }
-            return new Glance(states, world.nodes().stream().mapToLong(n -> n.model().held()).sum(),
-                    world.origin().sent(), world.nodes().stream().mapToLong(CacheNode::connections).sum());
+            return new Glance(
+                    states,
+                    world.nodes().stream().mapToLong(n -> n.model().held()).sum(),
+                    world.origin().sent(),
+                    world.nodes().stream().mapToLong(CacheNode::connections).sum());
         });
     }
 
     /** Connections opened to all nodes, the most that one held at a time, and requests turned away. */
     public List<Long> totals() throws InterruptedException {
-        return onLoop(() -> List.of(world.nodes().stream().mapToLong(CacheNode::opened).sum(),
-                world.nodes().stream().mapToLong(CacheNode::connectionsPeak).max().orElse(0),
+        return onLoop(() -> List.of(
+                world.nodes().stream().mapToLong(CacheNode::opened).sum(),
+                world.nodes().stream()
+                        .mapToLong(CacheNode::connectionsPeak)
+                        .max()
+                        .orElse(0),
                 world.nodes().stream().mapToLong(CacheNode::turnedAway).sum()));
     }
 
--- a/lab/src/main/java/stagepier/lab/standin/FleetLinks.java
+++ b/lab/src/main/java/stagepier/lab/standin/FleetLinks.java
@@ -14,6 +14,7 @@
     private final int[] ports;
     /** By caller, then by who is called; null for a router itself. */
     private final List<List<StreamRelay>> doors = new ArrayList<>();
+
     private final Map<Integer, List<Long>> traffic = new TreeMap<>();
 
     /** @param ports where each router listens for calls */
@@ -28,7 +29,8 @@
         for (int caller = 0; caller < ports.length; caller++) {
             List<StreamRelay> of = new ArrayList<>();
             for (int called = 0; called < ports.length; called++) {
-                StreamRelay relay = caller == called ? null
+                StreamRelay relay = caller == called
+                        ? null
                         : new StreamRelay(world, nemesis, Link.FLEET, caller, called, ports[called], this::count);
                 if (relay != null) {
                     relay.listen();
--- a/lab/src/main/java/stagepier/lab/standin/MetaDecoder.java
+++ b/lab/src/main/java/stagepier/lab/standin/MetaDecoder.java
@@ -41,6 +41,7 @@
     private final SentTimes sent;
     /** Bytes of the messages before this one. */
     private long taken;
+
     private String line;
     private String[] words;
     private int length;
@@ -65,7 +66,8 @@
                 }
                 return;
             }
-            String whole = in.readCharSequence(end + 1 - in.readerIndex(), StandardCharsets.ISO_8859_1).toString();
+            String whole = in.readCharSequence(end + 1 - in.readerIndex(), StandardCharsets.ISO_8859_1)
+                    .toString();
             line = whole.stripTrailing();
             words = line.split(" ");
             length = dataLength(words);
--- a/lab/src/main/java/stagepier/lab/standin/RelayCost.java
+++ b/lab/src/main/java/stagepier/lab/standin/RelayCost.java
@@ -19,13 +19,11 @@
 /** What the relay of a connection itself costs: round trips of one byte, with no fault set, beside those of a direct link. */
 public final class RelayCost {
     /** Microseconds of round trips. */
-    public record Cost(Histogram direct, Histogram relayed) {
-    }
+    public record Cost(Histogram direct, Histogram relayed) {}
 
     private static final long HIGHEST_US = 10_000_000;
 
-    private RelayCost() {
-    }
+    private RelayCost() {}
 
     /**
      * Measures both in turn, so that whatever else the machine does weighs on both alike.
@@ -42,11 +40,12 @@
             server.start();
             Randoms randoms = new Randoms(1);
             World world = new World(loop, new LabClock(), new Recorder(), scenario, randoms);
-            StreamRelay relay = new StreamRelay(world, new Nemesis(randoms, List.of()), Link.DISCOVERY, 0, Link.AGENT,
-                    echo.getLocalPort());
+            StreamRelay relay = new StreamRelay(
+                    world, new Nemesis(randoms, List.of()), Link.DISCOVERY, 0, Link.AGENT, echo.getLocalPort());
             relay.listen();
             Cost cost = new Cost(new Histogram(HIGHEST_US, 3), new Histogram(HIGHEST_US, 3));
-            try (Socket direct = connect(echo.getLocalPort()); Socket relayed = connect(relay.port())) {
+            try (Socket direct = connect(echo.getLocalPort());
+                    Socket relayed = connect(relay.port())) {
                 for (int i = -roundTrips / 10; i < roundTrips; i++) {
                     long straight = roundTrip(direct);
                     long around = roundTrip(relayed);
--- a/lab/src/main/java/stagepier/lab/standin/SentTimes.java
+++ b/lab/src/main/java/stagepier/lab/standin/SentTimes.java
@@ -10,8 +10,7 @@
  */
 final class SentTimes {
     /** All bytes of a connection up to that count had gone off by then. */
-    private record Piece(long upTo, double at) {
-    }
+    private record Piece(long upTo, double at) {}
 
     private final Map<Integer, ArrayDeque<Piece>> connections = new HashMap<>();
 
--- a/lab/src/main/java/stagepier/lab/standin/StreamRelay.java
+++ b/lab/src/main/java/stagepier/lab/standin/StreamRelay.java
@@ -42,7 +42,7 @@
     /** Hears of all that is passed on. */
     @FunctionalInterface
     interface Passed {
-        Passed NONE = (from, bytes) -> { };
+        Passed NONE = (from, bytes) -> {};
 
         void bytes(int from, int bytes);
 
@@ -51,8 +51,7 @@
             bytes(from, bytes);
         }
 
-        default void opened(int port) {
-        }
+        default void opened(int port) {}
     }
 
     /**
@@ -77,14 +76,21 @@
 
     /** Waits; not on the event loop. */
     void listen() throws InterruptedException {
-        listening = new ServerBootstrap().group(world.loop()).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.AUTO_READ, false).childHandler(new ChannelInitializer<Channel>() {
+        listening = new ServerBootstrap()
+                .group(world.loop())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         connect(channel);
                     }
-                }).bind("127.0.0.1", 0).sync().channel();
+                })
+                .bind("127.0.0.1", 0)
+                .sync()
+                .channel();
     }
 
     int port() {
@@ -96,8 +102,12 @@
         Way back = new Way(far, near);
         open.add(caller);
         caller.pipeline().addLast(there);
-        ChannelFuture up = new Bootstrap().group(world.loop()).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.AUTO_READ, false).handler(back)
+        ChannelFuture up = new Bootstrap()
+                .group(world.loop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(back)
                 .connect("127.0.0.1", target);
         there.start(caller, up.channel());
         back.start(up.channel(), caller);
@@ -130,8 +140,7 @@
 
     /** One direction of one connection. */
     private final class Way extends ChannelInboundHandlerAdapter {
-        private record Piece(ByteBuf bytes, double at, double due) {
-        }
+        private record Piece(ByteBuf bytes, double at, double due) {}
 
         private final int from;
         private final int to;
@@ -177,16 +186,19 @@
         /** Passes on what is due. */
         private void pass() {
             double now = world.clock().now();
-            while (!waiting.isEmpty() && waiting.peek().due() <= now && !nemesis.treatment(link, from, to, now).isSilence()) {
+            while (!waiting.isEmpty()
+                    && waiting.peek().due() <= now
+                    && !nemesis.treatment(link, from, to, now).isSilence()) {
                 Piece piece = waiting.remove();
                 ByteBuf bytes = piece.bytes();
                 int port = out.localAddress() instanceof InetSocketAddress on ? on.getPort() : 0;
                 if (nemesis.cuts(link, from, to, now)) {
                     passed.bytes(from, port, bytes.readableBytes() / 2, piece.at());
-                    out.writeAndFlush(bytes.readSlice(bytes.readableBytes() / 2)).addListener(f -> {
-                        reset(out);
-                        reset(in);
-                    });
+                    out.writeAndFlush(bytes.readSlice(bytes.readableBytes() / 2))
+                            .addListener(f -> {
+                                reset(out);
+                                reset(in);
+                            });
                     drop();
                     return;
                 }
--- a/lab/src/main/java/stagepier/lab/standin/Tokens.java
+++ b/lab/src/main/java/stagepier/lab/standin/Tokens.java
@@ -7,8 +7,7 @@
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
-    private Tokens() {
-    }
+    private Tokens() {}
 
     /** FNV-1a of the bytes; never 0. */
     static long of(byte[] bytes) {
--- a/lab/src/main/java/stagepier/lab/standin/World.java
+++ b/lab/src/main/java/stagepier/lab/standin/World.java
@@ -15,8 +15,7 @@
 /** What all cache nodes share: the origin, the versions of keys, and what was done for keyed writes. One thread. */
 final class World {
     /** An answer to a keyed write, and when it was first made. */
-    private record Done(double at, long serial) {
-    }
+    private record Done(double at, long serial) {}
 
     private final EventLoop loop;
     private final LabClock clock;
--- /dev/null
+++ b/lab/src/main/java/stagepier/lab/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins on loopback sockets for cache nodes, discovery and clients, and relays between processes. */
+package stagepier.lab.standin;
--- a/lab/src/test/java/stagepier/lab/ArchitectureTest.java
+++ b/lab/src/test/java/stagepier/lab/ArchitectureTest.java
@@ -12,28 +12,56 @@
 class ArchitectureTest {
     /** A later model in virtual time reuses these: they know neither sockets nor clocks nor files. */
     @ArchTest
-    static final ArchRule PURE = noClasses().that().resideInAnyPackage("..lab.model..", "..lab.ledger..", "..lab.nemesis..",
-            "..lab.check..", "..lab.hunt..")
-            .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..",
-                    "java.util.concurrent..", "..lab.standin..", "..lab.fleet..", "..lab.measure..", "..lab.report..", "..lab.cli..");
+    static final ArchRule PURE = noClasses()
+            .that()
+            .resideInAnyPackage("..lab.model..", "..lab.ledger..", "..lab.nemesis..", "..lab.check..", "..lab.hunt..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                    "io.netty..",
+                    "java.io..",
+                    "java.net..",
+                    "java.nio..",
+                    "java.util.concurrent..",
+                    "..lab.standin..",
+                    "..lab.fleet..",
+                    "..lab.measure..",
+                    "..lab.report..",
+                    "..lab.cli..");
 
     @ArchTest
-    static final ArchRule NO_CLOCK = noClasses().that().resideInAnyPackage("..lab.model..", "..lab.ledger..", "..lab.nemesis..",
-            "..lab.check..", "..lab.hunt..")
-            .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
-            .orShould().callMethod(Math.class, "random");
+    static final ArchRule NO_CLOCK = noClasses()
+            .that()
+            .resideInAnyPackage("..lab.model..", "..lab.ledger..", "..lab.nemesis..", "..lab.check..", "..lab.hunt..")
+            .should()
+            .callMethod(System.class, "nanoTime")
+            .orShould()
+            .callMethod(System.class, "currentTimeMillis")
+            .orShould()
+            .callMethod(Math.class, "random");
 
     @ArchTest
-    static final ArchRule COMMANDS_ARE_THE_TOP = noClasses().that().resideOutsideOfPackage("..lab.cli..")
-            .should().dependOnClassesThat().resideInAPackage("..lab.cli..");
+    static final ArchRule COMMANDS_ARE_THE_TOP = noClasses()
+            .that()
+            .resideOutsideOfPackage("..lab.cli..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("..lab.cli..");
 
     /** The verdict trusts the router in nothing: not even its parsers. */
     @ArchTest
-    static final ArchRule APART_FROM_THE_ROUTER = noClasses().should().dependOnClassesThat()
-            .resideInAnyPackage("stagepier", "stagepier.app..", "stagepier.memcache..", "stagepier.exchange..",
-                    "stagepier.client..", "stagepier.server..");
+    static final ArchRule APART_FROM_THE_ROUTER = noClasses()
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                    "stagepier",
+                    "stagepier.app..",
+                    "stagepier.memcache..",
+                    "stagepier.exchange..",
+                    "stagepier.client..",
+                    "stagepier.server..");
 
     @ArchTest
-    static final ArchRule NO_CYCLES = slices().matching("stagepier.lab.(*)..").should()
-            .beFreeOfCycles();
+    static final ArchRule NO_CYCLES =
+            slices().matching("stagepier.lab.(*)..").should().beFreeOfCycles();
 }
--- a/lab/src/test/java/stagepier/lab/FleetPlayTest.java
+++ b/lab/src/test/java/stagepier/lab/FleetPlayTest.java
@@ -47,17 +47,24 @@
             lasts_s = 4.5
             nodes = [1]
             """;
+
     @TempDir
     private Path folder;
 
     @ParameterizedTest
-    @ValueSource(strings = {"[[link_fault]]\nshape = \"partition\"\na = [0, 1]\nat_s = 6\nlasts_s = 6\n",
-        "[[fault]]\nkind = \"router_kill\"\nrouters = [0, 4]\nat_s = 7\nlasts_s = 1\n"})
+    @ValueSource(
+            strings = {
+                "[[link_fault]]\nshape = \"partition\"\na = [0, 1]\nat_s = 6\nlasts_s = 6\n",
+                "[[fault]]\nkind = \"router_kill\"\nrouters = [0, 4]\nat_s = 7\nlasts_s = 1\n"
+            })
     void theRealFleetKeepsItsPromises(String fault) throws Exception {
         RunResult result;
-        try (Experiment experiment = new Experiment(ScenarioReader.parse("test", SCENARIO + fault), 5,
-                RouterProcess.command(Path.of("../router/target/stagepier.jar").toAbsolutePath()), folder)) {
-            result = experiment.run(p -> { });
+        try (Experiment experiment = new Experiment(
+                ScenarioReader.parse("test", SCENARIO + fault),
+                5,
+                RouterProcess.command(Path.of("../router/target/stagepier.jar").toAbsolutePath()),
+                folder)) {
+            result = experiment.run(p -> {});
         }
         Map<Promise, Verdict> verdicts = new EnumMap<>(Promise.class);
         result.verdicts().forEach(v -> verdicts.put(v.promise(), v));
--- a/lab/src/test/java/stagepier/lab/LedgerTest.java
+++ b/lab/src/test/java/stagepier/lab/LedgerTest.java
@@ -16,8 +16,8 @@
 
 /** A router that breaks each rule once, on paper; each must be found, and what is in order must not. */
 class LedgerTest {
-    private static final List<RequestKind> KINDS = List.of(kind("safe", Repeat.SAFE), kind("keyed", Repeat.KEYED),
-            kind("unsafe", Repeat.UNSAFE));
+    private static final List<RequestKind> KINDS =
+            List.of(kind("safe", Repeat.SAFE), kind("keyed", Repeat.KEYED), kind("unsafe", Repeat.UNSAFE));
     private final List<Event> events = new ArrayList<>();
 
     private static RequestKind kind(String name, Repeat repeat) {
@@ -25,7 +25,8 @@
     }
 
     private List<Rule> broken() {
-        return new Ledger(KINDS, 1).judge(events, 100).stream().map(Breach::rule).toList();
+        return new Ledger(KINDS, 1)
+                .judge(events, 100).stream().map(Breach::rule).toList();
     }
 
     private void asked(double at, long request, int kind) {
@@ -170,10 +171,14 @@
     @Test
     void aCopyIsNobodysRequestAndStillHeedsADrain() {
         long copy = Event.COPIES | 5;
-        List<Event> events = new ArrayList<>(List.of(new Event.Arrived(1, 1, copy, 0, 0, true), new Event.Made(1.1, copy, 0, 7)));
+        List<Event> events =
+                new ArrayList<>(List.of(new Event.Arrived(1, 1, copy, 0, 0, true), new Event.Made(1.1, copy, 0, 7)));
         assertEquals(List.of(), new Ledger(KINDS, 1).judge(events, 20));
         events.add(new Event.Told(2, 0, 0, false));
         events.add(new Event.Arrived(5, 5, copy, 0, 0, true));
-        assertEquals(List.of(Rule.DRAINS), new Ledger(KINDS, 1).judge(events, 20).stream().map(Breach::rule).toList());
+        assertEquals(
+                List.of(Rule.DRAINS),
+                new Ledger(KINDS, 1)
+                        .judge(events, 20).stream().map(Breach::rule).toList());
     }
 }
--- a/lab/src/test/java/stagepier/lab/ModelTest.java
+++ b/lab/src/test/java/stagepier/lab/ModelTest.java
@@ -44,8 +44,10 @@
         long last = plan.stream().filter(p -> p.router() == 3).count();
         assertEquals(3.375, first / (double) last, 0.4);
         List<Planned> burst = Arrivals.draw(new Randoms(7), demand(Shape.BURST, 5), KINDS);
-        assertEquals(2500, burst.stream().filter(p -> p.at() >= 10 && p.at() < 11).count(), 250);
-        assertEquals(500, burst.stream().filter(p -> p.at() >= 12 && p.at() < 13).count(), 100);
+        assertEquals(
+                2500, burst.stream().filter(p -> p.at() >= 10 && p.at() < 11).count(), 250);
+        assertEquals(
+                500, burst.stream().filter(p -> p.at() >= 12 && p.at() < 13).count(), 100);
     }
 
     @Test
--- a/lab/src/test/java/stagepier/lab/ScenarioReaderTest.java
+++ b/lab/src/test/java/stagepier/lab/ScenarioReaderTest.java
@@ -62,11 +62,16 @@
                 [[fault]]
                 kind = "hang"
                 """;
-        String message = assertThrows(BadScenarioException.class, () -> ScenarioReader.parse("f.toml", text)).getMessage();
-        for (String line : List.of("f.toml:1: name: must be lower-case", "f.toml:3: fleet.nodes: must lie between 1 and 64",
-                "f.toml:4: fleet.nodez: is unknown", "f.toml:6: load.rate: must be a number",
+        String message = assertThrows(BadScenarioException.class, () -> ScenarioReader.parse("f.toml", text))
+                .getMessage();
+        for (String line : List.of(
+                "f.toml:1: name: must be lower-case",
+                "f.toml:3: fleet.nodes: must lie between 1 and 64",
+                "f.toml:4: fleet.nodez: is unknown",
+                "f.toml:6: load.rate: must be a number",
                 "f.toml:7: load.shape: must be one of steady, wave, burst",
-                "f.toml:11: class[0].deadline_ms: must not be below aim_ms", "fault[0].kind: is missing",
+                "f.toml:11: class[0].deadline_ms: must not be below aim_ms",
+                "fault[0].kind: is missing",
                 "f.toml:17: fault[1].nodes: must hold whole numbers from 0 to 5",
                 "fault[2].part: is missing, and so is the list")) {
             assertTrue(message.contains(line), line + " in" + System.lineSeparator() + message);
@@ -88,18 +93,25 @@
                 scope = "kind:RESTORE"
                 """;
         Together t = ScenarioReader.parse("x", text).together();
-        assertEquals(new Together.Proposal(2, List.of(1), List.of(new Together.Window("window", 4, 86_400, "kind:RESTORE"))),
+        assertEquals(
+                new Together.Proposal(2, List.of(1), List.of(new Together.Window("window", 4, 86_400, "kind:RESTORE"))),
                 t.proposals().get(0));
         assertEquals(List.of(0.5, 2.0), List.of(t.lease(), t.skew()));
         assertEquals(List.of(0, 1500, 0), List.of(t.clockOffset(0), t.clockOffset(1), t.clockOffset(2)));
         assertNull(ScenarioReader.parse("x", "").together());
         assertNull(ScenarioReader.parse("x", "[together]\non = false\n").together());
-        String bad = text.replace("[0, 1500]", "[0, 1, 2]").replace("[1]", "[2]").replace("kind:RESTORE", "some")
-                .replace("from_s = 4", "from_s = 4\nuntil_s = 3") + "lenght = 3\n";
-        String message = assertThrows(BadScenarioException.class, () -> ScenarioReader.parse("f", bad)).getMessage();
-        for (String line : List.of("f:3: together.clock_offsets_ms: names more", "f:6: together.proposal[0].routers: must hold",
+        String bad = text.replace("[0, 1500]", "[0, 1, 2]")
+                        .replace("[1]", "[2]")
+                        .replace("kind:RESTORE", "some")
+                        .replace("from_s = 4", "from_s = 4\nuntil_s = 3")
+                + "lenght = 3\n";
+        String message = assertThrows(BadScenarioException.class, () -> ScenarioReader.parse("f", bad))
+                .getMessage();
+        for (String line : List.of(
+                "f:3: together.clock_offsets_ms: names more",
+                "f:6: together.proposal[0].routers: must hold",
                 "f:9: together.proposal[0].window[0].until_s: must be above",
-                        "f:10: together.proposal[0].window[0].scope: must be",
+                "f:10: together.proposal[0].window[0].scope: must be",
                 "f:11: together.proposal[0].window[0].lenght: is unknown")) {
             assertTrue(message.contains(line), line + " in" + System.lineSeparator() + message);
         }
--- a/lab/src/test/java/stagepier/lab/TogetherTest.java
+++ b/lab/src/test/java/stagepier/lab/TogetherTest.java
@@ -50,15 +50,20 @@
             at_s = 3.5
             lasts_s = 4.5
             """;
+
     @TempDir
     private Path folder;
 
     private RunResult run(String how) throws Exception {
-        List<String> command = List.of(RouterProcess.java(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty(
-                "java.class.path"),
-                WrongRouter.class.getName(), how);
+        List<String> command = List.of(
+                RouterProcess.java(),
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                WrongRouter.class.getName(),
+                how);
         try (Experiment experiment = new Experiment(ScenarioReader.parse("test", SCENARIO), 5, command, folder)) {
-            return experiment.run(p -> { });
+            return experiment.run(p -> {});
         }
     }
 
@@ -78,8 +83,11 @@
         for (Promise p : List.of(Promise.P1, Promise.P2, Promise.P3, Promise.P4, Promise.P5, Promise.P8, Promise.P12)) {
             assertEquals(State.KEPT, verdicts.get(p).state(), verdicts.get(p).toString());
         }
-        assertTrue(Summary.of(result).promises().get(0).startsWith("P1 kept"), Summary.of(result).promises().toString());
-        assertTrue(Files.readString(folder.resolve("calendar-0.toml")).contains("[[window]]"), "staff proposed a window");
+        assertTrue(
+                Summary.of(result).promises().get(0).startsWith("P1 kept"),
+                Summary.of(result).promises().toString());
+        assertTrue(
+                Files.readString(folder.resolve("calendar-0.toml")).contains("[[window]]"), "staff proposed a window");
     }
 
     @Test
--- a/lab/src/test/java/stagepier/lab/WrongMember.java
+++ b/lab/src/test/java/stagepier/lab/WrongMember.java
@@ -39,7 +39,8 @@
     private WrongMember(String name, String file, boolean wrong) {
         this.name = name;
         this.wrong = wrong;
-        Matcher m = Pattern.compile("name = \"(n\\d+)\"\\s+address = \"127.0.0.1:(\\d+)\"").matcher(file);
+        Matcher m = Pattern.compile("name = \"(n\\d+)\"\\s+address = \"127.0.0.1:(\\d+)\"")
+                .matcher(file);
         while (m.find()) {
             addresses.put(m.group(1), Integer.parseInt(m.group(2)));
         }
@@ -52,7 +53,8 @@
         daemon(member::listen);
         daemon(member::look);
         member.addresses.keySet().stream()
-                .filter(other -> !other.equals(name)).forEach(other -> daemon(() -> member.ping(other)));
+                .filter(other -> !other.equals(name))
+                .forEach(other -> daemon(() -> member.ping(other)));
         if (wrong) {
             daemon(member::breakAll);
         }
@@ -73,7 +75,9 @@
     }
 
     private void say(String event, Object... namesAndValues) {
-        LoggingEventBuilder line = HISTORY.atInfo().addKeyValue("nano", System.nanoTime()).addKeyValue("router", name)
+        LoggingEventBuilder line = HISTORY.atInfo()
+                .addKeyValue("nano", System.nanoTime())
+                .addKeyValue("router", name)
                 .addKeyValue("incarnation", INCARNATION);
         for (int i = 0; i < namesAndValues.length; i += 2) {
             line = line.addKeyValue((String) namesAndValues[i], namesAndValues[i + 1]);
@@ -94,8 +98,8 @@
 
     private void answer(Socket caller) {
         try (caller) {
-            String line = new BufferedReader(new InputStreamReader(caller.getInputStream(),
-                    StandardCharsets.US_ASCII)).readLine();
+            String line = new BufferedReader(new InputStreamReader(caller.getInputStream(), StandardCharsets.US_ASCII))
+                    .readLine();
             if (line != null && line.contains("holds")) {
                 learn();
             }
@@ -110,7 +114,8 @@
         while (true) {
             try (Socket s = new Socket(InetAddress.getLoopbackAddress(), addresses.get(other))) {
                 s.setSoTimeout(300);
-                s.getOutputStream().write((name + (holds ? " holds" : "") + padding + "\n").getBytes(StandardCharsets.US_ASCII));
+                s.getOutputStream()
+                        .write((name + (holds ? " holds" : "") + padding + "\n").getBytes(StandardCharsets.US_ASCII));
                 if (s.getInputStream().read() == 'o') {
                     heard.put(other, System.nanoTime());
                 }
@@ -154,17 +159,18 @@
         try {
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Class<?> signal = Class.forName("sun.misc.Signal");
-            Object accepts = Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {handler}, (p, m, args) -> {
-                if (!wrong) {
-                    long now = System.currentTimeMillis();
-                    say("calendar.accepted", "version", "1.1", "hash", "aa");
-                    say("calendar.windows", "version", "1.1", "windows", List.of((now + 4000) + "..* all"));
-                    learn();
-                }
-                return null;
-            });
-            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
-                    accepts);
+            Object accepts =
+                    Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {handler}, (p, m, args) -> {
+                        if (!wrong) {
+                            long now = System.currentTimeMillis();
+                            say("calendar.accepted", "version", "1.1", "hash", "aa");
+                            say("calendar.windows", "version", "1.1", "windows", List.of((now + 4000) + "..* all"));
+                            learn();
+                        }
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), accepts);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException(e);
         }
--- a/lab/src/test/java/stagepier/lab/WrongRouter.java
+++ b/lab/src/test/java/stagepier/lab/WrongRouter.java
@@ -28,9 +28,11 @@
     }
 
     public static void main(String[] args) throws IOException {
-        JsonObject config = JsonParser.parseString(Files.readString(Path.of(System.getenv("GW_CONFIG")))).getAsJsonObject();
+        JsonObject config = JsonParser.parseString(Files.readString(Path.of(System.getenv("GW_CONFIG"))))
+                .getAsJsonObject();
         int port = Integer.parseInt(config.get("listen").getAsString().split(":")[1]);
-        WrongRouter router = new WrongRouter(args[0], config.getAsJsonObject("known").getAsJsonArray("instances"));
+        WrongRouter router =
+                new WrongRouter(args[0], config.getAsJsonObject("known").getAsJsonArray("instances"));
         watch(config.get("discovery").getAsString());
         if (System.getenv("GW_FLEET") != null) {
             WrongMember.start(config.get("name").getAsString(), args[0].equals("faithless"));
@@ -108,7 +110,11 @@
     }
 
     private String ask(int n, String command) {
-        String[] at = nodes.get(n % nodes.size()).getAsJsonObject().get("hostPort").getAsString().split(":");
+        String[] at = nodes.get(n % nodes.size())
+                .getAsJsonObject()
+                .get("hostPort")
+                .getAsString()
+                .split(":");
         try (Socket node = new Socket(at[0], Integer.parseInt(at[1]))) {
             node.setSoTimeout(1000);
             write(node, command);
@@ -117,7 +123,9 @@
             if (line == null) {
                 return "SERVER_ERROR failed\r\n";
             }
-            return line.startsWith("VA ") ? line.replaceAll(" h[01].*", "") + "\r\n" + in.readLine() + "\r\n" : line + "\r\n";
+            return line.startsWith("VA ")
+                    ? line.replaceAll(" h[01].*", "") + "\r\n" + in.readLine() + "\r\n"
+                    : line + "\r\n";
         } catch (IOException e) {
             return "SERVER_ERROR failed\r\n";
         }
--- a/lab/src/test/java/stagepier/lab/check/History.java
+++ b/lab/src/test/java/stagepier/lab/check/History.java
@@ -15,6 +15,7 @@
     static final int ROUTERS = 5;
     /** The wall clock at second 0. */
     static final long WALL = 1_800_000_000_000L;
+
     private static final Gson GSON = new Gson();
 
     private final Map<String, List<String>> lines = new LinkedHashMap<>();
@@ -43,7 +44,10 @@
         List<String> members = new ArrayList<>();
         for (int r = 0; r < ROUTERS; r++) {
             String name = "n" + r + ":";
-            members.add(List.of(others).stream().filter(o -> o.startsWith(name)).findFirst().orElse(name + "1:ALIVE"));
+            members.add(List.of(others).stream()
+                    .filter(o -> o.startsWith(name))
+                    .findFirst()
+                    .orElse(name + "1:ALIVE"));
         }
         return say(at, router, 1, "view", "epoch", epoch, "majority", majority, "members", members);
     }
@@ -92,8 +96,8 @@
         return this;
     }
 
-    List<Told> told() {
-        List<Told> told = new ArrayList<>();
+    List<HistoryEntry> told() {
+        List<HistoryEntry> told = new ArrayList<>();
         lines.forEach((router, of) -> {
             List<String> wrong = HistoryLines.read(router, of, 0, told);
             if (!wrong.isEmpty()) {
@@ -104,8 +108,14 @@
     }
 
     Verdict judge(Promise promise) {
-        Evidence evidence = new Evidence(told(), new Timeline(ROUTERS, still, hearing, 60), lastFault, 60, proposals,
-                new Limits(3, 1, 1000, 10), seen);
+        Evidence evidence = new Evidence(
+                told(),
+                new Timeline(ROUTERS, still, hearing, 60),
+                lastFault,
+                60,
+                proposals,
+                new Limits(3, 1, 1000, 10),
+                seen);
         return Checker.judge(evidence).get(promise.ordinal());
     }
 }
--- a/lab/src/test/java/stagepier/lab/hunt/HuntTest.java
+++ b/lab/src/test/java/stagepier/lab/hunt/HuntTest.java
@@ -38,20 +38,28 @@
      * to.
      */
     private static Set<String> planted(List<Step> schedule) {
-        boolean fails = schedule.stream().anyMatch(s -> isPartition(s, 2)) && schedule.stream().anyMatch(HuntTest::isKill);
+        boolean fails = schedule.stream().anyMatch(s -> isPartition(s, 2))
+                && schedule.stream().anyMatch(HuntTest::isKill);
         return fails ? Set.of("P5") : schedule.size() == 1 ? Set.of("P9") : Set.of();
     }
 
     @Test
     void aPlantedCombinationIsFoundAndShrunkToItself() throws Exception {
         List<String> lines = new ArrayList<>();
-        Hunt.Found found = Hunt.run(GRAMMAR, seed -> s -> s.equals(GRAMMAR.draw(seed)) && s.size() == 1 ? Set.of() : planted(s),
-                1, 500,
-                400, lines::add);
+        Hunt.Found found = Hunt.run(
+                GRAMMAR,
+                seed -> s -> s.equals(GRAMMAR.draw(seed)) && s.size() == 1 ? Set.of() : planted(s),
+                1,
+                500,
+                400,
+                lines::add);
         assertEquals(Set.of("P5"), found.broken());
         assertEquals(found.seed(), lines.size());
         assertEquals(2, found.shrunk().size(), found.shrunk().toString());
-        Step partition = found.shrunk().stream().filter(s -> isPartition(s, 2)).findFirst().orElseThrow();
+        Step partition = found.shrunk().stream()
+                .filter(s -> isPartition(s, 2))
+                .findFirst()
+                .orElseThrow();
         Step kill = found.shrunk().stream().filter(HuntTest::isKill).findFirst().orElseThrow();
         assertTrue(partition.lasts() < 4, "half of it would no longer fail: " + partition);
         assertEquals(List.of(0.5, 2.0, 2.0), List.of(kill.lasts(), kill.at(), partition.at()));
@@ -69,22 +77,30 @@
             List<Step> drawn = GRAMMAR.draw(seed);
             assertEquals(drawn, GRAMMAR.draw(seed));
             assertTrue(drawn.size() >= 1 && drawn.size() <= 5);
-            assertTrue(drawn.stream().allMatch(s -> s.at() >= 2 && s.at() + s.lasts() <= 30 - Grammar.CALM), drawn.toString());
+            assertTrue(
+                    drawn.stream().allMatch(s -> s.at() >= 2 && s.at() + s.lasts() <= 30 - Grammar.CALM),
+                    drawn.toString());
             Scenario replay = ScenarioReader.parse("found", Hunt.replay(BASE, drawn));
-            assertEquals(drawn.stream().filter(Step.OfLinks.class::isInstance).map(s -> ((Step.OfLinks) s).fault()).toList(),
+            assertEquals(
+                    drawn.stream()
+                            .filter(Step.OfLinks.class::isInstance)
+                            .map(s -> ((Step.OfLinks) s).fault())
+                            .toList(),
                     replay.linkFaults());
-            assertEquals(drawn.size(), replay.linkFaults().size() + replay.faults().size());
+            assertEquals(
+                    drawn.size(), replay.linkFaults().size() + replay.faults().size());
         }
         for (long seed = 0; seed < 50; seed++) {
-            ScenarioReader.parse("two", Hunt.replay("[fleet]\nrouters = 2\n[load]\nseconds = 16\n", new Grammar(2,
-                    16).draw(seed)));
+            ScenarioReader.parse(
+                    "two", Hunt.replay("[fleet]\nrouters = 2\n[load]\nseconds = 16\n", new Grammar(2, 16).draw(seed)));
         }
     }
 
     @Test
     void aHuntThatCannotBeIsRefusedInOneLine(@TempDir Path folder) throws Exception {
         Path file = Files.writeString(folder.resolve("short.toml"), "[load]\nseconds = 5\n");
-        for (String[] args : new String[][] {{"lab", "hunt", file.toString()}, {"lab", "hunt", file.toString(), "--seeds", "0"}}) {
+        for (String[] args :
+                new String[][] {{"lab", "hunt", file.toString()}, {"lab", "hunt", file.toString(), "--seeds", "0"}}) {
             StringWriter said = new StringWriter();
             int code = Cli.commandLine().setErr(new PrintWriter(said, true)).execute(args);
             assertEquals(args.length == 3 ? Cli.IO_ERROR : Cli.USAGE, code, said.toString());
@@ -94,7 +110,7 @@
 
     @Test
     void whatNeverFailsIsNotFoundAndPlaysAreBounded() throws Exception {
-        assertNull(Hunt.run(GRAMMAR, seed -> s -> Set.of(), 1, 20, 10, line -> { }));
+        assertNull(Hunt.run(GRAMMAR, seed -> s -> Set.of(), 1, 20, 10, line -> {}));
         Shrinker shrinker = new Shrinker(s -> Set.of("P1"), Set.of("P1"), 3);
         shrinker.shrink(GRAMMAR.draw(4));
         assertEquals(3, shrinker.plays());
--- a/lab/src/test/java/stagepier/lab/nemesis/NemesisTest.java
+++ b/lab/src/test/java/stagepier/lab/nemesis/NemesisTest.java
@@ -32,9 +32,19 @@
         for (int to = 0; to < ROUTERS; to++) {
             StringBuilder row = new StringBuilder();
             for (int from = 0; from < ROUTERS; from++) {
-                row.append(from == to || nemesis.treatment(Link.PEERS, from, to, now).isSilence() ? "" : (char) ('0' + from));
+                row.append(
+                        from == to
+                                        || nemesis.treatment(Link.PEERS, from, to, now)
+                                                .isSilence()
+                                ? ""
+                                : (char) ('0' + from));
             }
-            rows.add(row.append(nemesis.treatment(Link.DISCOVERY, Link.AGENT, to, now).isSilence() ? "" : "D").toString());
+            rows.add(row.append(
+                            nemesis.treatment(Link.DISCOVERY, Link.AGENT, to, now)
+                                            .isSilence()
+                                    ? ""
+                                    : "D")
+                    .toString());
         }
         return rows;
     }
@@ -51,7 +61,8 @@
 
     @Test
     void aBridgeHearsBothSides() {
-        assertEquals(List.of("12", "02", "0134D", "24D", "23D"),
+        assertEquals(
+                List.of("12", "02", "0134D", "24D", "23D"),
                 hears(nemesis(1, fault(Shape.BRIDGE, List.of(0, 1), List.of(2), 0)), 106));
     }
 
@@ -81,7 +92,10 @@
     }
 
     private static List<Integer> copies(Nemesis nemesis) {
-        return IntStream.range(0, 400).map(i -> nemesis.deliveries(Link.PEERS, 0, 1, 106).length).boxed().toList();
+        return IntStream.range(0, 400)
+                .map(i -> nemesis.deliveries(Link.PEERS, 0, 1, 106).length)
+                .boxed()
+                .toList();
     }
 
     @Test
@@ -94,8 +108,14 @@
         long doubled = copies.stream().filter(n -> n == 2).count();
         assertTrue(lost > 80 && lost < 160, lost + " of 400 lost");
         assertTrue(doubled > 50 && doubled < 120, doubled + " of 400 doubled");
-        assertArrayEquals(new double[] {Treatment.OVERTAKEN},
-                nemesis(7, fault(Shape.REORDER, List.of(0), List.of(), 1)).deliveries(Link.PEERS, 0, 1, 106), 1e-9);
-        assertEquals(0, copies(nemesis(7, fault(Shape.DROP, List.of(0), List.of(), 1))).stream().mapToInt(n -> n).sum());
+        assertArrayEquals(
+                new double[] {Treatment.OVERTAKEN},
+                nemesis(7, fault(Shape.REORDER, List.of(0), List.of(), 1)).deliveries(Link.PEERS, 0, 1, 106),
+                1e-9);
+        assertEquals(
+                0,
+                copies(nemesis(7, fault(Shape.DROP, List.of(0), List.of(), 1))).stream()
+                        .mapToInt(n -> n)
+                        .sum());
     }
 }
--- a/lab/src/test/java/stagepier/lab/standin/RelayTest.java
+++ b/lab/src/test/java/stagepier/lab/standin/RelayTest.java
@@ -41,7 +41,8 @@
     void begin() throws Exception {
         nemesis = new Nemesis(new Randoms(3), List.of());
         nemesis.starts(0);
-        world = new World(loop, clock, new Recorder(), ScenarioReader.parse("test", "[fleet]\nrouters = 2\n"), new Randoms(3));
+        world = new World(
+                loop, clock, new Recorder(), ScenarioReader.parse("test", "[fleet]\nrouters = 2\n"), new Randoms(3));
     }
 
     @AfterEach
@@ -51,8 +52,19 @@
 
     /** From now on, on the event loop, as a command line would. */
     private void set(Shape shape, double lasts, double part, double delay) throws Exception {
-        loop.submit(() -> nemesis.add(new LinkFault(shape, clock.now(), lasts, List.of(0), List.of(), List.of(),
-                EnumSet.allOf(Link.class), part, delay, 0, 1))).sync();
+        loop.submit(() -> nemesis.add(new LinkFault(
+                        shape,
+                        clock.now(),
+                        lasts,
+                        List.of(0),
+                        List.of(),
+                        List.of(),
+                        EnumSet.allOf(Link.class),
+                        part,
+                        delay,
+                        0,
+                        1)))
+                .sync();
     }
 
     private interface Talk {
@@ -63,7 +75,8 @@
         ServerSocket target = new ServerSocket(0, 4, LOOPBACK);
         StreamRelay relay = new StreamRelay(world, nemesis, Link.DISCOVERY, 0, Link.AGENT, target.getLocalPort());
         relay.listen();
-        try (Socket near = new Socket(LOOPBACK, relay.port()); Socket far = target.accept()) {
+        try (Socket near = new Socket(LOOPBACK, relay.port());
+                Socket far = target.accept()) {
             near.setSoTimeout(5000);
             far.setSoTimeout(5000);
             talk.between(near, far);
@@ -149,7 +162,9 @@
         SentTimes sent = new SentTimes();
         sent.sent(7, 10, 1);
         sent.sent(7, 5, 2);
-        assertEquals(List.of(1.0, 1.0, 2.0, 2.0), List.of(sent.at(7, 0, 9), sent.at(7, 9, 9), sent.at(7, 10, 9), sent.at(7, 14, 9)));
+        assertEquals(
+                List.of(1.0, 1.0, 2.0, 2.0),
+                List.of(sent.at(7, 0, 9), sent.at(7, 9, 9), sent.at(7, 10, 9), sent.at(7, 14, 9)));
         assertEquals(9, sent.at(8, 0, 9), "no relay there");
         sent.opened(7);
         sent.sent(7, 3, 4);
@@ -174,9 +189,11 @@
 
     @Test
     void datagramsComeFromTheirSendersDoorOnceTwiceOrNever() throws Exception {
-        try (DatagramSocket zero = new DatagramSocket(0, LOOPBACK); DatagramSocket one = new DatagramSocket(0, LOOPBACK);
+        try (DatagramSocket zero = new DatagramSocket(0, LOOPBACK);
+                DatagramSocket one = new DatagramSocket(0, LOOPBACK);
                 DatagramSocket stranger = new DatagramSocket(0, LOOPBACK)) {
-            DatagramRelay relay = new DatagramRelay(world, nemesis, new int[] {zero.getLocalPort(), one.getLocalPort()});
+            DatagramRelay relay =
+                    new DatagramRelay(world, nemesis, new int[] {zero.getLocalPort(), one.getLocalPort()});
             relay.listen();
             tell(zero, relay.door(0, 1), 5);
             assertEquals(relay.door(1, 0) + ":5", hear(one, 5000));
@@ -186,7 +203,10 @@
             set(Shape.ONE_WAY, 60, 0, 0);
             tell(zero, relay.door(0, 1), 8);
             tell(one, relay.door(1, 0), 9);
-            assertEquals(relay.door(0, 1) + ":9", hear(zero, 5000), "the other way is open, and all before it was dealt with");
+            assertEquals(
+                    relay.door(0, 1) + ":9",
+                    hear(zero, 5000),
+                    "the other way is open, and all before it was dealt with");
             assertEquals(null, hear(one, 50), "neither the stranger nor who is silenced is heard");
             relay.close();
         }
