--- a/router/src/main/java/stagepier/Api.java
+++ b/router/src/main/java/stagepier/Api.java
@@ -1,5 +1,6 @@
 package stagepier;
 
+import java.util.Collection;
 import java.util.List;
 
 /**
@@ -11,8 +12,10 @@
  * in the order in which they are to take effect.
  */
 public final class Api {
-    private Api() {
-    }
+    /** The module reports to other balancers so often on the mean, in shortest deadlines. */
+    public static final double REPORTS_EVERY = 0.18;
+
+    private Api() {}
 
     /** What a repeat of a request may do. */
     public enum Repeat {
@@ -25,7 +28,11 @@
     }
 
     /** The servers that drop each other's repeats of a keyed request. */
-    public enum Scope { ALL, ZONE, CELL }
+    public enum Scope {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** What a member's weight stands for. */
     public enum WeightMeaning {
@@ -46,12 +53,23 @@
     }
 
     /** State of a member in the list of servers. */
-    public enum MemberState { READY, DRAINING, GONE }
+    public enum MemberState {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** How an attempt ended. */
     public enum Outcome {
-        OK(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
-        CANCELLED(false), NOT_SENT(true), MISS(true);
+        OK(false),
+        ERROR(false),
+        FULL(true),
+        TIMEOUT(false),
+        CONNECT_FAILED(true),
+        RESET(false),
+        CANCELLED(false),
+        NOT_SENT(true),
+        MISS(true);
 
         private final boolean neverRan;
 
@@ -66,7 +84,12 @@
     }
 
     /** What a server said of the lookup itself. */
-    public enum Lookup { UNKNOWN, HIT, MISS, MISS_FETCHING }
+    public enum Lookup {
+        UNKNOWN,
+        HIT,
+        MISS,
+        MISS_FETCHING
+    }
 
     /**
      * A class of requests.
@@ -77,24 +100,40 @@
      * @param dedupWindow for keyed ones: how long a repeat is dropped, from the first send that may have run
      * @param streamed    the answer is streamed, see {@link Events#onFirstByte}
      */
-    public record RequestClass(Repeat repeat, Scope dedupScope, double dedupWindow, double aim, double deadline,
-            double worth, double lateWorth, boolean streamed) {
-    }
+    public record RequestClass(
+            Repeat repeat,
+            Scope dedupScope,
+            double dedupWindow,
+            double aim,
+            double deadline,
+            double worth,
+            double lateWorth,
+            boolean streamed) {}
 
     /** A tenant: its part of the service, and requests per second within its share over all balancers. */
-    public record Tenant(double share, double quotaPerSecond) {
-    }
+    public record Tenant(double share, double quotaPerSecond) {}
 
     /**
      * What the host permits. A {@code maxRetryAfter} of 0 means that clients get no advice.
      *
      * @param peers balancers may tell each other {@link News}
      */
-    public record Limits(int maxAttempts, boolean concurrentAttempts, boolean cancel, boolean probes,
-            double maxRetryAfter, double connectTimeout, boolean peers) {
+    public record Limits(
+            int maxAttempts,
+            boolean concurrentAttempts,
+            boolean cancel,
+            boolean probes,
+            double maxRetryAfter,
+            double connectTimeout,
+            boolean peers) {
         /** Of a balancer that is on its own. */
-        public Limits(int maxAttempts, boolean concurrentAttempts, boolean cancel, boolean probes,
-                double maxRetryAfter, double connectTimeout) {
+        public Limits(
+                int maxAttempts,
+                boolean concurrentAttempts,
+                boolean cancel,
+                boolean probes,
+                double maxRetryAfter,
+                double connectTimeout) {
             this(maxAttempts, concurrentAttempts, cancel, probes, maxRetryAfter, connectTimeout, false);
         }
     }
@@ -105,8 +144,7 @@
      * @param inFlight its attempts that are out there
      * @param open     it has a circuit open against it
      */
-    public record News(long server, int inFlight, boolean open) {
-    }
+    public record News(long server, int inFlight, boolean open) {}
 
     /**
      * What all other balancers told of a server, added up.
@@ -115,6 +153,10 @@
      * @param open     how many of them have a circuit open against it
      */
     public record Elsewhere(long server, int inFlight, int open) {
+        /** A server of which nobody reports anything. */
+        public static Elsewhere nothing(long server) {
+            return new Elsewhere(server, 0, 0);
+        }
     }
 
     /**
@@ -126,13 +168,11 @@
      * @param overloadFactor sent this many times its present capacity, by all balancers together ...
      * @param overloadSpan   ... for this long, a cold server falls over
      */
-    public record Protection(double drainGrace, double coldShare, double warmUp, double overloadFactor,
-            double overloadSpan) {
-    }
+    public record Protection(
+            double drainGrace, double coldShare, double warmUp, double overloadFactor, double overloadSpan) {}
 
     /** What costs: wasted work as a part of the work offered, and an origin fetch for each request. */
-    public record Prices(double waste, double originFetch, double crossZone) {
-    }
+    public record Prices(double waste, double originFetch, double crossZone) {}
 
     /** Names of the values in a load report, as far as the module knows them; -1 where a value is absent. */
     public record ReportLayout(int queue, int inFlight, int hitShare) {
@@ -148,15 +188,30 @@
      * @param quotaWorth worth of a request beyond its tenant's share, as a part of the usual
      * @param listOnRequest changes of the list come only after {@link Host#watchMembers}
      */
-    public record Settings(int balancers, int zone, List<RequestClass> classes, List<Tenant> tenants,
-            WeightMeaning weights, Fetching fetching, int originKind, double tick, double quotaWorth, Limits limits,
-            Protection protection, Prices prices, ReportLayout report, boolean listOnRequest) {
+    public record Settings(
+            int balancers,
+            int zone,
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            WeightMeaning weights,
+            Fetching fetching,
+            int originKind,
+            double tick,
+            double quotaWorth,
+            Limits limits,
+            Protection protection,
+            Prices prices,
+            ReportLayout report,
+            boolean listOnRequest) {
+        /** Mean seconds between two reports of the module to other balancers. */
+        public double reportPeriod() {
+            return REPORTS_EVERY
+                    * classes.stream().mapToDouble(RequestClass::deadline).min().orElseThrow();
+        }
     }
 
     /** A server in the list. {@code startedAt} 0 means long ago. */
-    public record Member(long id, int zone, int cell, int kind, MemberState state, double weight,
-            double startedAt) {
-    }
+    public record Member(long id, int zone, int cell, int kind, MemberState state, double weight, double startedAt) {}
 
     /**
      * A request as it arrives.
@@ -166,9 +221,15 @@
      * @param costHint    its work in core seconds, roughly; 0 where unknown
      * @param clientRetry the client says that it asks again
      */
-    public record Request(long id, int classIndex, int tenant, long key, double budget, double costHint,
-            boolean clientRetry, boolean write) {
-    }
+    public record Request(
+            long id,
+            int classIndex,
+            int tenant,
+            long key,
+            double budget,
+            double costHint,
+            boolean clientRetry,
+            boolean write) {}
 
     /** A ring that has taken over part of the keys from the module's own. Immutable. */
     public interface Promoted {
@@ -180,7 +241,7 @@
         long serverAt(int slot);
     }
 
-    /** What happens to a balancer; implemented by {@link Brain}. */
+    /** What happens to a balancer; implemented by {@link RoutingPolicy}. */
     public interface Events {
         /** The list of servers: complete, or only what changed. A server missing in a complete one is gone. */
         void onMembers(double now, boolean complete, List<Member> members);
@@ -199,8 +260,16 @@
          * @param finished the client has its answer or is gone; otherwise a final answer is still owed
          * @param report   load report in the order of the settings, or an empty array; reused by the host
          */
-        void onOutcome(double now, long request, int attempt, long server, Outcome outcome, double elapsed,
-                boolean finished, Lookup lookup, float[] report);
+        void onOutcome(
+                double now,
+                long request,
+                int attempt,
+                long server,
+                Outcome outcome,
+                double elapsed,
+                boolean finished,
+                Lookup lookup,
+                float[] report);
 
         /** The client left. */
         void onClientGone(double now, long request);
@@ -209,16 +278,13 @@
         void onTimer(double now, long token);
 
         /** A probe asked for by {@link Host#probe} ended. */
-        default void onProbe(double now, long server, Outcome outcome, double elapsed, float[] report) {
-        }
+        default void onProbe(double now, long server, Outcome outcome, double elapsed, float[] report) {}
 
-        /** What all other balancers have told of late, whole: servers not named are idle and well there. */
-        default void onPeers(double now, List<Elsewhere> told) {
-        }
+        /** What all other balancers report of these servers may have changed, see {@link Host#elsewhere}. */
+        default void onPeers(double now, Collection<Long> changed) {}
 
         /** Another ring has part of the keys from now on; null for none. */
-        default void onPromoted(double now, Promoted map) {
-        }
+        default void onPromoted(double now, Promoted map) {}
 
         /** Whether a server is to be spared what is not needed. Changes nothing. */
         default boolean spares(double now, long server) {
@@ -258,7 +324,16 @@
         void watchMembers();
 
         /** Tells all other balancers. What matters most comes first, for a message is short; it may be lost. */
-        default void tellPeers(List<News> news) {
+        default void tellPeers(List<News> news) {}
+
+        /** What all other balancers report of a server, added up; {@link Events#onPeers} tells when it changes. */
+        default Elsewhere elsewhere(long server) {
+            return Elsewhere.nothing(server);
+        }
+
+        /** How many attempts each one in these sums stands for on the mean; sums vary as much more. */
+        default double elsewhereWeight() {
+            return 1;
         }
 
         /** A line for the operators. */
--- a/router/src/main/java/stagepier/Bulkhead.java
+++ b/router/src/main/java/stagepier/Bulkhead.java
@@ -4,6 +4,7 @@
 final class Bulkhead {
     /** Tickets, and what is busy: at the least, and in deviations above the usual. Two tickets are few. */
     private static final int FLOOR = 12;
+
     private static final double DEVIATIONS = 5;
     private static final double BUSY_FLOOR = 3;
     private static final double BUSY_DEVIATIONS = 1.5;
@@ -19,9 +20,9 @@
         return inFlight >= cap(usual);
     }
 
-    /** Busy by chance: the next server may have no wait. */
-    static double busyFrom(double usual) {
-        return Math.max(BUSY_FLOOR, usual + BUSY_DEVIATIONS * Math.sqrt(usual));
+    /** Busy by chance: the next server may have no wait. Where each seen stands for many, chance is wider. */
+    static double busyFrom(double usual, double weight) {
+        return Math.max(BUSY_FLOOR, usual + BUSY_DEVIATIONS * Math.sqrt(usual * weight));
     }
 
     void add(double now, int change, double fades) {
--- a/router/src/main/java/stagepier/CircuitBreaker.java
+++ b/router/src/main/java/stagepier/CircuitBreaker.java
@@ -6,12 +6,14 @@
 final class CircuitBreaker {
     /** Failure rate of a server that deserves an open circuit, of one out of reach, of all at the most. */
     private static final double BROKEN_RATE = 0.9;
+
     private static final double UNREACHABLE_RATE = 0.95;
     private static final double COMMON_RATE_CAP = 0.6;
     /** Part of a failure that an error or a 'full' is: the server still answers. */
     private static final double MILD_FAILURE = 0.5;
     /** Doublings of the dead time while openings follow on each other: trials of a long trouble thin out. */
     private static final int DOUBLINGS = 2;
+
     private double evidence;
     private double evidenceAt;
     boolean isOpen;
@@ -26,15 +28,15 @@
     static double evidence(Outcome outcome, double elapsed, double late, double rateOfAll) {
         double commonRate = Math.min(COMMON_RATE_CAP, rateOfAll);
         double failure = Math.log(BROKEN_RATE / commonRate);
+        double mild = MILD_FAILURE * failure;
         return switch (outcome) {
-            case OK, MISS -> elapsed > late ? MILD_FAILURE * failure
-                    : Math.log((1 - BROKEN_RATE) / (1 - commonRate));
+            case OK, MISS -> elapsed > late ? mild : Math.log((1 - BROKEN_RATE) / (1 - commonRate));
             // A connection that fails is no matter of the load that all servers share.
             case CONNECT_FAILED -> Math.log(UNREACHABLE_RATE / FailureRate.USUAL);
             // A time-out says less the less time the server was given.
             case TIMEOUT -> failure * Math.min(1, elapsed / Math.max(1e-9, late));
             // A connection may end for reasons of its own; of a process that died the next connect tells.
-            case RESET, ERROR, FULL -> MILD_FAILURE * failure;
+            case RESET, ERROR, FULL -> mild;
             case CANCELLED, NOT_SENT -> 0;
         };
     }
--- a/router/src/main/java/stagepier/FailureRate.java
+++ b/router/src/main/java/stagepier/FailureRate.java
@@ -5,6 +5,7 @@
     static final double USUAL = 0.01;
     /** Ends that the belief in the usual rate counts for. */
     static final int BELIEF = 20;
+
     final FadingCount ends = new FadingCount();
     final FadingCount failures = new FadingCount();
 
@@ -19,8 +20,8 @@
 
     /** The rate of all that is counted here but not in a part of it. */
     double without(FailureRate part, double now, double fades) {
-        return rate(failures.at(now, fades) - part.failures.at(now, fades),
-                ends.at(now, fades) - part.ends.at(now, fades));
+        double failed = failures.at(now, fades) - part.failures.at(now, fades);
+        return rate(failed, ends.at(now, fades) - part.ends.at(now, fades));
     }
 
     private static double rate(double failures, double ends) {
--- a/router/src/main/java/stagepier/HashRing.java
+++ b/router/src/main/java/stagepier/HashRing.java
@@ -13,11 +13,13 @@
 public final class HashRing {
     /** Virtual nodes of a server of weight 1: arcs then differ by about a tenth. */
     private static final int VIRTUAL_NODES = 100;
+
     private static final long SLOT_MASK = 0xffff;
     private static final long GOLDEN_GAMMA = 0x9e3779b97f4a7c15L;
     private long[] points = {};
     /** Servers that left, and points of those that came, since the ring was last read. */
     private final BitSet gone = new BitSet();
+
     private final Map<Integer, long[]> came = new HashMap<>();
 
     public static int virtualNodes(double weight) {
@@ -26,8 +28,8 @@
 
     public void add(int slot, long server, int virtualNodes) {
         long seed = mix(server + GOLDEN_GAMMA);
-        came.put(slot, LongStream.range(0, virtualNodes)
-                .map(i -> mix(seed + i * GOLDEN_GAMMA) & ~SLOT_MASK | slot).sorted().toArray());
+        LongStream places = LongStream.range(0, virtualNodes).map(i -> mix(seed + i * GOLDEN_GAMMA));
+        came.put(slot, places.map(place -> place & ~SLOT_MASK | slot).sorted().toArray());
     }
 
     public void remove(int slot) {
@@ -38,8 +40,9 @@
     /** Guards against a standstill: made anew for each of a list's many changes, it held a router up. */
     private void settle() {
         if (!gone.isEmpty() || !came.isEmpty()) {
-            points = LongStream.concat(Arrays.stream(points).filter(x -> !gone.get((int) (x & SLOT_MASK))),
-                    came.values().stream().flatMapToLong(Arrays::stream)).toArray();
+            LongStream stayed = Arrays.stream(points).filter(x -> !gone.get((int) (x & SLOT_MASK)));
+            LongStream added = came.values().stream().flatMapToLong(Arrays::stream);
+            points = LongStream.concat(stayed, added).toArray();
             // Sorted runs are merged, which is less work than to sort the whole of a large ring.
             Arrays.sort(points);
             gone.clear();
--- a/router/src/main/java/stagepier/KeyTable.java
+++ b/router/src/main/java/stagepier/KeyTable.java
@@ -4,6 +4,7 @@
 final class KeyTable {
     /** Keys remembered: what a busy balancer is asked for while a copy is kept. */
     private static final int PLACES = 4096;
+
     private final long[] keys = new long[PLACES];
     private final double[] counts = new double[PLACES];
     private final double[] at = new double[PLACES];
@@ -18,17 +19,13 @@
         int i = place(key);
         double left = counts[i] == 0 ? 0 : counts[i] * Math.exp((at[i] - now) / fades);
         at[i] = now;
-        if (keys[i] == key) {
-            counts[i] = left + 1;
-            return counts[i];
-        }
-        counts[i] = left - 1;
-        if (left < 1) {
+        if (keys[i] != key && left < 1) {
             keys[i] = key;
-            counts[i] = 1;
+            left = 0;
             holders[i] = null;
         }
-        return 1;
+        counts[i] = keys[i] == key ? left + 1 : left - 1;
+        return keys[i] == key ? counts[i] : 1;
     }
 
     void held(double now, long key, Server s) {
--- a/router/src/main/java/stagepier/KindSpeeds.java
+++ b/router/src/main/java/stagepier/KindSpeeds.java
@@ -4,11 +4,13 @@
 final class KindSpeeds {
     /** Answers from which a kind's speed counts, weight of a new one, least speed, change that moves keys. */
     private static final int TRUSTED = 60;
+
     private static final double GAIN = 1.0 / 256;
     private static final double SLOWEST = 0.4;
     private static final double CHANGES = 0.15;
     /** By kind: in parts of the fastest, 0 for 1; mean log answer time; answers. */
     private final double[] speed = new double[256];
+
     private final double[] typical = new double[256];
     private final int[] answers = new int[256];
 
--- a/router/src/main/java/stagepier/Latency.java
+++ b/router/src/main/java/stagepier/Latency.java
@@ -4,6 +4,7 @@
 final class Latency {
     /** Weight of a new answer; answers that tell the least time; deviations after which it is late. */
     static final double GAIN = 1.0 / 64;
+
     private static final int TRUSTED = 8;
     private static final double LATE_DEVIATIONS = 4;
     double mean;
@@ -12,6 +13,7 @@
     double typical;
     /** The typical time when it was least: about that of an answer that waits for nothing. */
     double least;
+
     int seen;
 
     void add(double elapsed) {
--- a/router/src/main/java/stagepier/Pending.java
+++ b/router/src/main/java/stagepier/Pending.java
@@ -7,6 +7,7 @@
 final class Pending {
     /** Attempts at the most, whatever the settings say: each is a bit. */
     private static final int MOST_ATTEMPTS = 16;
+
     final Api.Request request;
     final RequestClass rules;
     final long point;
@@ -17,6 +18,7 @@
     int attempts;
     /** One bit for each attempt that is out, and for each without proof that it never ran. */
     int out;
+
     int mayHaveRun;
     boolean started;
     boolean missed;
@@ -54,30 +56,34 @@
         return Arrays.asList(on).contains(s);
     }
 
+    private boolean isHarmless() {
+        return mayHaveRun == 0 || rules.repeat() == Repeat.SAFE;
+    }
+
     /** The one place that decides whether a further send does no harm, whatever became of earlier ones. */
     boolean mayRepeat(double now, double tick, Server s) {
-        int first = Integer.numberOfTrailingZeros(mayHaveRun);
-        return mayHaveRun == 0 || switch (rules.repeat()) {
-            case SAFE -> true;
-            case UNSAFE -> false;
-            case KEYED -> dropsRepeats(on[first], s) && now + tick < sentAt[first] + rules.dedupWindow();
-        };
+        return isHarmless() || dropsRepeats(s) && now + tick < dropsUntil();
     }
 
     /** Seconds from now within which a further attempt has to begin, however long the host makes it wait. */
     double startWithin(double now) {
-        return mayHaveRun == 0 || rules.repeat() != Repeat.KEYED ? Double.POSITIVE_INFINITY
-                : sentAt[Integer.numberOfTrailingZeros(mayHaveRun)] + rules.dedupWindow() - now;
+        boolean bounded = !isHarmless() && rules.repeat() == Repeat.KEYED;
+        return bounded ? dropsUntil() - now : Double.POSITIVE_INFINITY;
+    }
+
+    private double dropsUntil() {
+        return sentAt[Integer.numberOfTrailingZeros(mayHaveRun)] + rules.dedupWindow();
     }
 
-    private boolean dropsRepeats(Server first, Server s) {
+    private boolean dropsRepeats(Server s) {
+        Server first = on[Integer.numberOfTrailingZeros(mayHaveRun)];
         Scope scope = rules.dedupScope();
-        return scope == Scope.ALL || (scope == Scope.ZONE ? s.zone == first.zone : s.cell == first.cell);
+        boolean near = scope == Scope.ZONE ? s.zone == first.zone : s.cell == first.cell;
+        return rules.repeat() == Repeat.KEYED && (scope == Scope.ALL || near);
     }
 
     /** The one place that decides whether the client may be told that asking again does no harm. */
     boolean mayRefuse() {
-        return mayHaveRun == 0 || rules.repeat() == Repeat.SAFE
-                || rules.repeat() == Repeat.KEYED && rules.dedupScope() == Scope.ALL;
+        return isHarmless() || rules.repeat() == Repeat.KEYED && rules.dedupScope() == Scope.ALL;
     }
 }
--- a/router/src/main/java/stagepier/Brain.java
+++ b/router/src/main/java/stagepier/RoutingPolicy.java
@@ -1,10 +1,12 @@
 package stagepier;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.SplittableRandom;
 import stagepier.Api.*;
 
@@ -13,19 +15,25 @@
  * Each server, and an origin that is asked from here, is guarded by a {@link CircuitBreaker} and then by a
  * {@link Bulkhead} of tickets; what either turns away goes on to the next ring server, or is refused.
  */
-public final class Brain implements Events {
+public final class RoutingPolicy implements Events {
     // ---- constants: dimensionless, or in parts of what the settings say; times in shortest deadlines ------
     /** Ring servers asked for one send; part that a weight must change by, as noise must not move keys. */
     private static final int WALK_LIMIT = 16;
+
     private static final double REWEIGH_AT = 0.25;
     /** Log odds that open a circuit, and calls that raise them: a busy server fails by chance more often. */
     private static final double OPEN_AT = 4;
+
     private static final double CHANCE_SPAN = 5;
+    /** Part of the aim within which no answer counts as late, however quick others are. */
+    private static final double LATE_LEAST = 0.01;
     /** First dead time of a circuit, and its jitter to either side. */
     private static final double DEAD_TIME = 2;
+
     private static final double JITTER = 0.3;
     /** Time constants. A jam builds up sooner than usual concurrency fades; popularity needs averaging. */
     private static final double CONCURRENCY_FADES = 10;
+
     private static final double EVIDENCE_FADES = 12;
     private static final double FETCH_FADES = 4;
     private static final double POPULARITY_FADES = 40;
@@ -35,41 +43,49 @@
     private static final double HOT_SHARE = 0.3;
     /** Deviations that the count of a hot key is taken to be too high by. */
     private static final double HOT_DEVIATIONS = 2;
+
     private static final int COPIES_MOST = 40;
     /** By own answers, some of which waited for the origin: crowded from here, most is shed so much later. */
     private static final double CROWD_FROM_THROUGH = 0.33;
+
     private static final double CROWD_RAMP = 0.35;
     /** While no more than this part of requests meets a crowd, it is local, and its keys are spilled. */
     private static final double CROWDED_FEW = 0.06;
+
     private static final double CROWDED_FEW_THROUGH = 0.5;
     /** Weight of a new answer. Own ones alone are few and vary; of all servers, ten tell a common jam. */
     private static final double LAG_GAIN = 0.4;
+
     private static final double LAG_GAIN_THROUGH = 0.2;
     private static final double COMMON_GAIN = 0.1;
     /** What is beyond a tenant's share gives way this many times sooner than the rest. */
     private static final double OVER_SHARE_FIRST = 4;
     /** Parts of the stated overload and least capacity that a cold server is offered; spans measured. */
     private static final double COLD_BUDGET = 0.6;
+
     private static final double COLD_SHARE = 1.4;
     private static final double RATE_SPANS = 4;
     /** Further tries allowed for each request, and how many may be saved up. */
     private static final double RETRY_RATIO = 0.1;
+
     private static final double RETRY_SAVINGS = 10;
-    /** Second copies: part of fetches admitted, for one is likely a fetch, and latest part of the aim. */
-    private static final double COPY_WHILE_ADMITTED = 0.9;
+    /** Part of the aim until which a second copy is sent. */
     private static final double COPY_BEFORE = 0.7;
     /** Part of the aim by which a timer is late only if the balancer itself is. */
     private static final double WOKE_LATE = 0.1;
     /** Retry-after in parts of the aim: late enough to spread, early enough to be of use. */
     private static final double RETRY_AFTER_MIN = 0.05;
+
     private static final double RETRY_AFTER_SPREAD = 0.2;
     /** Part of attempts without a connection from which connections are scarce. */
     private static final double SCARCE = 0.02;
     /** Timers of the list and of the peers; all others carry a request's id, which is not negative. */
     private static final long WATCH_TOKEN = -1;
+
     private static final long TELL_TOKEN = -2;
     /** Peers are told so often, by so many balancers: fewer see enough, and would only move keys about. */
-    private static final double TELLS_EVERY = 0.18;
+    private static final double TELLS_EVERY = Api.REPORTS_EVERY;
+
     private static final int MANY = 7;
     /** So many others with an open circuit make a server suspect here, too: no single one is believed. */
     private static final int SUSPECTED_BY = 3;
@@ -80,9 +96,11 @@
     private final double deadline;
     /** Time constant of evidence. */
     private final double memory;
+
     private final HashRing ring = new HashRing();
     /** Its ring has part of the keys; null for none. */
     private Promoted promoted;
+
     private final Map<Long, Server> servers = new HashMap<>();
     private final List<Server> slots = new ArrayList<>();
     private final Map<Long, Pending> open = new HashMap<>();
@@ -92,6 +110,7 @@
     private double missShare = 1;
     /** Of calls to cache servers, apart for keys expected to hit: misses wait for the origin. */
     private final FailureRate missFailures = new FailureRate();
+
     private final FailureRate hitFailures = new FailureRate();
     private final KeyTable keys = new KeyTable();
     private final FailureRate fetchFaults = new FailureRate();
@@ -112,6 +131,9 @@
     private double startedAt = Double.NaN;
     private boolean tellsLookups;
     private double elsewhere;
+    /** Whether cache servers fetch what they lack; else misses are fetched from here. */
+    private final boolean through;
+
     private final boolean ownAnswersOnly;
     private double crowdedShare;
     private double usualAim;
@@ -120,21 +142,25 @@
     private int hints;
 
     /** @throws IllegalArgumentException where the settings make no sense */
-    public Brain(Settings settings, long seed, Host host) {
+    public RoutingPolicy(Settings settings, long seed, Host host) {
         if (settings.classes().isEmpty()) {
             throw new IllegalArgumentException("no request classes");
         }
-        if (settings.fetching() == Fetching.ASIDE && settings.originKind() < 0) {
+        through = settings.fetching() == Fetching.THROUGH;
+        if (!through && settings.originKind() < 0) {
             throw new IllegalArgumentException("misses are fetched aside, but no member kind is the origin");
         }
         this.settings = settings;
         this.host = host;
         random = new SplittableRandom(seed);
-        deadline = settings.classes().stream().mapToDouble(RequestClass::deadline).min().getAsDouble();
+        deadline = settings.classes().stream()
+                .mapToDouble(RequestClass::deadline)
+                .min()
+                .getAsDouble();
         warmFades = RATE_SPANS * Math.max(settings.protection().overloadSpan(), deadline);
         memory = EVIDENCE_FADES * deadline;
         usualAim = settings.classes().get(0).aim();
-        ownAnswersOnly = settings.fetching() == Fetching.THROUGH && settings.weights() != WeightMeaning.LIVE;
+        ownAnswersOnly = through && settings.weights() != WeightMeaning.LIVE;
         tenants = new TenantShares(settings.tenants());
     }
 
@@ -187,9 +213,10 @@
             s.breaker = new CircuitBreaker();
             s.warmUp = new WarmUp(settings.protection(), m.startedAt(), now, random.nextDouble());
         }
-        if (settings.fetching() == Fetching.ASIDE && m.kind() == settings.originKind()) {
+        if (!through && m.kind() == settings.originKind()) {
             origin = s;
             s.ready = true;
+            lookElsewhere(s);
             return;
         }
         // A live weight says how busy a server was, not how large it is: it must not move keys.
@@ -200,7 +227,7 @@
             nominalWeight[s.kind] = Math.max(nominalWeight[s.kind], m.weight());
             // One request a core is work, what is beyond waits.
             double waiting = nominalWeight[s.kind] / m.weight() - 2;
-            s.crowd.judge(now, waiting * unhurried() / usualAim, deadline);
+            s.shedder.observe(now, waiting * unhurried() / usualAim, deadline);
         }
         place(s, REWEIGH_AT);
     }
@@ -211,6 +238,7 @@
         if (Math.abs(weight - s.weight) > butFor * s.weight) {
             leaveRing(s);
             s.ready = true;
+            lookElsewhere(s);
             s.weight = weight;
             totalWeight += weight;
             ring.add(s.slot, s.id, HashRing.virtualNodes(weight));
@@ -225,8 +253,8 @@
     @Override
     public boolean spares(double now, long server) {
         Server s = servers.get(server);
-        return s == null || s.weight <= 0 || s.breaker.isOpen || s.openElsewhere > 0 || s.saidFull
-                || s.crowd.admitted(now, deadline) < 1 || s.bulkhead.full(due(sentOut.usual, s));
+        boolean well = s != null && s.weight > 0 && !s.breaker.isOpen && s.openElsewhere == 0 && !s.saidFull;
+        return !well || s.shedder.admitted(now, deadline) < 1 || s.bulkhead.full(due(sentOut.usual, s));
     }
 
     private Server admit(long id) {
@@ -241,6 +269,7 @@
     private void retire(Server s) {
         leaveRing(s);
         s.ready = false;
+        lookElsewhere(s);
         origin = s == origin ? null : origin;
         forgetIfIdle(s);
     }
@@ -277,8 +306,8 @@
         open.put(request.id(), p);
         retryTokens = Math.min(RETRY_SAVINGS, retryTokens + RETRY_RATIO);
         if (request.budget() <= 0) {
-            end(now, p);
-        } else if (settings.fetching() == Fetching.ASIDE && request.write()) {
+            end(p);
+        } else if (!through && request.write()) {
             sendToOrigin(now, p);
         } else {
             sendOnRing(now, p);
@@ -288,13 +317,11 @@
     private void sendOnRing(double now, Pending p) {
         Server s = pick(now, p);
         p.expectsHit = s != null && keys.holds(now, p.request.key(), s, memory);
-        boolean fetched = settings.fetching() == Fetching.THROUGH && !p.expectsHit;
-        send(now, p, s == null || fetched && !mayFetch(p) ? null : s);
+        send(now, p, s == null || through && !p.expectsHit && !mayFetch(p) ? null : s);
     }
 
     private void sendToOrigin(double now, Pending p) {
-        boolean takes = origin != null && mayFetch(p) && maySend(now, p, origin) && origin.breaker.allows(now)
-                && !origin.bulkhead.full(origin.bulkhead.usual);
+        boolean takes = origin != null && mayFetch(p) && maySend(now, p, origin, origin.bulkhead.usual);
         send(now, p, takes ? origin : null);
     }
 
@@ -309,8 +336,7 @@
         double bearable = HOT_SHARE * requests.at(now, POPULARITY_FADES * deadline) / servers.size();
         // Where calls are rare, a key asked for twice or thrice is not yet a crowd, and each copy is a fetch.
         double sure = p.heat - HOT_DEVIATIONS * Math.sqrt(p.heat);
-        int copies = fetches.admitted < COPY_WHILE_ADMITTED ? 1
-                : (int) Math.min(COPIES_MOST, Math.ceil(sure / bearable));
+        int copies = fetches.isOpen() ? (int) Math.min(COPIES_MOST, Math.ceil(sure / bearable)) : 1;
         int skip = copies > 1 && servers.size() > 1 ? random.nextInt(copies) : 0;
         Server s = skip > 0 ? pick(now, p, skip) : null;
         return s != null ? s : pick(now, p, 0);
@@ -333,7 +359,7 @@
             if (crowded(now, p, s)) {
                 crowdedShare += turned++ == 0 ? Latency.GAIN * (1 - crowdedShare) : 0;
                 double few = ownAnswersOnly ? CROWDED_FEW_THROUGH : CROWDED_FEW;
-                if (crowdedShare > few || fetches.admitted < COPY_WHILE_ADMITTED) {
+                if (crowdedShare > few || !fetches.isOpen()) {
                     // Guards against turning away whose owner is only busy, for a crowd at the next one.
                     return busy;
                 }
@@ -341,12 +367,11 @@
             }
             boolean suspect = !s.breaker.isOpen && s.openElsewhere >= SUSPECTED_BY;
             double share = s.warmUp.share(now);
-            if (suspect || !maySend(now, p, s) || !s.breaker.allows(now)
-                    || s.bulkhead.full(due(sentOut.usual, s)) || !affords(now, s, share)) {
+            if (suspect || !maySend(now, p, s, due(sentOut.usual, s)) || !affords(now, s, share)) {
                 continue;
             }
             // Whoever is busy by chance is passed over, but few are asked: a key on many misses on many.
-            double busyFrom = Bulkhead.busyFrom(due(sentOut.usual + elsewhere, s));
+            double busyFrom = Bulkhead.busyFrom(due(sentOut.usual + elsewhere, s), host.elsewhereWeight());
             if (share < 1 && HashRing.fraction(p.point ^ s.id) >= share * COLD_SHARE) {
                 spare = spare == null && p.out == 0 && s.bulkhead.inFlight < busyFrom ? s : spare;
                 continue;
@@ -355,7 +380,7 @@
             boolean waits = load >= 1;
             busy = !waits || busy == null || elsewhere > 0 && load < least ? s : busy;
             least = Math.min(load, least);
-            if (!waits || ++busies >= (fetches.admitted < COPY_WHILE_ADMITTED ? 1 : 2)) {
+            if (!waits || ++busies >= (fetches.isOpen() ? 2 : 1)) {
                 break;
             }
         }
@@ -367,17 +392,16 @@
 
     /** Guards against a jam that outlasts its cause: part of its keys, always the same, is turned away. */
     private boolean crowded(double now, Pending p, Server s) {
-        // What is long ago at this server gives way to what all show in common, unless that is the origin's.
-        boolean through = settings.fetching() == Fetching.THROUGH;
         // Where only own answers tell and none is on its way, the last late one may have been our own doing.
         boolean tells = !ownAnswersOnly || s.bulkhead.inFlight != 0 || p.overShare;
+        // What is long ago at this server gives way to what all show in common, unless that is the origin's.
         double common = through || Double.isNaN(commonLag) ? unhurried() : Math.exp(commonLag);
         double recent = Math.exp((s.lagAt - now) / (HINT_FADES * deadline));
         double wait = (s.lag - common) * recent + common - unhurried();
         double first = p.overShare ? OVER_SHARE_FIRST : 1;
-        double over = first * wait / p.rules.aim() - (through ? CROWD_FROM_THROUGH : Crowd.FROM);
-        double told = Math.pow(s.crowd.admitted(now, deadline), first);
-        double admitted = Math.max(Crowd.LEAST, Math.min(1 - over / CROWD_RAMP, told));
+        double over = first * wait / p.rules.aim() - (through ? CROWD_FROM_THROUGH : LoadShedder.FROM);
+        double told = Math.pow(s.shedder.admitted(now, deadline), first);
+        double admitted = Math.max(LoadShedder.LEAST, Math.min(1 - over / CROWD_RAMP, told));
         return tells && admitted < 1 && HashRing.fraction(p.point + s.id) >= admitted;
     }
 
@@ -392,7 +416,8 @@
             // The warm ones share what they are sent: else a half cold fleet seems to be asked for less.
             weighedAt = now;
             warmWeight = servers.values().stream()
-                    .mapToDouble(x -> x.warmUp.share(now) < 1 ? 0 : x.weight).sum();
+                    .mapToDouble(x -> x.warmUp.share(now) < 1 ? 0 : x.weight)
+                    .sum();
         }
         double perWeight = warmSends.rate(now, startedAt, warmFades) / Math.max(warmWeight, s.weight);
         double whole = settings.protection().overloadFactor() * share * perWeight * s.weight;
@@ -405,7 +430,7 @@
 
     private void send(double now, Pending p, Server s) {
         if (s == null) {
-            end(now, p);
+            end(p);
             return;
         }
         s.breaker.onSend(now, p.request.id(), p.attempts);
@@ -422,23 +447,46 @@
         double startWithin = p.startWithin(now);
         p.onSend(now, s);
         host.send(p.request.id(), s.id, p.deadlineAt - now, startWithin);
-        boolean mayCopy = settings.limits().concurrentAttempts() && p.rules.repeat() == Repeat.SAFE
-                && !p.rules.streamed() && p.on.length > 1 && cacheLatency.seen >= FailureRate.BELIEF;
-        if (mayCopy && s != origin && p.attempts == 1 && cacheLatency.late() < COPY_BEFORE * p.rules.aim()) {
+        if (s == origin || p.attempts > 1) {
+            return;
+        }
+        boolean repeatable = p.rules.repeat() == Repeat.SAFE && !p.rules.streamed() && p.on.length > 1;
+        boolean known = settings.limits().concurrentAttempts() && cacheLatency.seen >= FailureRate.BELIEF;
+        if (repeatable && known && cacheLatency.late() < COPY_BEFORE * p.rules.aim()) {
             host.setTimer(cacheLatency.late(), p.request.id());
         }
-        if (s != origin && p.attempts == 1 && settings.fetching() == Fetching.THROUGH && !p.expectsHit) {
+        if (through && !p.expectsHit) {
             host.setTimer(p.aimAt - now, p.request.id());
         }
     }
 
     @Override
-    public void onOutcome(double now, long request, int attempt, long server, Outcome outcome, double elapsed,
-            boolean finished, Lookup lookup, float[] report) {
+    public void onOutcome(
+            double now,
+            long request,
+            int attempt,
+            long server,
+            Outcome outcome,
+            double elapsed,
+            boolean finished,
+            Lookup lookup,
+            float[] report) {
         Server s = servers.get(server);
         Pending p = open.get(request);
         if (s != null) {
-            account(now, s, p, request, attempt, outcome, elapsed, lookup);
+            boolean expectsHit = p != null && p.expectsHit;
+            tellsLookups |= lookup != Lookup.UNKNOWN;
+            // In through mode a slow origin looks like slow caches: misses say nothing of a server's shedder.
+            boolean mayMiss = tellsLookups && outcome == Outcome.TIMEOUT && !expectsHit;
+            account(now, s, outcome, elapsed, through && (lookup == Lookup.MISS || mayMiss));
+            weigh(now, s, request, attempt, outcome, elapsed, expectsHit ? hitFailures : missFailures);
+            forgetIfIdle(s);
+            if (s.ready) {
+                shareConnections(now, s, outcome);
+            }
+            if (p != null) {
+                learnOfKey(now, p, s, outcome, lookup);
+            }
         }
         if (p != null) {
             p.onOutcome(attempt, outcome);
@@ -458,8 +506,8 @@
             if (settings.limits().cancel()) {
                 host.cancel(p.request.id(), i);
             }
-            weigh(now, p.on[i], p.request.id(), i, Outcome.TIMEOUT, now - p.sentAt[i],
-                    p.expectsHit && i == 0);
+            FailureRate rate = p.expectsHit && i == 0 ? hitFailures : missFailures;
+            weigh(now, p.on[i], p.request.id(), i, Outcome.TIMEOUT, now - p.sentAt[i], rate);
         }
     }
 
@@ -467,8 +515,10 @@
         if (outcome == Outcome.OK && !p.request.write()) {
             keys.held(now, p.request.key(), s == origin ? p.on[0] : s);
         }
-        boolean unknown = settings.fetching() == Fetching.THROUGH && !p.expectsHit;
-        boolean ended = outcome == Outcome.OK || outcome == Outcome.TIMEOUT || outcome == Outcome.ERROR
+        boolean unknown = through && !p.expectsHit;
+        boolean ended = outcome == Outcome.OK
+                || outcome == Outcome.TIMEOUT
+                || outcome == Outcome.ERROR
                 || outcome == Outcome.FULL;
         // Who has just started knows no key, though most are held: not all are to be shed as misses.
         if (unknown && ended && tellsLookups && !p.request.write()) {
@@ -507,13 +557,7 @@
         }
     }
 
-    private void account(double now, Server s, Pending p, long request, int attempt, Outcome outcome,
-            double elapsed, Lookup lookup) {
-        boolean expectsHit = p != null && p.expectsHit;
-        tellsLookups |= lookup != Lookup.UNKNOWN;
-        // In through mode a slow origin looks like slow caches: misses say nothing of a server's crowd.
-        boolean fetched = settings.fetching() == Fetching.THROUGH
-                && (lookup == Lookup.MISS || tellsLookups && outcome == Outcome.TIMEOUT && !expectsHit);
+    private void account(double now, Server s, Outcome outcome, double elapsed, boolean fetched) {
         s.bulkhead.add(now, -1, CONCURRENCY_FADES * deadline);
         Latency latency = s == origin ? originLatency : cacheLatency;
         if (s != origin) {
@@ -522,7 +566,8 @@
         if (outcome == Outcome.OK) {
             latency.add(elapsed);
             if (s != origin && !fetched && s.warmUp.share(now) >= 1 && speeds.learn(s.kind, elapsed)) {
-                slots.stream().filter(x -> x != null && x.weight > 0 && x.kind == s.kind)
+                slots.stream()
+                        .filter(x -> x != null && x.weight > 0 && x.kind == s.kind)
                         .forEach(x -> place(x, 0));
             }
         }
@@ -538,25 +583,17 @@
             commonLag = before + COMMON_GAIN * (Latency.log(wait) - before);
             s.lagAt = now;
         }
-        weigh(now, s, request, attempt, outcome, elapsed, expectsHit);
-        forgetIfIdle(s);
-        if (s.ready) {
-            shareConnections(now, s, outcome);
-        }
-        if (p != null) {
-            learnOfKey(now, p, s, outcome, lookup);
-        }
     }
 
-    private void weigh(double now, Server s, long request, int attempt, Outcome outcome, double elapsed,
-            boolean expectsHit) {
+    private void weigh(
+            double now, Server s, long request, int attempt, Outcome outcome, double took, FailureRate rate) {
         Latency latency = s == origin ? originLatency : cacheLatency;
-        FailureRate common = expectsHit ? hitFailures : missFailures;
-        double commonRate = s == origin ? 1 : common.at(now, memory);
-        double evidence = CircuitBreaker.evidence(outcome, elapsed, latency.late(), commonRate);
+        double commonRate = s == origin ? 1 : rate.at(now, memory);
+        double late = Math.max(latency.late(), LATE_LEAST * usualAim);
+        double evidence = CircuitBreaker.evidence(outcome, took, late, commonRate);
         Pending p = open.get(request);
         if (evidence != 0 && s != origin && (p == null || !p.late)) {
-            common.add(now, evidence > 0, memory);
+            rate.add(now, evidence > 0, memory);
         }
         double openAt = OPEN_AT + Math.log1p(s.sends.rate(now, startedAt, memory) * CHANCE_SPAN * deadline);
         if (s.breaker.record(now, request, attempt, evidence, openAt, memory)) {
@@ -567,11 +604,11 @@
     private void proceed(double now, Pending p, Outcome outcome) {
         boolean worthless = now >= p.aimAt && p.rules.lateWorth() == 0;
         boolean tooLate = p.deadlineAt - now < cacheLatency.mean / 2;
-        boolean atOrigin = settings.fetching() == Fetching.ASIDE && (p.request.write() || p.missed);
+        boolean atOrigin = !through && (p.request.write() || p.missed);
         if (outcome == Outcome.MISS) {
             sendToOrigin(now, p);
         } else if (worthless || tooLate || atOrigin || retryTokens < 1) {
-            end(now, p);
+            end(p);
         } else {
             retryTokens -= 1;
             sendOnRing(now, p);
@@ -579,14 +616,15 @@
     }
 
     /** The one place that decides whether a request may be sent to a server, and whether once more. */
-    private boolean maySend(double now, Pending p, Server s) {
+    private boolean maySend(double now, Pending p, Server s, double usual) {
         boolean atOnce = p.out == 0 || settings.limits().concurrentAttempts();
-        return s.ready && p.attempts < p.on.length && now < p.deadlineAt && atOnce
-                && p.mayRepeat(now, settings.tick(), s);
+        boolean takes = s.ready && s.breaker.allows(now) && !s.bulkhead.full(usual);
+        boolean inBounds = p.attempts < p.on.length && now < p.deadlineAt;
+        return atOnce && takes && inBounds && p.mayRepeat(now, settings.tick(), s);
     }
 
     /** The balancer's own final answer. An attempt still out is left to run: its outcome is ignored. */
-    private void end(double now, Pending p) {
+    private void end(Pending p) {
         long id = p.request.id();
         if (p.mayRefuse()) {
             double after = p.rules.aim() * (RETRY_AFTER_MIN + RETRY_AFTER_SPREAD * random.nextDouble());
@@ -614,11 +652,12 @@
     @Override
     public void onTimer(double now, long token) {
         Pending p = open.get(token);
+        boolean waits = p != null && p.out != 0;
         if (token == WATCH_TOKEN) {
             host.watchMembers();
         } else if (token == TELL_TOKEN) {
             tell(now);
-        } else if (p != null && now >= p.aimAt && p.out != 0 && !p.late) {
+        } else if (waits && now >= p.aimAt && !p.late) {
             if (now > p.aimAt + WOKE_LATE * p.rules.aim()) {
                 // It is this balancer that is late: the answer may lie here unread.
                 return;
@@ -626,10 +665,8 @@
             // Known late now, not only when its time is up: till then an origin that jams would be sent more.
             p.late = true;
             missFailures.add(now, true, memory);
-            Server s = p.on[p.attempts - 1];
-            fetches.record(false, missShare * originsPart(now, s, false));
-        } else if (p != null && p.attempts == 1 && p.out != 0 && !p.started && retryTokens >= 1
-                && fetches.admitted >= COPY_WHILE_ADMITTED) {
+            fetches.record(false, missShare * originsPart(now, p.on[p.attempts - 1], false));
+        } else if (waits && p.attempts == 1 && !p.started && retryTokens >= 1 && fetches.isOpen()) {
             Server s = pick(now, p);
             if (s != null) {
                 retryTokens -= 1;
@@ -643,21 +680,23 @@
         host.tellPeers(slots.stream()
                 .filter(s -> s != null && s.ready && (s.bulkhead.inFlight > 0 || s.breaker.isOpen))
                 .map(s -> new News(s.id, s.bulkhead.inFlight, s.breaker.isOpen))
-                .sorted(Comparator.comparing(News::open).thenComparing(News::inFlight).reversed()).toList());
+                .sorted(Comparator.comparing(News::open)
+                        .thenComparing(News::inFlight)
+                        .reversed())
+                .toList());
         host.setTimer(TELLS_EVERY * deadline * (0.5 + random.nextDouble()), TELL_TOKEN);
     }
 
     @Override
-    public void onPeers(double now, List<Elsewhere> told) {
-        elsewhere = 0;
-        servers.values().forEach(s -> s.elsewhere = s.openElsewhere = 0);
-        for (Elsewhere e : told) {
-            Server s = servers.get(e.server());
-            if (s != null && s.ready) {
-                s.elsewhere = e.inFlight();
-                s.openElsewhere = e.open();
-                elsewhere += e.inFlight();
-            }
-        }
+    public void onPeers(double now, Collection<Long> changed) {
+        changed.stream().map(servers::get).filter(Objects::nonNull).forEach(this::lookElsewhere);
+    }
+
+    /** What others report of a server counts as long as it is ready. */
+    private void lookElsewhere(Server s) {
+        Elsewhere sum = s.ready ? host.elsewhere(s.id) : Elsewhere.nothing(s.id);
+        elsewhere += sum.inFlight() - s.elsewhere;
+        s.elsewhere = sum.inFlight();
+        s.openElsewhere = sum.open();
     }
 }
--- a/router/src/main/java/stagepier/Server.java
+++ b/router/src/main/java/stagepier/Server.java
@@ -7,7 +7,7 @@
     CircuitBreaker breaker = new CircuitBreaker();
     final Bulkhead bulkhead = new Bulkhead();
     WarmUp warmUp;
-    final Crowd crowd = new Crowd();
+    final LoadShedder shedder = new LoadShedder();
     final FadingCount sends = new FadingCount();
     final FailureRate fetches = new FailureRate();
     int zone;
@@ -16,13 +16,16 @@
     double size;
     /** Its part of the ring; 0 while it has none. */
     double weight;
+
     boolean ready;
     boolean listed;
     /** What other balancers told: their attempts out there, and how many of them have a circuit open. */
     int elsewhere;
+
     int openElsewhere;
     /** When it could not be reached, until it answers. */
     double unreachedAt = Double.NEGATIVE_INFINITY;
+
     double lag;
     double lagAt = Double.NEGATIVE_INFINITY;
     boolean saidFull;
--- a/router/src/main/java/stagepier/WarmUp.java
+++ b/router/src/main/java/stagepier/WarmUp.java
@@ -18,10 +18,10 @@
 
     /** Part of its capacity that it has at the least. */
     double share(double now) {
-        if (startedAt == 0 || rules.warmUp() <= 0 || now - startedAt >= rules.warmUp()) {
+        double age = Math.max(0, now - startedAt);
+        if (startedAt == 0 || age >= rules.warmUp()) {
             return 1;
         }
-        double age = Math.max(0, now - startedAt);
         return Math.min(1, rules.coldShare() + (1 - rules.coldShare()) * age / rules.warmUp());
     }
 
@@ -29,18 +29,16 @@
     boolean affords(double now, double whole, double part, double chance) {
         double rate = part * whole;
         double budget = rate * rules.overloadSpan();
-        if (budget < 1) {
+        if (budget >= 1) {
+            tokens = Math.min(Math.max(1, budget / 2), tokens + (now - tokensAt) * rate);
+            tokensAt = now;
+        } else if (now >= drawnUntil) {
             // Less than one is not saved up, or all balancers at once would send one each: it is drawn for
             // a span at a time, by the whole, for what is drawn and not used is lost.
-            if (now >= drawnUntil) {
-                drawnUntil = now + rules.overloadSpan();
-                tokensAt = now;
-                tokens = chance < whole * rules.overloadSpan() ? 1 : 0;
-            }
-            return tokens >= 1;
+            drawnUntil = now + rules.overloadSpan();
+            tokensAt = now;
+            tokens = chance < whole * rules.overloadSpan() ? 1 : 0;
         }
-        tokens = Math.min(Math.max(1, budget / 2), tokens + (now - tokensAt) * rate);
-        tokensAt = now;
         return tokens >= 1;
     }
 
--- a/router/src/main/java/stagepier/adapter/Adapter.java
+++ b/router/src/main/java/stagepier/adapter/Adapter.java
@@ -5,11 +5,13 @@
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.List;
 import stagepier.Api;
-import stagepier.Brain;
+import stagepier.RoutingPolicy;
 import stagepier.peers.NewsCodec;
-import stagepier.peers.PeerView;
+import stagepier.peers.PeerReport;
+import stagepier.peers.PeerReports;
 import stagepier.settings.SettingsException;
 import stagepier.settings.SettingsParser;
 
@@ -40,16 +42,24 @@
     private static final int CLIENT_RETRY = 2;
     private static final int WRITE = 4;
 
-    private static final Api.Outcome[] OUTCOMES = {Api.Outcome.OK, Api.Outcome.ERROR, Api.Outcome.FULL,
-        Api.Outcome.TIMEOUT, Api.Outcome.CONNECT_FAILED, Api.Outcome.RESET, Api.Outcome.CANCELLED,
-        Api.Outcome.NOT_SENT, Api.Outcome.MISS};
+    private static final Api.Outcome[] OUTCOMES = {
+        Api.Outcome.OK,
+        Api.Outcome.ERROR,
+        Api.Outcome.FULL,
+        Api.Outcome.TIMEOUT,
+        Api.Outcome.CONNECT_FAILED,
+        Api.Outcome.RESET,
+        Api.Outcome.CANCELLED,
+        Api.Outcome.NOT_SENT,
+        Api.Outcome.MISS
+    };
     private static final Api.Lookup[] LOOKUPS = Api.Lookup.values();
-    private static final Api.MemberState[] STATES = {Api.MemberState.READY, Api.MemberState.GONE,
-        Api.MemberState.DRAINING};
+    private static final Api.MemberState[] STATES = {
+        Api.MemberState.READY, Api.MemberState.GONE, Api.MemberState.DRAINING
+    };
 
     /** One balancer: its module and a report buffer of the size that its settings announce. */
-    private record Instance(Brain brain, float[] report, PeerView peers) {
-    }
+    private record Instance(RoutingPolicy policy, float[] report, PeerReports peers) {}
 
     private static final float[] NO_REPORT = {};
 
@@ -86,6 +96,7 @@
                 throw new WireException("batch " + batch + ": the clock is not a number");
             }
             readPayload(length);
+            reply.at(now);
             play(records, length, now);
             reply.flushTo(out);
         }
@@ -173,12 +184,12 @@
 
     private void deliver(int code, Instance instance, double now, String where) {
         switch (code) {
-            case NEW_REQUEST -> request(instance.brain, now);
+            case NEW_REQUEST -> request(instance.policy, now);
             case RESPONSE -> response(instance, now, where);
-            case DUE -> instance.brain.onTimer(now, record.u64());
-            case DISCOVERY -> discovery(instance.brain, now, where);
-            case HANGUP -> instance.brain.onClientGone(now, record.u64());
-            case HEADERS -> headers(instance.brain, now);
+            case DUE -> due(instance, now);
+            case DISCOVERY -> discovery(instance.policy, now, where);
+            case HANGUP -> instance.policy.onClientGone(now, record.u64());
+            case HEADERS -> headers(instance.policy, now);
             case HEALTH_RESULT -> probed(instance, now, where);
             case WHISPER -> whisper(instance, now);
             default -> throw new WireException(where + ": unknown record code " + code);
@@ -189,8 +200,12 @@
         long seed = record.u64();
         try {
             SettingsParser.Parsed parsed = SettingsParser.parse(record.text());
-            instances[who] = new Instance(new Brain(parsed.settings(), seed, reply.hostFor(who)),
-                    new float[parsed.reportFields()], new PeerView());
+            PeerReports peers =
+                    new PeerReports(parsed.settings(), parsed.names().zones().size(), seed);
+            instances[who] = new Instance(
+                    new RoutingPolicy(parsed.settings(), seed, reply.hostFor(who, peers)),
+                    new float[parsed.reportFields()],
+                    peers);
         } catch (SettingsException e) {
             throw new WireException(e.getMessage());
         } catch (IllegalArgumentException e) {
@@ -221,12 +236,12 @@
         tables.set(number, members);
     }
 
-    private void discovery(Brain brain, double now, String where) {
+    private void discovery(RoutingPolicy policy, double now, String where) {
         int mode = record.u8();
         record.u64();
         int number = record.i32();
         if (mode == DISCOVERY_FAILED) {
-            brain.onMembersFailed(now);
+            policy.onMembersFailed(now);
             return;
         }
         if (mode > DISCOVERY_FAILED) {
@@ -236,10 +251,10 @@
         if (members == null) {
             throw new WireException(where + ": list " + Integer.toUnsignedLong(number) + " was never given");
         }
-        brain.onMembers(now, mode != DISCOVERY_DELTA, members);
+        policy.onMembers(now, mode != DISCOVERY_DELTA, members);
     }
 
-    private void request(Brain brain, double now) {
+    private void request(RoutingPolicy policy, double now) {
         long id = record.u64();
         int classIndex = record.u16();
         int tenant = record.i32();
@@ -248,29 +263,46 @@
         double hint = record.f64();
         record.f32();
         int options = record.u8();
-        brain.onRequest(now, new Api.Request(id, classIndex, tenant, key, budget,
-                (options & HINT_VALID) != 0 ? hint : 0, (options & CLIENT_RETRY) != 0, (options & WRITE) != 0));
+        policy.onRequest(
+                now,
+                new Api.Request(
+                        id,
+                        classIndex,
+                        tenant,
+                        key,
+                        budget,
+                        (options & HINT_VALID) != 0 ? hint : 0,
+                        (options & CLIENT_RETRY) != 0,
+                        (options & WRITE) != 0));
     }
 
     private void whisper(Instance instance, double now) {
         int peer = (int) record.u32();
         byte[] message = record.bytes(record.u16());
-        List<Api.News> news;
+        PeerReport report;
         try {
-            news = NewsCodec.decode(message);
+            report = NewsCodec.decode(message);
         } catch (IllegalArgumentException e) {
             // Not this program's: nobody has to understand it.
             return;
         }
-        instance.brain.onPeers(now, instance.peers.heard(now, peer, news));
+        instance.policy.onPeers(now, instance.peers.take(now, peer, report));
+    }
+
+    private void due(Instance instance, double now) {
+        instance.policy.onTimer(now, record.u64());
+        Collection<Long> changed = instance.peers.forget(now);
+        if (!changed.isEmpty()) {
+            instance.policy.onPeers(now, changed);
+        }
     }
 
-    private void headers(Brain brain, double now) {
+    private void headers(RoutingPolicy policy, double now) {
         long id = record.u64();
         record.u32();
         int attempt = record.u8();
         record.f64();
-        brain.onFirstByte(now, id, attempt);
+        policy.onFirstByte(now, id, attempt);
     }
 
     private void response(Instance instance, double now, String where) {
@@ -283,7 +315,7 @@
         int detail = record.i32();
         Api.Lookup lookup = detail >= 0 && detail < LOOKUPS.length ? LOOKUPS[detail] : Api.Lookup.UNKNOWN;
         float[] report = report(instance);
-        instance.brain.onOutcome(now, id, attempt, server, outcome, elapsed, finished, lookup, report);
+        instance.policy.onOutcome(now, id, attempt, server, outcome, elapsed, finished, lookup, report);
     }
 
     private void probed(Instance instance, double now, String where) {
@@ -291,7 +323,7 @@
         long server = record.u32();
         double elapsed = record.f64();
         float[] report = report(instance);
-        instance.brain.onProbe(now, server, outcome, elapsed, report);
+        instance.policy.onProbe(now, server, outcome, elapsed, report);
     }
 
     private Api.Outcome outcome(String where) {
--- a/router/src/main/java/stagepier/adapter/ReplyWriter.java
+++ b/router/src/main/java/stagepier/adapter/ReplyWriter.java
@@ -6,7 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import stagepier.Api;
-import stagepier.peers.NewsCodec;
+import stagepier.peers.PeerReports;
 
 /** Collects one reply in a reused buffer: header (length, count), then records. */
 final class ReplyWriter {
@@ -27,6 +27,7 @@
     private byte[] bytes = new byte[1 << 16];
     private int length = HEADER;
     private int records;
+    private double time;
 
     void flushTo(OutputStream out) throws IOException {
         putInt(0, length - HEADER);
@@ -41,8 +42,22 @@
         text(EXCEPTION, instance, text);
     }
 
+    /** The time of all that is collected from now on. */
+    void at(double now) {
+        time = now;
+    }
+
+    /** A message of an instance to all others. */
+    private void share(int instance, byte[] message) {
+        begin(SHARE, 8 + message.length, instance);
+        u32(-1);
+        u16(message.length);
+        System.arraycopy(message, 0, bytes, length, message.length);
+        length += message.length;
+    }
+
     /** The actions of one instance. */
-    Api.Host hostFor(int instance) {
+    Api.Host hostFor(int instance, PeerReports peers) {
         return new Api.Host() {
             @Override
             public void send(long request, long server, double timeout) {
@@ -99,12 +114,20 @@
 
             @Override
             public void tellPeers(List<Api.News> news) {
-                byte[] message = NewsCodec.encode(news);
-                begin(SHARE, 8 + message.length, instance);
-                u32(-1);
-                u16(message.length);
-                System.arraycopy(message, 0, bytes, length, message.length);
-                length += message.length;
+                byte[] message = peers.message(time, news);
+                if (message != null) {
+                    share(instance, message);
+                }
+            }
+
+            @Override
+            public Api.Elsewhere elsewhere(long server) {
+                return peers.of(server);
+            }
+
+            @Override
+            public double elsewhereWeight() {
+                return peers.weight();
             }
 
             @Override
--- a/router/src/main/java/stagepier/app/Config.java
+++ b/router/src/main/java/stagepier/app/Config.java
@@ -27,9 +27,18 @@
  * @param name    of this router, or ""
  * @param fleet   the file that says with whom it decides together, or ""
  */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, JsonElement known, int sockets,
-        SettingsParser.Parsed settings, PeerSocket.Addresses peers, InetSocketAddress console, boolean passed,
-        String name, String fleet) {
+record Config(
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        JsonElement known,
+        int sockets,
+        SettingsParser.Parsed settings,
+        PeerSocket.Addresses peers,
+        InetSocketAddress console,
+        boolean passed,
+        String name,
+        String fleet) {
     private static final int SOCKETS_USUAL = 1024;
     private static final int SOCKETS_LEAST = 128;
 
@@ -64,11 +73,23 @@
             InetSocketAddress listen = address(o, "listen");
             InetSocketAddress discovery = address(o, "discovery");
             SettingsParser.Parsed settings = SettingsParser.parse(String.valueOf(o.get("settings")));
-            return new Config(listen, discovery, seed(o), known == null || known.isJsonNull() ? null : known, sockets(o),
-                    settings, peers(o, settings), console(o, environment), passed(environment), name(o, environment),
+            return new Config(
+                    listen,
+                    discovery,
+                    seed(o),
+                    known == null || known.isJsonNull() ? null : known,
+                    sockets(o),
+                    settings,
+                    peers(o, settings),
+                    console(o, environment),
+                    passed(environment),
+                    name(o, environment),
                     environment.getOrDefault("GW_FLEET", ""));
-        } catch (JsonParseException | IllegalStateException | UnsupportedOperationException
-                | IllegalArgumentException | SettingsException e) {
+        } catch (JsonParseException
+                | IllegalStateException
+                | UnsupportedOperationException
+                | IllegalArgumentException
+                | SettingsException e) {
             throw new BadConfigException("configuration: " + e.getMessage());
         }
     }
@@ -87,8 +108,8 @@
         }
         List<InetSocketAddress> routers = new ArrayList<>();
         o.getAsJsonArray("peers").forEach(e -> routers.add(HostGroup.address(e.getAsString())));
-        return new PeerSocket.Addresses(address(o, "peer_listen"), address(o, "peers_all"), List.copyOf(routers),
-                settings.slot());
+        return new PeerSocket.Addresses(
+                address(o, "peer_listen"), address(o, "peers_all"), List.copyOf(routers), settings.slot());
     }
 
     private static InetSocketAddress console(JsonObject o, Map<String, String> environment) {
@@ -110,7 +131,8 @@
     private static boolean passed(Map<String, String> environment) {
         String descriptor = environment.getOrDefault("GW_PASSED_SOCKET", "");
         if (!descriptor.isEmpty() && !descriptor.equals("0")) {
-            throw new IllegalArgumentException("GW_PASSED_SOCKET is '" + descriptor + "', but only descriptor 0 can be taken over");
+            throw new IllegalArgumentException(
+                    "GW_PASSED_SOCKET is '" + descriptor + "', but only descriptor 0 can be taken over");
         }
         return !descriptor.isEmpty();
     }
--- a/router/src/main/java/stagepier/app/FleetWork.java
+++ b/router/src/main/java/stagepier/app/FleetWork.java
@@ -40,8 +40,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(FleetWork.class);
     /** By how much the lab sets this process's wall clock off, in milliseconds. */
     private static final String OFFSET = "stagepier.clock.offset.ms";
+
     private static final int LOOK_MS = 100;
-    private static final String BUILD = String.valueOf(FleetWork.class.getPackage().getImplementationVersion());
+    private static final String BUILD =
+            String.valueOf(FleetWork.class.getPackage().getImplementationVersion());
 
     private final FleetConfig config;
     private final Tasks tasks;
@@ -52,9 +54,11 @@
     private final FreezePart freeze;
     /** Null where there is no calendar. */
     private final HeldChanges<Runnable> held;
+
     private final long seed;
     /** Null where there is no candidate map. */
     private ShadowWork shadow;
+
     private AgreedTexts promotions;
     private final List<FleetPart> parts = new ArrayList<>();
 
@@ -96,8 +100,17 @@
             return;
         }
         promotions = new AgreedTexts("promotion", tasks, calls, config, history, seed + 3);
-        shadow = new ShadowWork(new ShadowWork.Fleet(tasks, calls, config, HistoryLog.STARTED, view::view, this::calendar,
-                ShadowWork.agreement(promotions), history), own);
+        shadow = new ShadowWork(
+                new ShadowWork.Fleet(
+                        tasks,
+                        calls,
+                        config,
+                        HistoryLog.STARTED,
+                        view::view,
+                        this::calendar,
+                        ShadowWork.agreement(promotions),
+                        history),
+                own);
         parts.add(shadow.part());
     }
 
@@ -137,7 +150,11 @@
         if (held != null) {
             held.due(tasks.wall().instant(), tasks.nanoTime()).forEach(Runnable::run);
         }
-        view.facts(new FleetView.Facts(BUILD, config.hash(), hosts.generation(), freeze == null ? 0 : freeze.version(),
+        view.facts(new FleetView.Facts(
+                BUILD,
+                config.hash(),
+                hosts.generation(),
+                freeze == null ? 0 : freeze.version(),
                 shadow == null ? 0 : shadow.version()));
     }
 
@@ -157,10 +174,21 @@
     String refusal(Change change) {
         Calendar.Answer answer = calendar().ask(change, tasks.wall().instant(), tasks.nanoTime());
         boolean open = answer.permit() == Calendar.Permit.OPEN;
-        history.write(open ? "topology.admitted" : "topology.refused", "kind", change.kind().name(), "server", change.server(),
-                "zone", change.zone(), "calendar", calendar().version());
-        return open ? null : answer.permit() == Calendar.Permit.FROZEN ? "frozen by " + answer.reason()
-                : "the calendar is unknown: " + answer.reason();
+        history.write(
+                open ? "topology.admitted" : "topology.refused",
+                "kind",
+                change.kind().name(),
+                "server",
+                change.server(),
+                "zone",
+                change.zone(),
+                "calendar",
+                calendar().version());
+        return open
+                ? null
+                : answer.permit() == Calendar.Permit.FROZEN
+                        ? "frozen by " + answer.reason()
+                        : "the calendar is unknown: " + answer.reason();
     }
 
     /** From any thread. */
@@ -170,7 +198,8 @@
 
     /** The lines of {@code STATUS}. */
     List<String> status() {
-        return Stream.concat(Stream.of(calls.status()), parts.stream().flatMap(p -> p.status().stream())).toList();
+        return Stream.concat(Stream.of(calls.status()), parts.stream().flatMap(p -> p.status().stream()))
+                .toList();
     }
 
     /** The process is told to end: others hear that it left, and need not suspect it. */
--- a/router/src/main/java/stagepier/app/HistoryLog.java
+++ b/router/src/main/java/stagepier/app/HistoryLog.java
@@ -13,8 +13,7 @@
     /** Of this process, by a clock that all processes of a machine share. */
     static final long STARTED = System.nanoTime();
 
-    private HistoryLog() {
-    }
+    private HistoryLog() {}
 
     static History get() {
         return LOG.isInfoEnabled() ? new HistoryLog() : NONE;
--- a/router/src/main/java/stagepier/app/Main.java
+++ b/router/src/main/java/stagepier/app/Main.java
@@ -30,8 +30,7 @@
     /** No client waits longer than this; what is open then will never end. */
     private static final int STOP_MOST_S = 30;
 
-    private Main() {
-    }
+    private Main() {}
 
     public static void main(String[] args) {
         String word = args.length == 1 ? args[0] : "";
@@ -46,8 +45,10 @@
     private static void adapter() {
         try {
             // Unbuffered output: each reply is one write of a whole buffer.
-            new Adapter(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
-                    new FileOutputStream(FileDescriptor.out)).run();
+            new Adapter(
+                            new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
+                            new FileOutputStream(FileDescriptor.out))
+                    .run();
         } catch (WireException e) {
             exit(BAD_INPUT, "stagepier: " + e.getMessage());
         } catch (IOException e) {
--- a/router/src/main/java/stagepier/app/Rehearsal.java
+++ b/router/src/main/java/stagepier/app/Rehearsal.java
@@ -1,7 +1,6 @@
 package stagepier.app;
 
 import java.io.BufferedReader;
-import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
@@ -34,20 +33,27 @@
         String answer(String line, BufferedReader in) throws IOException;
     }
 
-    private Rehearsal() {
-    }
+    private Rehearsal() {}
 
     /** Returns how many requests were served. */
     static int run() throws Exception {
-        try (ServerSocket cache = listen(); ServerSocket discovery = listen()) {
+        try (ServerSocket cache = listen();
+                ServerSocket discovery = listen()) {
             int port = freePort();
             int console = freePort();
             String list = LIST.formatted(2, false, cache.getLocalPort());
             serve(cache, Rehearsal::cacheAnswer);
-            serve(discovery, (line, in) -> line.isEmpty()
-                    ? "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list : "");
-            Router router = new Router(Config.parse(CONFIG.formatted(port, discovery.getLocalPort(),
-                    LIST.formatted(1, true, cache.getLocalPort()), freePort(), console)));
+            serve(
+                    discovery,
+                    (line, in) -> line.isEmpty()
+                            ? "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list
+                            : "");
+            Router router = new Router(Config.parse(CONFIG.formatted(
+                    port,
+                    discovery.getLocalPort(),
+                    LIST.formatted(1, true, cache.getLocalPort()),
+                    freePort(),
+                    console)));
             router.start().get();
             int served = ask(port);
             call(console, "STATUS");
@@ -64,8 +70,10 @@
             client.setSoTimeout(WAIT_MS);
             BufferedReader answers = reader(client);
             for (int i = 0; i < ROUNDS; i++) {
-                write(client, "mn\r\nmg %016x v O%016x Pc=read,t=t,d=4000\r\nms %016x 2 O%016xw Pc=put,t=t,d=4000,k=%x\r\nhi\r\nx\r\n"
-                        .formatted(i + 1, i, i + 1, i, i));
+                write(
+                        client,
+                        "mn\r\nmg %016x v O%016x Pc=read,t=t,d=4000\r\nms %016x 2 O%016xw Pc=put,t=t,d=4000,k=%x\r\nhi\r\nx\r\n"
+                                .formatted(i + 1, i, i + 1, i, i));
                 answers.readLine();
                 if (answers.readLine().startsWith("VA 2 ") && answers.readLine().equals("hi")) {
                     served++;
@@ -120,13 +128,15 @@
     }
 
     static void daemon(Step step) {
-        Thread thread = new Thread(() -> {
-            try {
-                step.run();
-            } catch (IOException e) {
-                // The other side has closed, or the rehearsal is over.
-            }
-        }, "stand-in");
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        step.run();
+                    } catch (IOException e) {
+                        // The other side has closed, or the rehearsal is over.
+                    }
+                },
+                "stand-in");
         thread.setDaemon(true);
         thread.start();
     }
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -8,11 +8,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SelectStrategy;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.spi.SelectorProvider;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -21,17 +19,19 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.Api;
-import stagepier.Brain;
+import stagepier.RoutingPolicy;
 import stagepier.client.ClientListener;
 import stagepier.console.ConsoleListener;
 import stagepier.discovery.DiscoveryWatch;
 import stagepier.discovery.HostGroup;
+import stagepier.discovery.WatchTimes;
 import stagepier.drain.Drain;
 import stagepier.exchange.Clock;
 import stagepier.exchange.ModuleHost;
 import stagepier.freeze.Change;
 import stagepier.overload.LoopDelay;
 import stagepier.overload.Pressure;
+import stagepier.peers.PeerReports;
 import stagepier.peers.PeerSocket;
 import stagepier.server.ServerPools;
 
@@ -41,11 +41,13 @@
     private static final int POLL_MS = 10;
     /** Files, selectors, the listening socket, discovery, and sockets that are accepted just before the listener is full. */
     static final int OWN_DESCRIPTORS = 48;
+
     private static final double SERVER_PART = 0.12;
     /** The most that links to cache servers may take. */
     private static final double SERVER_PART_MOST = 1 / 3.0;
     /** Links for each server that is known at the start, and beyond: a list may grow, and closed links linger. */
     private static final double LINKS_A_SERVER = 1.25;
+
     private static final int MORE_LINKS = 8;
     /** Servers that are provided for where no list is known. */
     private static final int LISTED_MOST = 200;
@@ -54,10 +56,10 @@
 
     private final Config config;
     private final Clock clock = new Clock();
-    private final LoopDelay delay = new LoopDelay();
+    private final LoopDelay delay;
     private final Pressure pressure = new Pressure();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory(SelectorProvider.provider(), this::looking));
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, WholeMillisecondWaits.ofSockets(this::looking));
     private final EventLoop loop = group.next();
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -68,6 +70,7 @@
     private final DiscoveryWatch watch;
     /** Null where routers don't tell each other anything. */
     private final PeerSocket peers;
+
     private final Drain drain = new Drain();
     /** Null where no console is named. */
     private final ConsoleListener console;
@@ -79,6 +82,7 @@
     private InetSocketAddress wanted;
     /** Discovery was asked what there is now, and has said so or not. */
     private boolean asked;
+
     private boolean listening;
 
     Router(Config config) throws Config.BadConfigException {
@@ -86,25 +90,40 @@
         wanted = config.discovery();
         fleet = config.fleet().isEmpty() ? null : FleetWork.read(config.fleet(), config.name(), config.seed());
         Api.Settings settings = config.settings().settings();
+        double drainGrace = settings.protection().drainGrace();
+        delay = new LoopDelay(drainGrace);
         hosts = new HostGroup(config.settings().names());
         host = new ModuleHost(loop, clock, delay, config.settings());
-        servers = new ServerPools(loop, clock, delay, host,
-                ServerPools.sockets(loop, settings.limits().connectTimeout()), (int) (SERVER_PART * config.sockets()),
-                serverLinks(config.sockets(), listed(config.known())), settings, config.settings().idleClose(),
+        servers = new ServerPools(
+                loop,
+                clock,
+                delay,
+                host,
+                ServerPools.sockets(loop, settings.limits().connectTimeout()),
+                (int) (SERVER_PART * config.sockets()),
+                serverLinks(config.sockets(), listed(config.known())),
+                settings,
+                config.settings().idleClose(),
                 config.settings().streams());
-        host.connect(new Brain(settings, config.seed(), host), servers);
+        servers.readReports(config.settings().answerReport());
+        host.connect(new RoutingPolicy(settings, config.seed(), host), servers);
         clients = new ClientListener(loop, clock, delay, clientPlaces(), host, this::stats, drain);
-        watch = new DiscoveryWatch(loop, config.discovery(), hosts, this::changed, host::membersFailed,
-                new Random(config.seed()));
+        WatchTimes times =
+                settings.listOnRequest() ? WatchTimes.ofSharedService(drainGrace) : WatchTimes.ofAgent(drainGrace);
+        watch = new DiscoveryWatch(
+                loop, config.discovery(), times, hosts, this::changed, host::membersFailed, new Random(config.seed()));
         host.connectList(watch::refresh);
-        peers = config.peers() == null ? null : new PeerSocket(loop, config.peers(), host::heard);
+        peers = config.peers() == null ? null : new PeerSocket(loop, config.peers(), host::reported);
         if (peers != null) {
-            host.connectPeers(peers::tell);
+            host.connectPeers(
+                    new PeerReports(settings, config.settings().names().zones().size(), config.seed()), peers::send);
         }
-        staff = config.console() == null ? null : new StaffCalls(clock, drain, hosts, this::changed, clients::sendAway,
-                fleet);
+        staff = config.console() == null
+                ? null
+                : new StaffCalls(clock, drain, hosts, this::changed, clients::sendAway, fleet);
         if (fleet != null) {
-            fleet.tryCandidate(new ShadowWork.Own(loop, clock, config.settings(), config.sockets(), host, pressure, drain));
+            fleet.tryCandidate(
+                    new ShadowWork.Own(loop, clock, config.settings(), config.sockets(), host, pressure, drain));
         }
         console = config.console() == null ? null : new ConsoleListener(loop, config.console(), staff);
     }
@@ -121,8 +140,13 @@
     private void beat() {
         double now = clock.now();
         delay.beats(now);
+        if (peers != null) {
+            peers.readBatch();
+        }
         if (pressure.isNow(now, delay.mean())) {
-            LOG.atInfo().addKeyValue("state", pressure.state()).addKeyValue("late_ms", Math.round(delay.mean() * 1e3))
+            LOG.atInfo()
+                    .addKeyValue("state", pressure.state())
+                    .addKeyValue("late_ms", Math.round(delay.mean() * 1e3))
                     .log("pressure");
             clients.acceptInARow(pressure.acceptedInARow());
         }
@@ -134,7 +158,8 @@
     }
 
     private int clientPlaces() {
-        return places(config.sockets(), listed(config.known())) - (fleet == null ? 0 : fleet.descriptors(config.sockets()));
+        return places(config.sockets(), listed(config.known()))
+                - (fleet == null ? 0 : fleet.descriptors(config.sockets()));
     }
 
     /** Descriptors for clients: what is left when the program's own and those for cache servers are set aside. */
@@ -145,7 +170,8 @@
     /** Descriptors for links to cache servers: one to each of the list, while that leaves clients most of them. */
     static int serverLinks(int sockets, int servers) {
         int needed = (int) (LINKS_A_SERVER * servers) + MORE_LINKS;
-        return Math.max((int) (SERVER_PART * sockets) + MORE_LINKS, Math.min(needed, (int) (SERVER_PART_MOST * sockets)));
+        return Math.max(
+                (int) (SERVER_PART * sockets) + MORE_LINKS, Math.min(needed, (int) (SERVER_PART_MOST * sockets)));
     }
 
     /** How many cache servers a known list names. */
@@ -204,7 +230,7 @@
     private void changed(HostGroup.Change change) {
         if (!change.complete() && change.hosts().isEmpty()) {
             // If the process stood still before this was read, there may be more to be told.
-            host.mustWaitForList(() -> { });
+            host.mustWaitForList(() -> {});
             return;
         }
         List<Api.Member> members = new ArrayList<>();
@@ -349,12 +375,14 @@
     /** All counters, a line each, as {@code stats} answers them. On the event loop. */
     private String stats() {
         StringBuilder text = new StringBuilder();
-        count((name, value) -> text.append("STAT ").append(name).append(' ').append(value).append("\r\n"));
+        count((name, value) ->
+                text.append("STAT ").append(name).append(' ').append(value).append("\r\n"));
         return text.append("END").toString();
     }
 
     private void count(java.util.function.ObjLongConsumer<String> to) {
         to.accept("pressure", pressure.state().ordinal());
+        to.accept("heap_used_bytes", heapUsed());
         clients.count(to);
         host.count(to);
         servers.count(to);
@@ -371,6 +399,11 @@
         }
     }
 
+    private static long heapUsed() {
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
     /** All counters in one line for the log. On the event loop. */
     CompletableFuture<String> counters() {
         CompletableFuture<String> line = new CompletableFuture<>();
--- a/router/src/main/java/stagepier/app/ShadowWork.java
+++ b/router/src/main/java/stagepier/app/ShadowWork.java
@@ -35,6 +35,7 @@
 final class ShadowWork {
     /** Part of all descriptors that copies may take, and how many at the least and the most. */
     private static final double LINKS_PART = 0.02;
+
     private static final int LINKS_LEAST = 4;
     private static final int LINKS_MOST = 64;
 
@@ -47,22 +48,44 @@
      *
      * @param incarnation of this process, as its histories have it: above 0, and never that of another one of its name
      */
-    record Fleet(Tasks tasks, Calls calls, FleetConfig config, long incarnation, Supplier<FleetView> view, Supplier<Calendar> calendar,
-            Agreement agreement, History history) {
-    }
+    record Fleet(
+            Tasks tasks,
+            Calls calls,
+            FleetConfig config,
+            long incarnation,
+            Supplier<FleetView> view,
+            Supplier<Calendar> calendar,
+            Agreement agreement,
+            History history) {}
 
     /** What it has of the router itself. */
-    record Own(EventLoop loop, Clock clock, SettingsParser.Parsed settings, int sockets, ModuleHost host, Pressure pressure,
-            Drain drain) {
-    }
+    record Own(
+            EventLoop loop,
+            Clock clock,
+            SettingsParser.Parsed settings,
+            int sockets,
+            ModuleHost host,
+            Pressure pressure,
+            Drain drain) {}
 
     ShadowWork(Fleet fleet, Own own) {
         Api.Settings settings = own.settings().settings();
-        servers = new ServerStates(settings.protection().warmUp(),
+        servers = new ServerStates(
+                settings.protection().warmUp(),
                 (now, server) -> own.host().spares(now, server) ? Fitness.CROWDED : Fitness.FIT);
-        part = new ShadowPart(new ShadowPart.Parts(fleet.tasks(), fleet.calls(), fleet.config(), fleet.incarnation(), fleet.view(),
-                fleet.calendar(), fleet.agreement(), servers::members, settings.weights() == Api.WeightMeaning.SIZE,
-                own.settings().names().zones(), own.settings().names().kinds(), fleet.history()));
+        part = new ShadowPart(new ShadowPart.Parts(
+                fleet.tasks(),
+                fleet.calls(),
+                fleet.config(),
+                fleet.incarnation(),
+                fleet.view(),
+                fleet.calendar(),
+                fleet.agreement(),
+                servers::members,
+                settings.weights() == Api.WeightMeaning.SIZE,
+                own.settings().names().zones(),
+                own.settings().names().kinds(),
+                fleet.history()));
         RouterState router = new RouterState() {
             @Override
             public boolean isPressed() {
@@ -75,11 +98,23 @@
             }
         };
         // Ids of copies differ by router and by process; clients' ids are not known to look like this.
-        String ids = "s" + Long.toHexString(fleet.config().self().hashCode() & 0xffffffffL) + Long.toHexString(fleet.incarnation())
-                + "x";
-        copies = new ShadowCopies(new ShadowCopies.Parts(own.loop(), own.clock(),
-                ServerPools.sockets(own.loop(), settings.limits().connectTimeout()), own.settings(), links(own.sockets()), ids, router,
-                servers, fleet.tasks()::nanoTime, part::orders, part::counted, part::promoted, own.host()::promoted, fleet.history()));
+        String ids = "s" + Long.toHexString(fleet.config().self().hashCode() & 0xffffffffL)
+                + Long.toHexString(fleet.incarnation()) + "x";
+        copies = new ShadowCopies(new ShadowCopies.Parts(
+                own.loop(),
+                own.clock(),
+                ServerPools.sockets(own.loop(), settings.limits().connectTimeout()),
+                own.settings(),
+                links(own.sockets()),
+                ids,
+                router,
+                servers,
+                fleet.tasks()::nanoTime,
+                part::orders,
+                part::counted,
+                part::promoted,
+                own.host()::promoted,
+                fleet.history()));
         own.host().connectShadow(copies);
     }
 
--- a/router/src/main/java/stagepier/app/SocketWarmUp.java
+++ b/router/src/main/java/stagepier/app/SocketWarmUp.java
@@ -22,6 +22,7 @@
     private static final int AT_ONCE = 4;
     /** It ends after so long however far it has come; seconds. */
     private static final double LASTS_MOST = 1;
+
     private static final byte[] CALL = "STATUS\n".getBytes(StandardCharsets.ISO_8859_1);
 
     private final EventLoop loop;
@@ -64,8 +65,13 @@
         }
         begun++;
         open++;
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (LASTS_MOST * 1e3)).handler(new Caller()).connect(console)
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (LASTS_MOST * 1e3))
+                .handler(new Caller())
+                .connect(console)
                 .addListener(up -> {
                     if (!up.isSuccess()) {
                         // No console yet: its address is held by another process, and is waited for elsewhere.
--- a/router/src/main/java/stagepier/app/StaffCalls.java
+++ b/router/src/main/java/stagepier/app/StaffCalls.java
@@ -34,7 +34,12 @@
     /** Null where there is no folder to share. */
     private final BanFiles files;
 
-    StaffCalls(Clock clock, Drain drain, HostGroup hosts, Consumer<HostGroup.Change> changed, Runnable sendAway,
+    StaffCalls(
+            Clock clock,
+            Drain drain,
+            HostGroup hosts,
+            Consumer<HostGroup.Change> changed,
+            Runnable sendAway,
             FleetWork fleet) {
         this.fleet = fleet;
         this.clock = clock;
@@ -103,7 +108,9 @@
         if (hosts.bans().isOut(server) == out) {
             return Result.yes(server + (out ? " is out already" : " is not out"));
         }
-        String frozen = out || fleet == null ? null : fleet.refusal(new Change(Change.Kind.RESTORE, server, hosts.zone(server)));
+        String frozen = out || fleet == null
+                ? null
+                : fleet.refusal(new Change(Change.Kind.RESTORE, server, hosts.zone(server)));
         if (frozen != null) {
             return Result.no(server + " stays out: " + frozen);
         }
--- a/router/src/main/java/stagepier/app/WarmUp.java
+++ b/router/src/main/java/stagepier/app/WarmUp.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 import stagepier.Api;
-import stagepier.Brain;
+import stagepier.RoutingPolicy;
 import stagepier.client.ClientListener;
 import stagepier.drain.Drain;
 import stagepier.exchange.Clock;
@@ -51,9 +51,18 @@
         Clock clock = new Clock();
         LoopDelay delay = new LoopDelay();
         ModuleHost host = new ModuleHost(loop, clock, delay, settings);
-        pools = new ServerPools(loop, clock, delay, host, this::connect, SERVERS * SERVERS, Integer.MAX_VALUE,
-                settings.settings(), 0, Integer.MAX_VALUE);
-        host.connect(new Brain(settings.settings(), 1, host), pools);
+        pools = new ServerPools(
+                loop,
+                clock,
+                delay,
+                host,
+                this::connect,
+                SERVERS * SERVERS,
+                Integer.MAX_VALUE,
+                settings.settings(),
+                0,
+                Integer.MAX_VALUE);
+        host.connect(new RoutingPolicy(settings.settings(), 1, host), pools);
         List<Api.Member> members = new ArrayList<>();
         for (int i = 1; i <= SERVERS; i++) {
             members.add(new Api.Member(i, 0, 0, 0, Api.MemberState.READY, 1, 0));
@@ -81,7 +90,8 @@
     private void play(EventLoop loop, IntConsumer done) {
         if (played < REQUESTS) {
             playSome();
-            // By way of a timer: a task would run before sockets are looked at again. And one that has to be waited for: whoever
+            // By way of a timer: a task would run before sockets are looked at again. And one that has to be waited
+            // for: whoever
             // holds a thread that never waits for hung must not see one here, on a machine that is short of processors.
             loop.schedule(() -> play(loop, done), REST_US, TimeUnit.MICROSECONDS);
         } else {
@@ -95,11 +105,16 @@
     private void playSome() {
         for (int n = 0; n < AT_ONCE; n++, played++) {
             int i = played;
-            String name = settings.names().classes().get(i % settings.names().classes().size());
+            String name = settings.names()
+                    .classes()
+                    .get(i % settings.names().classes().size());
             String rest = " O%016x Pc=%s,t=acme,d=60000,k=%x".formatted(i, name, i);
             String key = "%016x".formatted(i % 97 + 1);
-            say(client, i % 8 == 0 ? Protocol.withValue("ms " + key + " 16" + rest, new byte[16])
-                    : Protocol.line("mg " + key + " v" + rest));
+            say(
+                    client,
+                    i % 8 == 0
+                            ? Protocol.withValue("ms " + key + " 16" + rest, new byte[16])
+                            : Protocol.line("mg " + key + " v" + rest));
         }
         listener.workOff();
         new ArrayList<>(toServers).forEach(WarmUp::answer);
--- a/router/src/main/java/stagepier/bans/Ban.java
+++ b/router/src/main/java/stagepier/bans/Ban.java
@@ -7,5 +7,4 @@
  * @param out    taken out, or put back
  * @param since  when that was said, in Unix time in seconds
  */
-public record Ban(String server, boolean out, double since) {
-}
+public record Ban(String server, boolean out, double since) {}
--- a/router/src/main/java/stagepier/bans/BanFiles.java
+++ b/router/src/main/java/stagepier/bans/BanFiles.java
@@ -27,7 +27,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(BanFiles.class);
     private static final String FOLDER = "stagepier-bans-1";
     private static final String END = ".ban";
-    private static final Pattern FORM = Pattern.compile("stagepier ban 1 (out|back) ([0-9]{1,12}\\.[0-9]{6}) ([!-~]{1,128})\n");
+    private static final Pattern FORM =
+            Pattern.compile("stagepier ban 1 (out|back) ([0-9]{1,12}\\.[0-9]{6}) ([!-~]{1,128})\n");
     private static final int LARGEST = 256;
     /** A folder that changed less than this before it was read may change again within the same time stamp. */
     private static final long STAMP_MS = 100;
@@ -51,8 +52,14 @@
         Files.createDirectories(folder);
         Path part = Files.createTempFile(folder, "part", "");
         try {
-            Files.writeString(part, String.format(Locale.ROOT, "stagepier ban 1 %s %.6f %s\n", ban.out() ? "out" : "back", ban.since(),
-                    ban.server()));
+            Files.writeString(
+                    part,
+                    String.format(
+                            Locale.ROOT,
+                            "stagepier ban 1 %s %.6f %s\n",
+                            ban.out() ? "out" : "back",
+                            ban.since(),
+                            ban.server()));
             Files.move(part, file(ban.server()), StandardCopyOption.ATOMIC_MOVE);
         } finally {
             Files.deleteIfExists(part);
--- a/router/src/main/java/stagepier/client/AnswerBytes.java
+++ b/router/src/main/java/stagepier/client/AnswerBytes.java
@@ -18,6 +18,7 @@
     private final byte[][] parts;
     /** What comes by and by between the line and the line end, or null. */
     private final ValueFlow flow;
+
     private final int length;
     private int part;
     private int at;
--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -1,20 +1,19 @@
 package stagepier.client;
 
 import io.netty.channel.Channel;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.function.ToIntFunction;
-import stagepier.exchange.Asker;
 import stagepier.exchange.Exchange;
 import stagepier.exchange.Reply;
+import stagepier.exchange.ReplyListener;
 import stagepier.link.Link;
 import stagepier.memcache.Command;
 import stagepier.memcache.CommandParser;
 import stagepier.memcache.MalformedException;
 import stagepier.memcache.Protocol;
 import stagepier.memcache.RingBuffer;
-import stagepier.overload.Places;
-import stagepier.overload.Places.Behaviour;
+import stagepier.overload.ConnectionSlots;
+import stagepier.overload.ConnectionSlots.Behaviour;
 
 /**
  * A client's connection: commands in, answers out in the order of the commands.
@@ -53,7 +52,7 @@
     };
 
     /** The place of one answer in the order. */
-    private final class Slot implements Asker {
+    private final class Slot implements ReplyListener {
         private Exchange exchange;
         private AnswerBytes answer;
 
@@ -79,6 +78,7 @@
     private double bytesAt;
     /** When its socket was read last. */
     private double lookedAt;
+
     private boolean asked;
     /** Requests that went to the module. */
     private int requests;
@@ -90,9 +90,13 @@
     private boolean isWaiting;
     /** Memory of which the listener knows. */
     private int counted;
+
     private boolean leaving;
     /** What comes from now on is turned away. */
     private boolean ending;
+    /** Closes as soon as an answer is written and nothing else is open on it. */
+    private boolean leavesWhenIdle;
+
     private int answerBytes;
     /** Slots whose value comes by and by. */
     private int flows;
@@ -149,19 +153,21 @@
         }
     }
 
-    /** What it does, for {@link Places} to judge. */
+    /** What it does, for {@link ConnectionSlots} to judge. */
     Behaviour behaviour() {
         if (isWaiting) {
             return Behaviour.OWED;
         }
         if (!slots.isEmpty() || !nothingQueued()) {
-            return flows > 0 && nothingQueued() || !slots.stream().allMatch(s -> s.answer != null) ? Behaviour.OWED
+            return flows > 0 && nothingQueued() || !slots.stream().allMatch(s -> s.answer != null)
+                    ? Behaviour.OWED
                     : flows > 0 ? Behaviour.READING : Behaviour.UNREAD;
         }
         if (!Double.isNaN(partSince)) {
             return owner.now() - bytesAt < PIECES_WITHIN ? Behaviour.SLOW : Behaviour.PART;
         }
-        return !asked ? Behaviour.SILENT
+        return !asked
+                ? Behaviour.SILENT
                 : requests == 0 ? Behaviour.PROBE : requests == 1 ? Behaviour.ONCE : Behaviour.REGULAR;
     }
 
@@ -286,7 +292,7 @@
             flows++;
             reply.flow().onChange(() -> flowed(slot));
         }
-        answer(slot, words(exchange.command(), reply));
+        answer(slot, ReplyEncoder.encode(exchange.command(), reply));
     }
 
     /** There is more of a value, or it has ended. */
@@ -302,34 +308,14 @@
         } else {
             flows--;
             answerBytes -= slot.answer.length();
-            answer(slot, line("SERVER_ERROR failed"));
+            answer(slot, ReplyEncoder.line(ReplyEncoder.FAILED));
         }
     }
 
-    private static AnswerBytes words(Command command, Reply reply) {
-        return switch (reply.kind()) {
-            case SERVED -> command.isWrite()
-                    ? line("HD O" + command.id() + " c" + new String(reply.body(), StandardCharsets.ISO_8859_1))
-                    : reply.flow() != null ? new AnswerBytes(head(command, reply.flow().length()), reply.flow())
-                    : new AnswerBytes(head(command, reply.body().length), reply.body());
-            case THROTTLE -> line("SERVER_ERROR busy"
-                    + (reply.retryAfterMs() > 0 ? " " + reply.retryAfterMs() : ""));
-            case FAILED -> line("SERVER_ERROR failed");
-        };
-    }
-
-    private static byte[] head(Command command, int length) {
-        return Protocol.line("VA " + length + " O" + command.id());
-    }
-
-    private static AnswerBytes line(String text) {
-        return new AnswerBytes(Protocol.line(text));
-    }
-
     private void say(String text) {
         Slot slot = new Slot();
         slots.add(slot);
-        answer(slot, line(text));
+        answer(slot, ReplyEncoder.line(text));
     }
 
     private void answer(Slot slot, AnswerBytes bytes) {
@@ -364,7 +350,7 @@
             // Room for more commands: those that wait in the ring first.
             digest();
             readOn();
-            if (ending) {
+            if (ending || leavesWhenIdle && owner.sendsLinksAway()) {
                 closeIfIdle();
             }
         }
@@ -387,6 +373,23 @@
         return !isFresh(now) && closeIfIdle();
     }
 
+    /**
+     * Closes right after an answer, unless more has come by then. Guards against a client that asks again so soon after each answer
+     * that a look at one moment or another never finds its link idle.
+     *
+     * @return whether it is to do so from now on, and was not before
+     */
+    boolean leaveWhenIdle(double now) {
+        boolean first = !leavesWhenIdle && !isFresh(now);
+        leavesWhenIdle |= first;
+        return first;
+    }
+
+    /** Goes on as before {@link #leaveWhenIdle}. */
+    void stay() {
+        leavesWhenIdle = false;
+    }
+
     /** What has come by now is taken first; what comes later is never read as a command, and the client sees the end. */
     private boolean closeIfIdle() {
         if (isClosed() || !isIdle()) {
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -1,17 +1,9 @@
 package stagepier.client;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
-import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
@@ -31,17 +23,14 @@
 import stagepier.exchange.Clock;
 import stagepier.exchange.ModuleHost;
 import stagepier.memcache.Command;
-import stagepier.overload.BacklogWait;
+import stagepier.overload.ConnectionSlots;
 import stagepier.overload.LoopDelay;
-import stagepier.overload.Places;
-import stagepier.overload.Pressure;
 
 /**
- * Accepts clients; owns the listening socket and knows all client links. Keeps them to a number of places, so that
+ * Accepts clients; owns the listening socket and knows all client links. Keeps them to a number of slots, so that
  * whatever clients do there are descriptors left for cache servers and discovery.
  */
 public final class ClientListener {
-    private static final int BACKLOG = 512;
     /** Links whose commands are taken in a row; then sockets are looked at again, for answers may have come. */
     private static final int WORKED_OFF_IN_A_ROW = 32;
     /** Memory that the buffers of all client links should stay under. */
@@ -51,7 +40,7 @@
     private static final double TOLD_EVERY = 1;
     /** While clients are sent away, their links are looked through so often. */
     private static final long SEND_AWAY_MS = 5;
-    /** With all places taken a link lingers no longer than this, in seconds: those who wait for a place come first. */
+    /** With all slots taken a link lingers no longer than this, in seconds: those who wait for a slot come first. */
     private static final double LINGERS_WHEN_FULL = 0.02;
     /** For so long at the most, in seconds, connections are accepted after the last moment at which clients are served. */
     private static final double LAST_ACCEPTED = 0.5;
@@ -62,23 +51,19 @@
     private final Set<ClientLink> links = new LinkedHashSet<>();
     /** Links that are closed for their clients and still hold a descriptor, with the times since when. */
     private final Map<ClientLink, Double> lingering = new LinkedHashMap<>();
+
     private final EventLoop loop;
     private final Clock clock;
     private final LoopDelay delay;
-    private final Places places;
-    private final ServerChannelRecvByteBufAllocator rows = new ServerChannelRecvByteBufAllocator();
-    private final BacklogWait backlog = new BacklogWait(Pressure.ACCEPTED_USUALLY);
+    private final ConnectionSlots slots;
+    private final ListeningSocket socket;
     private final ArrayDeque<ClientLink> arrived = new ArrayDeque<>();
-    private final long[] ended = new long[Places.Behaviour.values().length];
-    private Channel listening;
-    /** The listening socket is other processes' as well, and never closed here. */
-    private boolean shared;
-    private boolean accepting = true;
+    private final long[] ended = new long[ConnectionSlots.Behaviour.values().length];
     private boolean sendingAway;
     /** Since when clients are turned away; NaN before. */
     private double lastSince = Double.NaN;
-    private Places.Level level = Places.Level.PLENTY;
-    private boolean full;
+
+    private ConnectionSlots.Level level = ConnectionSlots.Level.PLENTY;
     private boolean working;
     private long held;
     private double toldAt = Double.NEGATIVE_INFINITY;
@@ -89,32 +74,38 @@
     private long timesFull;
 
     /**
-     * @param places how many links there may be
+     * @param slots how many links there may be
      * @param stats  the answer to {@code stats}, less its last line end
      * @param drain  whether clients are to stay
      */
-    public ClientListener(EventLoop loop, Clock clock, LoopDelay delay, int places, ModuleHost host, Supplier<String> stats,
+    public ClientListener(
+            EventLoop loop,
+            Clock clock,
+            LoopDelay delay,
+            int slots,
+            ModuleHost host,
+            Supplier<String> stats,
             Drain drain) {
         this.drain = drain;
         this.loop = loop;
         this.clock = clock;
         this.delay = delay;
-        this.places = new Places(places, BYTES_MOST);
-        rows.maxMessagesPerRead(Pressure.ACCEPTED_USUALLY);
+        this.slots = new ConnectionSlots(slots, BYTES_MOST);
+        socket = new ListeningSocket(clock, this::adopt);
         this.host = host;
         this.stats = stats;
     }
 
     /** How many connections are accepted in a row from now on. */
     public void acceptInARow(int most) {
-        rows.maxMessagesPerRead(most);
-        backlog.batch(most);
+        socket.batch(most);
     }
 
     /** Listens on a socket of its own. */
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
-        return listening(server(group).channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).bind(address));
+        ChannelFuture up = socket.listen(group, address);
+        lookAgain();
+        return up;
     }
 
     /**
@@ -122,75 +113,48 @@
      * lead descriptors 0 to 2 to nowhere, and the log with them.
      */
     public ChannelFuture listen(EventLoopGroup group, ServerSocketChannel passed) {
-        shared = true;
-        return listening(server(group).channelFactory(() -> new NioServerSocketChannel(passed)).register());
-    }
-
-    private ChannelFuture listening(ChannelFuture up) {
-        listening = up.channel();
+        ChannelFuture up = socket.listen(group, passed);
         lookAgain();
         return up;
     }
 
-    private ServerBootstrap server(EventLoopGroup group) {
-        return new ServerBootstrap().group(group)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, rows)
-                .handler(new ChannelInboundHandlerAdapter() {
-                    @Override
-                    public void channelRead(ChannelHandlerContext ctx, Object child) {
-                        backlog.accepts();
-                        ctx.fireChannelRead(child);
-                    }
-
-                    @Override
-                    public void channelReadComplete(ChannelHandlerContext ctx) {
-                        backlog.rests(clock.now());
-                        ctx.fireChannelReadComplete();
-                    }
-                })
-                .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.AUTO_READ, false)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        adopt(channel);
-                    }
-                });
-    }
-
     /** Serves a client on a channel that is being set up. */
     public void adopt(Channel channel) {
-        new ClientLink(this, channel, backlog.cameAfter(clock.now()));
+        new ClientLink(this, channel, socket.cameAfter());
     }
 
     private void lookAgain() {
-        loop.schedule(() -> {
-            look();
-            lookAgain();
-        }, (long) (Places.lookAgain(level) * 1e6), TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> {
+                    look();
+                    lookAgain();
+                },
+                (long) (ConnectionSlots.lookAgain(level) * 1e6),
+                TimeUnit.MICROSECONDS);
     }
 
-    /** Gives back the places of those who make no use of them. */
+    /** Gives back the slots of those who make no use of them. */
     private void look() {
         double now = clock.now();
-        Places.Level was = level;
-        level = places.level(now, placesTaken(), held);
+        ConnectionSlots.Level was = level;
+        level = slots.level(now, slotsTaken(), held);
         double late = delay.unreadFor(now);
-        if (level != was || level != Places.Level.PLENTY) {
+        if (level != was || level != ConnectionSlots.Level.PLENTY) {
             tell(now);
         }
         for (ClientLink link : new ArrayList<>(links)) {
-            Places.Behaviour behaviour = link.behaviour();
+            ConnectionSlots.Behaviour behaviour = link.behaviour();
             // What a link has said may lie unread: it is no fault of the link that this router is late.
-            if (now - link.since(behaviour) > Places.patience(behaviour, level) + late) {
+            if (now - link.since(behaviour) > ConnectionSlots.patience(behaviour, level) + late) {
                 ended[behaviour.ordinal()] += link.giveUp(behaviour) ? 1 : 0;
             } else {
                 link.resume();
             }
         }
-        if (full) {
+        if (socket.isPaused()) {
             cutShort(now);
         } else {
-            backlog.idle(now);
+            socket.nobodyWaits();
         }
     }
 
@@ -202,21 +166,25 @@
         }
     }
 
-    private int placesTaken() {
+    private int slotsTaken() {
         return links.size() + lingering.size();
     }
 
-    /** An event for the operators while places are short, not more often than once a second. */
+    /** An event for the operators while slots are short, not more often than once a second. */
     private void tell(double now) {
         if (now - toldAt < TOLD_EVERY) {
             return;
         }
         toldAt = now;
-        int[] of = new int[Places.Behaviour.values().length];
+        int[] of = new int[ConnectionSlots.Behaviour.values().length];
         links.forEach(link -> of[link.behaviour().ordinal()]++);
-        var event = LOG.atInfo().addKeyValue("level", level).addKeyValue("links", links.size())
-                .addKeyValue("accepting", !full).addKeyValue("opened", opened).addKeyValue("held", held);
-        for (Places.Behaviour behaviour : Places.Behaviour.values()) {
+        var event = LOG.atInfo()
+                .addKeyValue("level", level)
+                .addKeyValue("links", links.size())
+                .addKeyValue("accepting", !socket.isPaused())
+                .addKeyValue("opened", opened)
+                .addKeyValue("held", held);
+        for (ConnectionSlots.Behaviour behaviour : ConnectionSlots.Behaviour.values()) {
             event = event.addKeyValue(behaviour.name(), of[behaviour.ordinal()]);
         }
         event.log("places");
@@ -251,7 +219,7 @@
     }
 
     boolean hasMemory() {
-        return places.hasMemory(held);
+        return slots.hasMemory(held);
     }
 
     /** When bytes that are read now can have come at the earliest. */
@@ -262,12 +230,7 @@
 
     /** Takes no more connections: what waits in the backlog is left to whoever has the socket as well. */
     public void stopAccepting() {
-        accepting = false;
-        if (listening != null && shared) {
-            listening.config().setAutoRead(false);
-        } else if (listening != null) {
-            listening.close();
-        }
+        socket.stop();
     }
 
     /** The drain has begun: links are closed as it says until it ends. */
@@ -287,26 +250,35 @@
         Drain.Phase phase = drain.phase(now);
         if (phase == Drain.Phase.NONE) {
             sendingAway = false;
+            links.forEach(ClientLink::stay);
             return;
         }
-        boolean closed = false;
+        boolean sentAway = false;
         if (turnsAway()) {
             acceptLast(now);
         }
-        if (phase != Drain.Phase.LINGER) {
-            for (ClientLink link : new ArrayList<>(links)) {
-                if (phase == Drain.Phase.LAST && !link.isFresh(now)) {
-                    link.finish();
-                } else if (link.leaveIfIdle(now)) {
-                    closed = true;
-                    break;
-                }
-            }
+        if (phase == Drain.Phase.LAST) {
+            List.copyOf(links).stream().filter(link -> !link.isFresh(now)).forEach(ClientLink::finish);
+        } else if (phase == Drain.Phase.LEAVE) {
+            sentAway = sendOneAway(now);
         }
-        long next = closed ? (long) (drain.nextIn(now, links.size()) * 1e6) : SEND_AWAY_MS * 1000;
+        long next = sentAway ? (long) (drain.nextIn(now, links.size()) * 1e6) : SEND_AWAY_MS * 1000;
         loop.schedule(this::sendNextAway, next, TimeUnit.MICROSECONDS);
     }
 
+    /** Closes one idle link or, if none is idle, has one close after its next answer; returns whether there was one. */
+    private boolean sendOneAway(double now) {
+        List<ClientLink> all = List.copyOf(links);
+        return all.stream().anyMatch(link -> link.leaveIfIdle(now))
+                || all.stream().anyMatch(link -> link.leaveWhenIdle(now));
+    }
+
+    /** Whether idle links are closed now. */
+    boolean sendsLinksAway() {
+        Drain.Phase phase = drain.phase(clock.now());
+        return phase == Drain.Phase.LEAVE || phase == Drain.Phase.LAST;
+    }
+
     /** Whether this process is about to end and serves nothing new. */
     boolean turnsAway() {
         return drain.state() == Drain.State.ENDING && drain.phase(clock.now()) == Drain.Phase.LAST;
@@ -320,21 +292,21 @@
         if (Double.isNaN(lastSince)) {
             lastSince = now;
         }
-        if (listening == null || shared || !accepting) {
+        if (!socket.isOwn() || socket.isOver()) {
             return;
         }
         long before = opened;
-        if (!full && listening.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            unsafe.read();
+        if (!socket.isPaused()) {
+            socket.acceptNow();
         }
-        if (!full && opened == before || now - lastSince > LAST_ACCEPTED) {
+        if (!socket.isPaused() && opened == before || now - lastSince > LAST_ACCEPTED) {
             stopAccepting();
         }
     }
 
     /** Nobody is there, and nobody comes any more. */
     public boolean isOver() {
-        return links.isEmpty() && lingering.isEmpty() && (listening == null || !accepting);
+        return links.isEmpty() && lingering.isEmpty() && socket.isOver();
     }
 
     ModuleHost host() {
@@ -353,19 +325,18 @@
     void opened(ClientLink link) {
         opened++;
         links.add(link);
-        if (!places.hasPlace(placesTaken()) && !full) {
+        if (!slots.hasSlot(slotsTaken()) && !socket.isPaused()) {
             // The next ones wait in the backlog: to accept and close at once would only make them come again.
-            if (listening != null) {
-                full = true;
+            if (socket.isListening()) {
                 timesFull++;
-                listening.config().setAutoRead(false);
+                socket.pause();
             }
             // Not before all sockets of this turn have been read: who has asked by now is not silent.
             loop.execute(this::look);
         }
     }
 
-    /** Nothing is taken or answered on it any more; it keeps its place until it is given back. */
+    /** Nothing is taken or answered on it any more; it keeps its slot until it is given back. */
     void closed(ClientLink link) {
         if (links.remove(link)) {
             lingering.put(link, clock.now());
@@ -376,9 +347,8 @@
     void givenBack(ClientLink link) {
         lingering.remove(link);
         count(link);
-        if (full && places.hasPlace(placesTaken())) {
-            full = false;
-            listening.config().setAutoRead(accepting);
+        if (socket.isPaused() && slots.hasSlot(slotsTaken())) {
+            socket.resume();
         }
     }
 
@@ -409,7 +379,7 @@
         for (Command.Kind kind : Command.Kind.values()) {
             to.accept("client_commands_" + kind.name().toLowerCase(Locale.ROOT), commands[kind.ordinal()]);
         }
-        for (Places.Behaviour behaviour : Places.Behaviour.values()) {
+        for (ConnectionSlots.Behaviour behaviour : ConnectionSlots.Behaviour.values()) {
             to.accept("client_links_given_up_" + behaviour.name().toLowerCase(Locale.ROOT), ended[behaviour.ordinal()]);
         }
     }
--- /dev/null
+++ b/router/src/main/java/stagepier/client/ListeningSocket.java
@@ -0,0 +1,161 @@
+package stagepier.client;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.util.function.Consumer;
+import stagepier.exchange.Clock;
+import stagepier.overload.BacklogWait;
+import stagepier.overload.Pressure;
+
+/**
+ * The socket on which clients connect: accepts them in batches, rests while there is no room for more, and knows for how long one
+ * that is accepted may have waited. Owns the socket, unless other processes have it as well.
+ */
+final class ListeningSocket {
+    private static final int BACKLOG = 512;
+
+    private final Clock clock;
+    private final Consumer<Channel> accepted;
+    private final ServerChannelRecvByteBufAllocator batches = new ServerChannelRecvByteBufAllocator();
+    private final BacklogWait backlog = new BacklogWait(Pressure.ACCEPTED_USUALLY);
+    /** Null before it listens. */
+    private Channel channel;
+    /** The socket is other processes' as well, and never closed here. */
+    private boolean shared;
+
+    private boolean stopped;
+    private boolean paused;
+
+    /** @param accepted is given the channel of each connection, while that is set up */
+    ListeningSocket(Clock clock, Consumer<Channel> accepted) {
+        this.clock = clock;
+        this.accepted = accepted;
+        batches.maxMessagesPerRead(Pressure.ACCEPTED_USUALLY);
+    }
+
+    /** How many connections are accepted in a row from now on. */
+    void batch(int most) {
+        batches.maxMessagesPerRead(most);
+        backlog.batch(most);
+    }
+
+    /** Listens on a socket of its own. */
+    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+        return listening(server(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .bind(address));
+    }
+
+    /**
+     * Accepts from a socket that listens already and is other processes' as well. It is never closed here: that would
+     * lead descriptors 0 to 2 to nowhere, and the log with them.
+     */
+    ChannelFuture listen(EventLoopGroup group, ServerSocketChannel passed) {
+        shared = true;
+        return listening(server(group)
+                .channelFactory(() -> new NioServerSocketChannel(passed))
+                .register());
+    }
+
+    private ChannelFuture listening(ChannelFuture up) {
+        channel = up.channel();
+        return up;
+    }
+
+    private ServerBootstrap server(EventLoopGroup group) {
+        return new ServerBootstrap()
+                .group(group)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, batches)
+                .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext ctx, Object child) {
+                        backlog.accepts();
+                        ctx.fireChannelRead(child);
+                    }
+
+                    @Override
+                    public void channelReadComplete(ChannelHandlerContext ctx) {
+                        backlog.rests(clock.now());
+                        ctx.fireChannelReadComplete();
+                    }
+                })
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel child) {
+                        accepted.accept(child);
+                    }
+                });
+    }
+
+    boolean isListening() {
+        return channel != null;
+    }
+
+    /** Whether connections are left in the backlog until there is room. */
+    boolean isPaused() {
+        return paused;
+    }
+
+    /** Leaves connections in the backlog until {@link #resume}. */
+    void pause() {
+        paused = true;
+        channel.config().setAutoRead(false);
+    }
+
+    void resume() {
+        paused = false;
+        channel.config().setAutoRead(!stopped);
+    }
+
+    /** Whether it accepts none for good, or never listened. */
+    boolean isOver() {
+        return channel == null || stopped;
+    }
+
+    /** Whether it is closed once it stops: one that is other processes' as well is theirs to go on with. */
+    boolean isOwn() {
+        return channel != null && !shared;
+    }
+
+    /** Accepts who waits by now, without waiting to be told of it. */
+    void acceptNow() {
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+    }
+
+    /** Takes no more connections: what waits in the backlog is left to whoever has the socket as well. */
+    void stop() {
+        stopped = true;
+        if (channel != null && shared) {
+            channel.config().setAutoRead(false);
+        } else if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /** It has been accepting all along and nobody came. */
+    void nobodyWaits() {
+        backlog.idle(clock.now());
+    }
+
+    /** The earliest time at which a connection that is accepted now can have come. */
+    double cameAfter() {
+        return backlog.cameAfter(clock.now());
+    }
+}
--- a/router/src/main/java/stagepier/console/ConsoleListener.java
+++ b/router/src/main/java/stagepier/console/ConsoleListener.java
@@ -32,7 +32,8 @@
     public ConsoleListener(EventLoop loop, InetSocketAddress address, Operations operations) {
         this.loop = loop;
         this.operations = operations;
-        bind = new PatientBind(loop, () -> bind(address), why -> LOG.warn("no console yet at {}: {}", address, why.getMessage()));
+        bind = new PatientBind(
+                loop, () -> bind(address), why -> LOG.warn("no console yet at {}: {}", address, why.getMessage()));
     }
 
     /** Listens, and tries until it can: a router without its console serves all the same. On the event loop. */
@@ -41,16 +42,21 @@
     }
 
     private ChannelFuture bind(InetSocketAddress address) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.AUTO_READ, false)
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         new ConsoleLink(ConsoleListener.this, channel);
                     }
-                }).bind(address);
+                })
+                .bind(address);
     }
 
     EventLoop loop() {
--- a/router/src/main/java/stagepier/console/LineForm.java
+++ b/router/src/main/java/stagepier/console/LineForm.java
@@ -6,12 +6,12 @@
 public final class LineForm {
     /** Longest line, its end included. */
     public static final int LONGEST = 512;
+
     private static final String CALLS = "calls are STATUS, SUSPEND ID, RESTORE ID, PAUSE, RESUME";
     private static final Pattern SPACES = Pattern.compile("[ \t]+");
     private static final Pattern SERVER = Pattern.compile("[!-~]{1,128}");
 
-    private LineForm() {
-    }
+    private LineForm() {}
 
     /**
      * The call in a line.
@@ -54,7 +54,9 @@
 
     /** The line for an outcome, with its end, and what follows it. */
     public static String answer(Operations.Result result) {
-        StringBuilder answer = new StringBuilder(result.done() ? "OK " : "ERR ").append(result.text()).append("\r\n");
+        StringBuilder answer = new StringBuilder(result.done() ? "OK " : "ERR ")
+                .append(result.text())
+                .append("\r\n");
         result.more().forEach(line -> answer.append(line).append("\r\n"));
         return answer.toString();
     }
--- a/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -3,31 +3,19 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
@@ -37,49 +25,38 @@
 
 /**
  * Keeps a watch on discovery: the next call follows the last answer at once, and a call that failed or had no
- * answer is made again on a new connection, each time after a longer wait. The first call of a connection asks what there
- * is now, so that a silent agent is told from one that has nothing new. Owns its connections and timers: at most
- * one connection that watches, and one that is to take over from it.
+ * answer is made again on a new connection, each time after a longer wait. How long it waits for what is told by
+ * {@link WatchTimes}. Owns its connections and timers: at most one connection that watches, and one that is to take over
+ * from it.
  *
- * <p>The waits follow from the clock by which a change counts as told, after which sends may go on for 1 s. What a silent
- * watch misses counts 6 s after it fell silent: {@link #HOLD_MS} + {@link #SLACK_MS} is 4 s, which leaves time for one more
- * call that fails. What an agent gets at the end of an outage counts at once: {@link #NOW_WITHIN_MS} +
- * {@link #RETRY_MOST_MS} is how long nobody may be there to hear it.
- *
- * <p>The worst chain after a failed, refused or silent call, against those 6 s: the open call is given up after
- * {@link #HOLD_MS} + {@link #SLACK_MS} = 4000; back-off 250; a connection that does not come up or, once up, is silent
- * (300 + 300); back-off 250; connection 300 and answer 300 of the one that counts: 5700. An answer that comes bit by bit
- * is in the same chain: when its call is due a second connection asks anew beside it, and whichever is whole first counts.
+ * <p>The worst chain after a failed, refused or silent call, against the 6 s after which a change counts as told whether or
+ * not it arrived, in milliseconds. At an agent, with a drain grace of a second or more: the open call is given up after hold
+ * and slack, 4000; pause 250; a connection that does not come up or, once up, is silent (300 + 300); pause 250; connection
+ * 300 and answer 300 of the one that counts: 5700. At a shared service: the open call is given up after 3000; pause 400;
+ * connection 300, turned away; pause 800; connection 300; then the answer, with 1200 left for its turn. An answer that comes
+ * bit by bit is in the same chain: when its call is due a second connection asks anew beside it, and whichever is whole
+ * first counts. After a reload: an agent with an older list is asked again until {@link #BEHIND_MS} are over, and then once
+ * more for its whole list, of the 4 s after which what it has counts.
  */
 public final class DiscoveryWatch {
     private static final Logger LOG = LoggerFactory.getLogger(DiscoveryWatch.class);
-    private static final String PATH = "/discovery/hosts";
-    /** Longest wait that is asked for; a connection that fell silent costs no more than this and the slack. */
-    private static final int HOLD_MS = 3000;
-    /** By chance it is up to so much less: many routers that were answered at one moment do not go on in step. */
-    private static final int HOLD_SPREAD_MS = 500;
-    private static final int SLACK_MS = 1000;
     /** The wait of a call that asks what there is now. */
     private static final int NOW_MS = 1;
-    /** The agent is on this machine and answers such a call at once; so does its machine a connection. */
-    private static final int NOW_WITHIN_MS = 300;
     /** Between two pieces of an answer; the whole of it has the time of its call before another is asked beside it. */
     private static final int PIECES_WITHIN_MS = 1000;
-    private static final int RETRY_FIRST_MS = 100;
-    private static final int RETRY_MOST_MS = 250;
     /** So long after a move an agent with an older version is behind and may catch up; what it has counts 4 s after. */
     private static final int BEHIND_MS = 3300;
-    /** Whoever waits for the list to be fresh waits no longer than this for a silent agent. */
-    private static final int FRESH_WITHIN_MS = 200;
-    private static final int LARGEST_LIST = 1 << 20;
 
     private final EventLoop loop;
+    private final DiscoveryConnector connector;
+    private final WatchTimes times;
     private final HostGroup group;
     private final Consumer<HostGroup.Change> changed;
     private final Runnable failed;
     private InetSocketAddress address;
     /** The one that watches; null while there is none. */
     private Channel channel;
+
     private Future<?> callTimer;
     /** When it is due another asks beside a call that is answered bit by bit. */
     private Future<?> wholeTimer;
@@ -94,9 +71,10 @@
     /** No connection to the address has been up since it changed. */
     private boolean moved;
     /** Pending while an agent with an older version may be behind; null before any move. */
-    private Future<?> behindTimer;
+    private ScheduledFuture<?> behindTimer;
     /** The agent's changes do not follow on the list here: the next call asks for the whole of it. */
     private boolean asksWhole;
+
     private Future<?> retryTimer;
     private final RandomGenerator random;
     private final Backoff backoff;
@@ -106,23 +84,32 @@
     private boolean isOpen;
     /** That call is to say what there is now. */
     private boolean asksNow;
-    /** What is to be done once the list is fresh. */
-    private final List<Runnable> onFresh = new ArrayList<>();
-    /** Null where nothing is to be done. */
-    private Future<?> freshTimer;
+
+    private final FreshListWaiters waitersForFresh;
+
     private boolean stopped;
     private long calls;
     private long failures;
 
     /**
+     * @param times   how long it waits for what
      * @param changed is told of each answer, and so of those as well that change nothing
      * @param failed  is told of each try that failed
      */
-    public DiscoveryWatch(EventLoop loop, InetSocketAddress address, HostGroup group,
-            Consumer<HostGroup.Change> changed, Runnable failed, RandomGenerator random) {
-        backoff = new Backoff(RETRY_FIRST_MS, RETRY_MOST_MS, random);
+    public DiscoveryWatch(
+            EventLoop loop,
+            InetSocketAddress address,
+            WatchTimes times,
+            HostGroup group,
+            Consumer<HostGroup.Change> changed,
+            Runnable failed,
+            RandomGenerator random) {
+        backoff = new Backoff(times.retryFirst(), times.retryMost(), times.retryLeast(), random);
+        this.times = times;
         this.random = random;
         this.loop = loop;
+        connector = new DiscoveryConnector(loop, times.connectWithin(), Pieces::new, Answers::new);
+        waitersForFresh = new FreshListWaiters(loop, times.freshWithin());
         this.address = address;
         this.group = group;
         this.changed = changed;
@@ -131,16 +118,7 @@
 
     /** Begins the watch from the list that the group has. */
     public void start() {
-        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NOW_WITHIN_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel own) {
-                        own.pipeline().addLast(new Pieces(), new HttpClientCodec(), new HttpObjectAggregator(LARGEST_LIST),
-                                new Answers());
-                    }
-                });
-        ChannelFuture connect = bootstrap.connect(address);
+        ChannelFuture connect = connector.connect(address);
         connecting = connect.channel();
         connect.addListener(done -> {
             if (!done.isSuccess() && connect.channel() == connecting) {
@@ -164,7 +142,7 @@
         if (behindTimer != null) {
             behindTimer.cancel(false);
         }
-        behindTimer = loop.schedule(() -> { }, BEHIND_MS, TimeUnit.MILLISECONDS);
+        behindTimer = loop.schedule(() -> {}, BEHIND_MS, TimeUnit.MILLISECONDS);
         backoff.reset();
         dropConnecting();
         start();
@@ -174,18 +152,15 @@
         stopped = true;
         dropConnecting();
         dropWatch();
-        fresh();
+        waitersForFresh.release();
     }
 
     /**
      * Takes what the agent has told by now, and runs that once nothing is left to be told, which is at once where the open
-     * call has no answer yet; but no later than {@link #FRESH_WITHIN_MS} from now.
+     * call has no answer yet; but no later than {@link WatchTimes#freshWithin} from now.
      */
     public void refresh(Runnable then) {
-        onFresh.add(then);
-        if (freshTimer == null) {
-            freshTimer = loop.schedule(this::fresh, FRESH_WITHIN_MS, TimeUnit.MILLISECONDS);
-        }
+        waitersForFresh.add(then);
         boolean waits = isFresh && isOpen;
         long before = calls;
         // An answer that is there by now may be an old one, whatever was asked for.
@@ -195,18 +170,8 @@
         readNow();
         if (waits && calls == before && channel != null && channel.isActive()) {
             isFresh = true;
-            fresh();
-        }
-    }
-
-    private void fresh() {
-        if (freshTimer != null) {
-            freshTimer.cancel(false);
-            freshTimer = null;
+            waitersForFresh.release();
         }
-        List<Runnable> due = List.copyOf(onFresh);
-        onFresh.clear();
-        due.forEach(Runnable::run);
     }
 
     /** Reads what has come by this moment, without waiting to be told of it. */
@@ -237,7 +202,8 @@
                 askBeside();
                 return;
             }
-            // Guards against a wait on a new agent that has not yet said what there is: the old one may have, after the move.
+            // Guards against a wait on a new agent that has not yet said what there is: the old one may have, after the
+            // move.
             isFresh &= !moved;
             moved = false;
             takeOver();
@@ -275,20 +241,21 @@
     private void call() {
         calls++;
         isOpen = true;
-        asksNow = !isFresh;
-        int hold = asksNow ? NOW_MS : HOLD_MS - random.nextInt(HOLD_SPREAD_MS);
-        int most = asksNow ? NOW_WITHIN_MS : hold + SLACK_MS;
+        asksNow = !isFresh && times.asksFirst();
+        int hold = asksNow ? NOW_MS : times.hold() - random.nextInt(times.holdSpread());
         write(channel, hold);
+        int most = asksNow ? times.listWithin() : hold + times.slack();
         within(most);
         long call = calls;
         wholeTimer = loop.schedule(() -> late(call), most, TimeUnit.MILLISECONDS);
     }
 
     private void write(Channel to, int hold) {
-        String from = group.generation() < 0 || asksWhole ? "" : "?from=" + group.generation() + "&hold_ms=" + hold;
-        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH + from);
-        request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(address));
-        to.writeAndFlush(request);
+        if (group.generation() < 0 || asksWhole) {
+            DiscoveryConnector.requestList(to, address);
+        } else {
+            DiscoveryConnector.requestChanges(to, address, group.generation(), hold);
+        }
     }
 
     /** Guards against an agent that answers a byte now and then and so holds the watch on an old list for good. */
@@ -305,7 +272,8 @@
         besideFrom = group.generation();
         besideAsksNow = true;
         write(connecting, NOW_MS);
-        besideTimer = loop.schedule(() -> failedBeside("no whole answer in time"), NOW_WITHIN_MS, TimeUnit.MILLISECONDS);
+        besideTimer =
+                loop.schedule(() -> failedBeside("no whole answer in time"), times.listWithin(), TimeUnit.MILLISECONDS);
     }
 
     private void answeredBeside(FullHttpResponse response) {
@@ -363,15 +331,14 @@
     private void answered(FullHttpResponse response) {
         cancelCallTimers();
         isOpen = false;
-        boolean mayBeBehind = behindTimer != null && !behindTimer.isDone();
         HostGroup.Change change;
         try {
             if (response.status().code() != 200 || response.decoderResult().isFailure()) {
                 throw new IllegalArgumentException("status " + response.status());
             }
             JsonElement message = JsonParser.parseString(response.content().toString(StandardCharsets.UTF_8));
-            if (group.goesBack(message, mayBeBehind)) {
-                asksWhole = !mayBeBehind;
+            if (group.goesBack(message, mayBeBehind())) {
+                asksWhole = !mayBeBehind();
                 throw new IllegalArgumentException("its version goes back");
             }
             change = group.apply(message);
@@ -382,7 +349,7 @@
         }
         backoff.reset();
         asksWhole = false;
-        isFresh |= asksNow;
+        isFresh |= asksNow || !times.asksFirst();
         if (!moved) {
             // Whoever asks beside is of no use any more.
             dropConnecting();
@@ -394,7 +361,7 @@
             next(HttpUtil.isKeepAlive(response) && channel != null && channel.isActive());
         }
         if (isFresh) {
-            fresh();
+            waitersForFresh.release();
         }
     }
 
@@ -407,6 +374,20 @@
         }
     }
 
+    /** Milliseconds until the next try; an agent that may be behind after a move is asked once that time is over. */
+    private long pause() {
+        long pause = backoff.next();
+        if (!mayBeBehind()) {
+            return pause;
+        }
+        long left = behindTimer.getDelay(TimeUnit.MILLISECONDS) + 1;
+        return Math.min(pause, Math.max(1, left));
+    }
+
+    private boolean mayBeBehind() {
+        return behindTimer != null && !behindTimer.isDone();
+    }
+
     /** The watch broke. */
     private void failed(String why) {
         isFresh = false;
@@ -428,10 +409,13 @@
         }
         failures++;
         LOG.debug("discovery: {}", why);
-        retryTimer = loop.schedule(() -> {
-            retryTimer = null;
-            start();
-        }, backoff.next(), TimeUnit.MILLISECONDS);
+        retryTimer = loop.schedule(
+                () -> {
+                    retryTimer = null;
+                    start();
+                },
+                pause(),
+                TimeUnit.MILLISECONDS);
         failed.run();
     }
 
--- /dev/null
+++ b/router/src/main/java/stagepier/discovery/FreshListWaiters.java
@@ -0,0 +1,40 @@
+package stagepier.discovery;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** What waits until the list of servers is known to be up to date, and for how long at the most. Owns its one timer. */
+final class FreshListWaiters {
+    private final EventLoop loop;
+    private final int mostMs;
+    private final List<Runnable> waiting = new ArrayList<>();
+    /** Null while nothing waits. */
+    private Future<?> timer;
+
+    /** @param mostMs milliseconds after which all that waits is run, whatever the list is */
+    FreshListWaiters(EventLoop loop, int mostMs) {
+        this.loop = loop;
+        this.mostMs = mostMs;
+    }
+
+    void add(Runnable then) {
+        waiting.add(then);
+        if (timer == null) {
+            timer = loop.schedule(this::release, mostMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Runs all that waits. */
+    void release() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+        List<Runnable> due = List.copyOf(waiting);
+        waiting.clear();
+        due.forEach(Runnable::run);
+    }
+}
--- a/router/src/main/java/stagepier/discovery/HostGroup.java
+++ b/router/src/main/java/stagepier/discovery/HostGroup.java
@@ -27,8 +27,7 @@
  */
 public final class HostGroup {
     /** A cache server: its id on the list, as the module knows it, and where it is. */
-    public record Host(String name, Api.Member member, InetSocketAddress address) {
-    }
+    public record Host(String name, Api.Member member, InetSocketAddress address) {}
 
     /**
      * What one message of discovery changed.
@@ -37,8 +36,7 @@
      * @param hosts    the entries of the message
      * @param left     hosts that a whole list no longer names
      */
-    public record Change(boolean complete, List<Host> hosts, List<Host> left) {
-    }
+    public record Change(boolean complete, List<Host> hosts, List<Host> left) {}
 
     /** Ids that were ever listed are remembered up to this many. Guards against memory that grows with every new server. */
     private static final int NAMES_MOST = 4096;
@@ -77,7 +75,10 @@
             for (JsonElement e : entries) {
                 told.add(host(e.getAsJsonObject()));
             }
-        } catch (NullPointerException | ClassCastException | IllegalStateException | UnsupportedOperationException
+        } catch (NullPointerException
+                | ClassCastException
+                | IllegalStateException
+                | UnsupportedOperationException
                 | NumberFormatException e) {
             throw new IllegalArgumentException("not a host group: " + e.getMessage(), e);
         }
@@ -98,7 +99,9 @@
         }
         generation = version;
         told.forEach(host -> remember(host.name()));
-        return new Change(complete, told.stream().map(this::counted).toList(),
+        return new Change(
+                complete,
+                told.stream().map(this::counted).toList(),
                 complete ? List.copyOf(before.values()) : List.of());
     }
 
@@ -108,8 +111,10 @@
      * where its agent counts otherwise, unless that agent may only be behind.
      */
     boolean goesBack(JsonElement message, boolean mayBeBehind) {
-        if (message instanceof JsonObject o && o.get("generation") instanceof JsonPrimitive version
-                && o.get("reset") instanceof JsonPrimitive reset && version.isNumber()) {
+        if (message instanceof JsonObject o
+                && o.get("generation") instanceof JsonPrimitive version
+                && o.get("reset") instanceof JsonPrimitive reset
+                && version.isNumber()) {
             return version.getAsLong() < generation && (mayBeBehind || !reset.getAsBoolean());
         }
         return false;
@@ -133,7 +138,8 @@
             } else if (admission.admits(old, host)) {
                 counts.add(host);
             } else if (old != null && old.member().state() == Api.MemberState.READY) {
-                // Keys must not be sent to a process of another name: who lost its address to another server drains until it may move.
+                // Keys must not be sent to a process of another name: who lost its address to another server drains
+                // until it may move.
                 Api.MemberState state = isTaken(old, told) ? Api.MemberState.DRAINING : Api.MemberState.READY;
                 counts.add(as(old, state, host.member().startedAt()));
             } else if (old != null) {
@@ -150,13 +156,17 @@
 
     /** Whether another server is listed at the address of this one. */
     private boolean isTaken(Host host, List<Host> told) {
-        return Stream.concat(told.stream(), hosts.values().stream()).anyMatch(other -> other.address() != null
-                && other.member().id() != host.member().id() && other.address().equals(host.address()));
+        return Stream.concat(told.stream(), hosts.values().stream())
+                .anyMatch(other -> other.address() != null
+                        && other.member().id() != host.member().id()
+                        && other.address().equals(host.address()));
     }
 
     private static Host as(Host host, Api.MemberState state, double startedAt) {
         Api.Member m = host.member();
-        return new Host(host.name(), new Api.Member(m.id(), m.zone(), m.cell(), m.kind(), state, m.weight(), startedAt),
+        return new Host(
+                host.name(),
+                new Api.Member(m.id(), m.zone(), m.cell(), m.kind(), state, m.weight(), startedAt),
                 host.address());
     }
 
@@ -211,8 +221,17 @@
         boolean out = bans.isOut(host.name());
         // Staff restart what they take out. Guards against a list that tells that late or never.
         double started = Math.max(m.startedAt(), bans.backSince(host.name()));
-        return new Host(host.name(), new Api.Member(m.id(), m.zone(), m.cell(), m.kind(),
-                out ? Api.MemberState.DRAINING : m.state(), m.weight(), started), host.address());
+        return new Host(
+                host.name(),
+                new Api.Member(
+                        m.id(),
+                        m.zone(),
+                        m.cell(),
+                        m.kind(),
+                        out ? Api.MemberState.DRAINING : m.state(),
+                        m.weight(),
+                        started),
+                host.address());
     }
 
     private Host host(JsonObject o) {
@@ -223,12 +242,19 @@
             default -> throw new IllegalArgumentException("unknown lifecycle " + o.get("lifecycle"));
         };
         String name = o.get("instanceId").getAsString();
-        Api.Member member = new Api.Member(Ids.ofServer(name),
-                names.zones().indexOf(text(o, "zone")), (int) number(o, "cell", 0),
-                Math.max(0, names.kinds().indexOf(text(o, "machineType"))), state, number(o, "weight", 1),
+        Api.Member member = new Api.Member(
+                Ids.ofServer(name),
+                names.zones().indexOf(text(o, "zone")),
+                (int) number(o, "cell", 0),
+                Math.max(0, names.kinds().indexOf(text(o, "machineType"))),
+                state,
+                number(o, "weight", 1),
                 number(o, "startedAtMs", 0) / 1e3);
         // One that is removed need not tell where it was.
-        return new Host(name, member, state == Api.MemberState.GONE ? null : address(o.get("hostPort").getAsString()));
+        return new Host(
+                name,
+                member,
+                state == Api.MemberState.GONE ? null : address(o.get("hostPort").getAsString()));
     }
 
     private static String text(JsonObject o, String key) {
--- a/router/src/main/java/stagepier/drain/Drain.java
+++ b/router/src/main/java/stagepier/drain/Drain.java
@@ -15,10 +15,20 @@
  */
 public final class Drain {
     /** What this process does. */
-    public enum State { STARTING, SERVING, PAUSED, ENDING }
+    public enum State {
+        STARTING,
+        SERVING,
+        PAUSED,
+        ENDING
+    }
 
     /** How far a drain has come. */
-    public enum Phase { NONE, LINGER, LEAVE, LAST }
+    public enum Phase {
+        NONE,
+        LINGER,
+        LEAVE,
+        LAST
+    }
 
     /** After a call to pause, new clients are still sent here for 0.2 s. */
     private static final double PAUSE_LINGERS = 0.3;
@@ -34,6 +44,7 @@
     private boolean pausedEarly;
     /** When the drain that is on began. */
     private double since;
+
     private double lingers;
     private double lastFrom;
 
--- a/router/src/main/java/stagepier/exchange/Exchange.java
+++ b/router/src/main/java/stagepier/exchange/Exchange.java
@@ -12,18 +12,18 @@
 public final class Exchange {
     private final long id;
     private final Command command;
-    private final Asker asker;
+    private final ReplyListener listener;
     private final double takenAt;
     private final double deadlineAt;
-    private final List<Carrier.Sending> sendings = new ArrayList<>(2);
+    private final List<ServerTransport.Transmission> sendings = new ArrayList<>(2);
     private int outstanding;
     private boolean finished;
     private Future<?> backstop;
 
-    Exchange(long id, Command command, Asker asker, double takenAt, double deadlineAt) {
+    Exchange(long id, Command command, ReplyListener listener, double takenAt, double deadlineAt) {
         this.id = id;
         this.command = command;
-        this.asker = asker;
+        this.listener = listener;
         this.takenAt = takenAt;
         this.deadlineAt = deadlineAt;
     }
@@ -37,8 +37,8 @@
         return id;
     }
 
-    Asker asker() {
-        return asker;
+    ReplyListener listener() {
+        return listener;
     }
 
     /** When it was taken, in seconds of the {@link Clock}. */
@@ -52,11 +52,11 @@
     }
 
     /** An execution of it, counted from 0; null where there is no such. */
-    public Carrier.Sending sending(int attempt) {
+    public ServerTransport.Transmission sending(int attempt) {
         return attempt < sendings.size() ? sendings.get(attempt) : null;
     }
 
-    List<Carrier.Sending> sendings() {
+    List<ServerTransport.Transmission> sendings() {
         return sendings;
     }
 
@@ -75,7 +75,7 @@
      * that have gone, also where the end of their connection lies here unread.
      */
     public boolean isWanted() {
-        return !finished && asker.isThere();
+        return !finished && listener.isThere();
     }
 
     void backstop(Future<?> timer) {
--- a/router/src/main/java/stagepier/exchange/Ids.java
+++ b/router/src/main/java/stagepier/exchange/Ids.java
@@ -13,8 +13,7 @@
     private static final Pattern KEY = Pattern.compile("[0-9a-f]{16}");
     private static final Pattern SERVER = Pattern.compile("s-[0-9a-f]{8}");
 
-    private Ids() {
-    }
+    private Ids() {}
 
     /** A key in hex is its number. */
     public static long ofKey(String key) {
--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -1,11 +1,8 @@
 package stagepier.exchange;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -17,7 +14,8 @@
 import stagepier.Api;
 import stagepier.memcache.Command;
 import stagepier.overload.LoopDelay;
-import stagepier.peers.PeerView;
+import stagepier.peers.PeerReport;
+import stagepier.peers.PeerReports;
 import stagepier.settings.SettingsParser;
 
 /**
@@ -32,6 +30,7 @@
      * this margin an answer at the very end would come after the client left.
      */
     private static final double MARGIN = 0.015;
+
     private static final double MARGIN_PART = 0.1;
     /** Part of a window for repeats that is kept for the way to a cache server, which takes the margin at the least. */
     private static final double WAY_PART = 0.05;
@@ -44,8 +43,7 @@
     private static final double LATE = 0.05;
     /** No answer took less than this, whatever is taken off for own delay; in seconds. */
     private static final double SHORTEST = 1e-4;
-    /** Seconds for which an id stays taken after its request must be over. */
-    private static final double ID_KEPT = 2;
+
     private static final Pattern TIME = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
 
     private final EventLoop loop;
@@ -54,32 +52,23 @@
     private final SettingsParser.Names names;
     private final Api.Settings settings;
     private final Map<Long, Exchange> open = new HashMap<>();
-    private final ArrayDeque<Runnable> events = new ArrayDeque<>();
-    /** Lists that came while all else has to wait. */
-    private final ArrayDeque<Runnable> lists = new ArrayDeque<>();
+    private final EventQueue events;
     private final long[] outcomes = new long[Api.Outcome.values().length];
     private final long[] replies = new long[Reply.Kind.values().length];
-    /** Ids of requests and when they were taken, the oldest first. */
-    private final Map<String, Double> idsTaken = new LinkedHashMap<>();
-    private final double longestDeadline;
+    private final RequestIds ids;
     private Api.Events module;
-    private Carrier carrier;
+    private ServerTransport transport;
     /** Null where nothing is tried beside the real requests. */
     private ShadowTap tap;
-    private Consumer<List<Api.News>> peers = news -> { };
-    private final PeerView peerView = new PeerView();
-    private boolean inEvent;
-    /** Brings the list up to date, then runs what it is given. */
-    private Consumer<Runnable> refresh = Runnable::run;
-    /** The process stood still and the list may be old: the module is told nothing but the list. */
-    private boolean listMayBeOld;
-    private final List<Runnable> onFreshList = new ArrayList<>();
+    /** Null where routers tell each other nothing. */
+    private PeerReports peers;
+
+    private Consumer<byte[]> toPeers;
     private long lastId;
     private long unanswered;
     private long gone;
     private long overdue;
     private long cameLate;
-    private long stoodStill;
 
     public ModuleHost(EventLoop loop, Clock clock, LoopDelay delay, SettingsParser.Parsed parsed) {
         this.loop = loop;
@@ -87,17 +76,27 @@
         this.delay = delay;
         names = parsed.names();
         settings = parsed.settings();
-        longestDeadline = settings.classes().stream().mapToDouble(Api.RequestClass::deadline).max().orElseThrow();
+        events = new EventQueue(clock, delay);
+        ids = new RequestIds(settings.classes().stream()
+                .mapToDouble(Api.RequestClass::deadline)
+                .max()
+                .orElseThrow());
+    }
+
+    /** Whether nothing may be sent before the list is fresh; that is then run as soon as it is. */
+    public boolean mustWaitForList(Runnable then) {
+        return events.mustWaitForList(then);
     }
 
-    /** Where what the module tells other routers goes; until then nowhere. */
-    public void connectPeers(Consumer<List<Api.News>> to) {
-        peers = to;
+    /** What other routers report, and where messages to them go; until then nothing and nowhere. */
+    public void connectPeers(PeerReports reports, Consumer<byte[]> to) {
+        peers = reports;
+        toPeers = to;
     }
 
     /** What brings the list up to date after this process stood still, and then runs what it is given. */
     public void connectList(Consumer<Runnable> refresher) {
-        refresh = refresher;
+        events.connectList(refresher);
     }
 
     /** Who is told of sends and outcomes, and changes nothing. */
@@ -106,71 +105,9 @@
     }
 
     /** Before anything else. */
-    public void connect(Api.Events decisions, Carrier servers) {
+    public void connect(Api.Events decisions, ServerTransport servers) {
         module = decisions;
-        carrier = servers;
-    }
-
-    /**
-     * Guards against calling the module from inside its own event: what an action brings about at once is
-     * queued and told after it, in the order in which it arose.
-     */
-    private void post(Runnable event) {
-        events.add(event);
-        if (!inEvent && !listMayBeOld()) {
-            tell();
-        }
-    }
-
-    private void tell() {
-        inEvent = true;
-        try {
-            while (!lists.isEmpty() || !listMayBeOld && !events.isEmpty()) {
-                run((lists.isEmpty() ? events : lists).remove());
-            }
-        } finally {
-            inEvent = false;
-        }
-    }
-
-    /**
-     * Whether the list may be old since this process stood still. Guards against deciding, when it goes on, by who was
-     * there before: what discovery told meanwhile is read first.
-     */
-    private boolean listMayBeOld() {
-        if (!listMayBeOld && delay.stoodStill(clock.now())) {
-            listMayBeOld = true;
-            stoodStill++;
-            refresh.accept(this::listIsFresh);
-        }
-        return listMayBeOld;
-    }
-
-    private void listIsFresh() {
-        listMayBeOld = false;
-        List<Runnable> due = List.copyOf(onFreshList);
-        onFreshList.clear();
-        due.forEach(Runnable::run);
-        if (!inEvent) {
-            tell();
-        }
-    }
-
-    /** Whether nothing may be sent before the list is fresh; that is then run as soon as it is. */
-    public boolean mustWaitForList(Runnable then) {
-        if (listMayBeOld()) {
-            onFreshList.add(then);
-        }
-        return listMayBeOld;
-    }
-
-    private static void run(Runnable event) {
-        try {
-            event.run();
-        } catch (RuntimeException e) {
-            // The router must outlive a fault: a request left without an answer has its backstop.
-            LOG.error("an event failed", e);
-        }
+        transport = servers;
     }
 
     // ---- from the client side -----------------------------------------------------------------------------
@@ -183,19 +120,7 @@
         if (time != null && !TIME.matcher(time).matches()) {
             return "bad time";
         }
-        forgetIds(clock.now());
-        return idsTaken.containsKey(command.id()) ? "request id in use" : null;
-    }
-
-    /**
-     * Guards against a client that sends the id of another's request: what a cache server made for the one would be
-     * served to the other. An id stays taken for a while after its request, too, for the two may cross.
-     */
-    private void forgetIds(double now) {
-        Iterator<Double> oldest = idsTaken.values().iterator();
-        while (oldest.hasNext() && now - oldest.next() > longestDeadline + ID_KEPT) {
-            oldest.remove();
-        }
+        return ids.isTaken(command.id(), clock.now()) ? "request id in use" : null;
     }
 
     /**
@@ -203,7 +128,7 @@
      *
      * @param cameAt when its last byte was there to be read, as far as is known: its time has been running since then
      */
-    public Exchange take(Asker asker, Command command, double cameAt) {
+    public Exchange take(ReplyListener listener, Command command, double cameAt) {
         int classIndex = classIndex(command);
         String time = command.attribute("d");
         double most = settings.classes().get(classIndex).deadline();
@@ -212,14 +137,21 @@
         double unread = Math.max(0, now - cameAt);
         cameLate += unread > LATE ? 1 : 0;
         double budget = wait - unread - Math.min(MARGIN, MARGIN_PART * wait);
-        Exchange x = new Exchange(++lastId, command, asker, now, now + budget);
+        Exchange x = new Exchange(++lastId, command, listener, now, now + budget);
         open.put(x.id(), x);
-        idsTaken.put(command.id(), now);
+        ids.take(command.id(), now);
         unanswered++;
         x.backstop(loop.schedule(() -> pastItsTime(x), micros(budget + OVERDUE), TimeUnit.MICROSECONDS));
-        Api.Request request = new Api.Request(x.id(), classIndex, tenant(command),
-                Ids.ofKey(command.key()), budget, 0, "1".equals(command.attribute("r")), command.isWrite());
-        post(() -> module.onRequest(clock.now(), request));
+        Api.Request request = new Api.Request(
+                x.id(),
+                classIndex,
+                tenant(command),
+                Ids.ofKey(command.key()),
+                budget,
+                0,
+                "1".equals(command.attribute("r")),
+                command.isWrite());
+        events.post(() -> module.onRequest(clock.now(), request));
         return x;
     }
 
@@ -239,12 +171,12 @@
         }
         gone++;
         finish(x);
-        post(() -> {
+        events.post(() -> {
             module.onClientGone(clock.now(), x.id());
             forgetIfOver(x);
         });
         // After that word: what is withdrawn tells nothing of its server.
-        x.sendings().forEach(Carrier.Sending::withdraw);
+        x.sendings().forEach(ServerTransport.Transmission::withdraw);
     }
 
     /**
@@ -256,7 +188,7 @@
     }
 
     private void overdue(Exchange x) {
-        post(() -> {
+        events.post(() -> {
             if (!x.isFinished()) {
                 overdue++;
                 LOG.warn("request {} had no answer in time", x.command().id());
@@ -273,7 +205,7 @@
         }
         finish(x);
         forgetIfOver(x);
-        x.asker().answered(x, reply);
+        x.listener().answered(x, reply);
     }
 
     private void finish(Exchange x) {
@@ -294,23 +226,23 @@
 
     // ---- from the server side -----------------------------------------------------------------------------
     /** The one outcome of an execution. {@code body} is that of a served answer. */
-    public void ended(Exchange x, int attempt, long server, Api.Outcome outcome, double sentAt, Api.Lookup lookup,
-            byte[] body) {
-        end(x, attempt, server, outcome, sentAt, lookup, body == null ? null : Reply.served(body));
+    public void ended(
+            Exchange x, int attempt, long server, Api.Outcome outcome, double sentAt, ResponseInfo info, byte[] body) {
+        end(x, attempt, server, outcome, sentAt, info, body == null ? null : Reply.served(body));
     }
 
     /** The one outcome of an execution whose value has begun to come: well ended, whatever becomes of the rest. */
-    public void begun(Exchange x, int attempt, long server, double sentAt, Api.Lookup lookup, ValueFlow flow) {
-        end(x, attempt, server, Api.Outcome.OK, sentAt, lookup, Reply.served(flow));
+    public void begun(Exchange x, int attempt, long server, double sentAt, ResponseInfo info, ValueFlow flow) {
+        end(x, attempt, server, Api.Outcome.OK, sentAt, info, Reply.served(flow));
     }
 
-    private void end(Exchange x, int attempt, long server, Api.Outcome outcome, double sentAt, Api.Lookup lookup,
-            Reply served) {
-        post(() -> {
+    private void end(
+            Exchange x, int attempt, long server, Api.Outcome outcome, double sentAt, ResponseInfo info, Reply served) {
+        events.post(() -> {
             double now = clock.now();
             double elapsed = now - sentAt;
             if (tap != null) {
-                tap.ended(x, attempt, server, outcome, lookup, served, elapsed, now);
+                tap.ended(x, attempt, server, outcome, info.lookup(), served, elapsed, now);
             }
             if (outcome != Api.Outcome.TIMEOUT && outcome != Api.Outcome.CANCELLED) {
                 // What lay here unread is this router's own delay: no server may be judged by it.
@@ -324,8 +256,16 @@
                 served.flow().abandon();
             }
             forgetIfOver(x);
-            module.onOutcome(now, x.id(), attempt, server, outcome, elapsed, x.isFinished(),
-                    lookup(x.command().isWrite(), outcome, lookup), NO_REPORT);
+            module.onOutcome(
+                    now,
+                    x.id(),
+                    attempt,
+                    server,
+                    outcome,
+                    elapsed,
+                    x.isFinished(),
+                    lookup(x.command().isWrite(), outcome, info.lookup()),
+                    info.report());
         });
     }
 
@@ -335,13 +275,14 @@
      * keys are then turned away.
      */
     private Api.Lookup lookup(boolean write, Api.Outcome outcome, Api.Lookup told) {
-        boolean carriedOn = write && settings.fetching() == Api.Fetching.THROUGH
+        boolean carriedOn = write
+                && settings.fetching() == Api.Fetching.THROUGH
                 && (outcome == Api.Outcome.OK || outcome == Api.Outcome.ERROR);
         return carriedOn && told == Api.Lookup.UNKNOWN ? Api.Lookup.MISS : told;
     }
 
     public void probed(long server, Api.Outcome outcome, double sentAt) {
-        post(() -> {
+        events.post(() -> {
             double now = clock.now();
             module.onProbe(now, server, outcome, now - sentAt, NO_REPORT);
         });
@@ -349,26 +290,22 @@
 
     // ---- from discovery -----------------------------------------------------------------------------------
     public void members(boolean complete, List<Api.Member> members) {
-        // Ahead of all that waits for it.
-        (listMayBeOld() ? lists : events).add(() -> module.onMembers(clock.now(), complete, members));
-        if (!inEvent) {
-            tell();
-        }
+        events.postList(() -> module.onMembers(clock.now(), complete, members));
     }
 
     public void membersFailed() {
-        post(() -> module.onMembersFailed(clock.now()));
+        events.post(() -> module.onMembersFailed(clock.now()));
     }
 
     // ---- from what is tried beside the real requests ------------------------------------------------------
     /** Another ring has part of the keys from now on; null for none. */
     public void promoted(Api.Promoted map) {
-        post(() -> module.onPromoted(clock.now(), map));
+        events.post(() -> module.onPromoted(clock.now(), map));
     }
 
     /** Whether the module spares a server what is not needed. Not asked inside an event: it is spared then. */
     public boolean spares(double now, long server) {
-        return inEvent || module.spares(now, server);
+        return events.isRunning() || module.spares(now, server);
     }
 
     // ---- the module's actions -----------------------------------------------------------------------------
@@ -389,14 +326,19 @@
         double left = x.deadlineAt() - now;
         double latestStart = now + startWithin - wayToServer(x);
         x.outstanding(1);
-        if (x.isFinished() || left <= 0 || latestStart < now || attempt >= settings.limits().maxAttempts()) {
-            x.sendings().add(() -> { });
-            ended(x, attempt, server, Api.Outcome.NOT_SENT, now, Api.Lookup.UNKNOWN, null);
+        if (x.isFinished()
+                || left <= 0
+                || latestStart < now
+                || attempt >= settings.limits().maxAttempts()) {
+            x.sendings().add(() -> {});
+            ended(x, attempt, server, Api.Outcome.NOT_SENT, now, ResponseInfo.NONE, null);
         } else if (timeout < 0) {
-            x.sendings().add(() -> { });
-            ended(x, attempt, server, Api.Outcome.TIMEOUT, now, Api.Lookup.UNKNOWN, null);
+            x.sendings().add(() -> {});
+            ended(x, attempt, server, Api.Outcome.TIMEOUT, now, ResponseInfo.NONE, null);
         } else {
-            x.sendings().add(carrier.send(x, attempt, server, timeout == 0 ? left : Math.min(timeout, left), latestStart));
+            x.sendings()
+                    .add(transport.send(
+                            x, attempt, server, timeout == 0 ? left : Math.min(timeout, left), latestStart));
             if (tap != null) {
                 tap.sent(x, attempt, server, now);
             }
@@ -408,7 +350,9 @@
      * not known here, for a handshake and an answer hold the server's own work; it grows with what a site takes for long.
      */
     private double wayToServer(Exchange x) {
-        return Math.max(MARGIN, WAY_PART * settings.classes().get(classIndex(x.command())).dedupWindow());
+        return Math.max(
+                MARGIN,
+                WAY_PART * settings.classes().get(classIndex(x.command())).dedupWindow());
     }
 
     /** Whether it does no harm if a request runs more often than the module knows. */
@@ -447,36 +391,60 @@
 
     @Override
     public void setTimer(double delay, long token) {
-        loop.schedule(() -> post(() -> module.onTimer(clock.now(), token)), micros(delay), TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> events.post(() -> module.onTimer(clock.now(), token)), micros(delay), TimeUnit.MICROSECONDS);
     }
 
     @Override
     public void probe(long server) {
-        carrier.probe(server);
+        transport.probe(server);
     }
 
     @Override
     public void closeIdle(long server) {
-        carrier.closeIdle(server);
+        transport.closeIdle(server);
     }
 
     @Override
     public void tellPeers(List<Api.News> news) {
-        peers.accept(news);
+        if (peers == null) {
+            return;
+        }
+        byte[] message = peers.message(clock.now(), news);
+        if (message != null) {
+            toPeers.accept(message);
+        }
+        // The one thing that happens regularly: where nothing comes from others any more, old sums end here.
+        events.post(() -> {
+            double now = clock.now();
+            Collection<Long> changed = peers.forget(now);
+            if (!changed.isEmpty()) {
+                module.onPeers(now, changed);
+            }
+        });
     }
 
-    /** Another router has told something. */
-    public void heard(int peer, List<Api.News> news) {
-        post(() -> {
+    @Override
+    public Api.Elsewhere elsewhere(long server) {
+        return peers == null ? Api.Elsewhere.nothing(server) : peers.of(server);
+    }
+
+    @Override
+    public double elsewhereWeight() {
+        return peers == null ? 1 : peers.weight();
+    }
+
+    /** Another router has reported something. */
+    public void reported(int peer, PeerReport report) {
+        events.post(() -> {
             double now = clock.now();
-            module.onPeers(now, peerView.heard(now, peer, news));
+            module.onPeers(now, peers.take(now, peer, report));
         });
     }
 
     /** The watch of discovery runs from the start and renews itself. */
     @Override
-    public void watchMembers() {
-    }
+    public void watchMembers() {}
 
     @Override
     public void note(String text) {
@@ -489,20 +457,23 @@
 
     /** What was taken, answered and how executions ended. */
     public void count(ObjLongConsumer<String> to) {
+        if (peers != null) {
+            peers.count(to);
+        }
         to.accept("requests", lastId);
         to.accept("requests_unanswered", unanswered);
         to.accept("requests_client_gone", gone);
         to.accept("requests_overdue", overdue);
         to.accept("requests_read_late", cameLate);
-        to.accept("loop_stood_still", stoodStill);
+        to.accept("loop_stood_still", events.standstills());
+        to.accept("loop_turns", delay.turns());
         to.accept("loop_late_mean_us", Math.round(delay.mean() * 1e6));
         to.accept("loop_late_worst_us", Math.round(delay.worst() * 1e6));
         for (Reply.Kind kind : Reply.Kind.values()) {
             to.accept("answers_" + kind.name().toLowerCase(java.util.Locale.ROOT), replies[kind.ordinal()]);
         }
         for (Api.Outcome outcome : Api.Outcome.values()) {
-            to.accept("executions_" + outcome.name().toLowerCase(java.util.Locale.ROOT),
-                    outcomes[outcome.ordinal()]);
+            to.accept("executions_" + outcome.name().toLowerCase(java.util.Locale.ROOT), outcomes[outcome.ordinal()]);
         }
     }
 }
--- a/router/src/main/java/stagepier/exchange/Reply.java
+++ b/router/src/main/java/stagepier/exchange/Reply.java
@@ -9,7 +9,11 @@
  */
 public record Reply(Kind kind, byte[] body, ValueFlow flow, long retryAfterMs) {
     /** Kinds of final answers. */
-    public enum Kind { SERVED, THROTTLE, FAILED }
+    public enum Kind {
+        SERVED,
+        THROTTLE,
+        FAILED
+    }
 
     private static final byte[] NO_BODY = {};
     static final Reply FAILED = new Reply(Kind.FAILED, NO_BODY, null, 0);
--- a/router/src/main/java/stagepier/exchange/Asker.java
+++ b/router/src/main/java/stagepier/exchange/ReplyListener.java
@@ -1,7 +1,7 @@
 package stagepier.exchange;
 
 /** The client's side of an exchange, as the exchange sees it. */
-public interface Asker {
+public interface ReplyListener {
     /** The one final answer. Not called once {@link ModuleHost#clientGone} was. */
     void answered(Exchange exchange, Reply reply);
 
--- a/router/src/main/java/stagepier/exchange/ShadowTap.java
+++ b/router/src/main/java/stagepier/exchange/ShadowTap.java
@@ -16,7 +16,14 @@
      * @param served  the answer; null where there is none
      * @param elapsed seconds since it was sent, with what this router was late by
      */
-    void ended(Exchange x, int attempt, long server, Api.Outcome outcome, Api.Lookup lookup, Reply served, double elapsed,
+    void ended(
+            Exchange x,
+            int attempt,
+            long server,
+            Api.Outcome outcome,
+            Api.Lookup lookup,
+            Reply served,
+            double elapsed,
             double now);
 
     /** The final answer of the request is given. */
--- a/router/src/main/java/stagepier/exchange/ValueFlow.java
+++ b/router/src/main/java/stagepier/exchange/ValueFlow.java
@@ -17,11 +17,16 @@
         void abandoned();
     }
 
-    private enum State { OPEN, WHOLE, BROKEN, ABANDONED }
+    private enum State {
+        OPEN,
+        WHOLE,
+        BROKEN,
+        ABANDONED
+    }
 
     private final int length;
     private final Source source;
-    private Runnable changed = () -> { };
+    private Runnable changed = () -> {};
     private State state = State.OPEN;
 
     /** @param length of the value in bytes */
--- a/router/src/main/java/stagepier/fleet/FleetConfig.java
+++ b/router/src/main/java/stagepier/fleet/FleetConfig.java
@@ -20,8 +20,16 @@
  * @param skew      by how much the wall clocks of two routers may differ at the most
  * @param candidate the file with the candidate map, or null where there is none
  */
-public record FleetConfig(Path file, String hash, String self, InetSocketAddress listen, SortedMap<String, InetSocketAddress> members,
-        Path calendar, Duration lease, Duration skew, Path candidate) {
+public record FleetConfig(
+        Path file,
+        String hash,
+        String self,
+        InetSocketAddress listen,
+        SortedMap<String, InetSocketAddress> members,
+        Path calendar,
+        Duration lease,
+        Duration skew,
+        Path candidate) {
     /** How many of the configured fleet are a majority. */
     public int majority() {
         return members.size() / 2 + 1;
--- a/router/src/main/java/stagepier/fleet/FleetConfigReader.java
+++ b/router/src/main/java/stagepier/fleet/FleetConfigReader.java
@@ -34,9 +34,10 @@
     static final int MOST_MEMBERS = 1_000;
     static final long LARGEST_FILE = 256 * 1024;
     private static final Pattern NAME = Pattern.compile("[a-z0-9](?:[a-z0-9-]{0,30}[a-z0-9])?");
-    private static final Pattern FIGURES = Pattern.compile(
-            "([0-9]{1,3})\\.([0-9]{1,3})\\.([0-9]{1,3})\\.([0-9]{1,3}):([0-9]{1,5})");
-    private static final List<String> KEYS = List.of("listen", "lease_ms", "skew_ms", "calendar", "candidate", "member");
+    private static final Pattern FIGURES =
+            Pattern.compile("([0-9]{1,3})\\.([0-9]{1,3})\\.([0-9]{1,3})\\.([0-9]{1,3}):([0-9]{1,5})");
+    private static final List<String> KEYS =
+            List.of("listen", "lease_ms", "skew_ms", "calendar", "candidate", "member");
     private static final List<String> MEMBER_KEYS = List.of("name", "address");
 
     private final Path file;
@@ -71,8 +72,16 @@
         if (!members.containsKey(self)) {
             throw bad(toml, "", "member", "none has the name '" + self + "', which is this router's");
         }
-        return new FleetConfig(file, hash(members.keySet(), lease, skew), self, listen == null ? members.get(self) : listen, members,
-                calendar, lease, skew, candidate);
+        return new FleetConfig(
+                file,
+                hash(members.keySet(), lease, skew),
+                self,
+                listen == null ? members.get(self) : listen,
+                members,
+                calendar,
+                lease,
+                skew,
+                candidate);
     }
 
     private String text() throws BadFleetException {
@@ -93,7 +102,8 @@
         if (value == null) {
             throw bad(toml, "", "member", "is missing: no router is named");
         }
-        if (!(value instanceof TomlArray array) || array.isEmpty()
+        if (!(value instanceof TomlArray array)
+                || array.isEmpty()
                 || !array.toList().stream().allMatch(TomlTable.class::isInstance)) {
             throw bad(toml, "", "member", "must be tables, each under [[member]]");
         }
@@ -108,7 +118,11 @@
             known(table, at, MEMBER_KEYS);
             String name = string(table, at, "name");
             if (!NAME.matcher(name).matches()) {
-                throw bad(table, at, "name", "must be 1 to 32 lower-case letters, digits and dashes, with no dash at either end");
+                throw bad(
+                        table,
+                        at,
+                        "name",
+                        "must be 1 to 32 lower-case letters, digits and dashes, with no dash at either end");
             }
             InetSocketAddress address = address(table, at, "address");
             if (members.putIfAbsent(name, address) != null) {
@@ -132,7 +146,8 @@
         byte[] bytes = new byte[4];
         for (int i = 0; i < 4; i++) {
             int figure = Integer.parseInt(figures.group(i + 1));
-            if (figure > 255 || figures.group(i + 1).length() > 1 && figures.group(i + 1).startsWith("0")) {
+            if (figure > 255
+                    || figures.group(i + 1).length() > 1 && figures.group(i + 1).startsWith("0")) {
                 throw bad(table, at, key, "'" + value + "' is no IPv4 address in figures with a port");
             }
             bytes[i] = (byte) figure;
@@ -199,8 +214,13 @@
 
     /** Where the key is absent, the line is that of the table's first key, or the first of the file. */
     private BadFleetException bad(TomlTable table, String at, String key, String wrong) {
-        Stream<String> keys = table.contains(List.of(key)) ? Stream.of(key) : table == toml ? Stream.empty() : table.keySet().stream();
-        int line = keys.map(k -> table.inputPositionOf(List.of(k))).mapToInt(TomlPosition::line).min().orElse(1);
+        Stream<String> keys = table.contains(List.of(key))
+                ? Stream.of(key)
+                : table == toml ? Stream.empty() : table.keySet().stream();
+        int line = keys.map(k -> table.inputPositionOf(List.of(k)))
+                .mapToInt(TomlPosition::line)
+                .min()
+                .orElse(1);
         return new BadFleetException(file, line, at + Toml.joinKeyPath(List.of(key)), wrong);
     }
 
--- a/router/src/main/java/stagepier/fleet/FleetView.java
+++ b/router/src/main/java/stagepier/fleet/FleetView.java
@@ -13,7 +13,12 @@
  */
 public record FleetView(String self, long epoch, boolean majority, List<Member> members) {
     /** How a member is held to be. */
-    public enum State { ALIVE, SUSPECT, GONE, LEFT }
+    public enum State {
+        ALIVE,
+        SUSPECT,
+        GONE,
+        LEFT
+    }
 
     /**
      * What each router says of itself, told on by the others.
--- a/router/src/main/java/stagepier/fleet/History.java
+++ b/router/src/main/java/stagepier/fleet/History.java
@@ -6,7 +6,7 @@
  */
 @FunctionalInterface
 public interface History {
-    History NONE = (event, namesAndValues) -> { };
+    History NONE = (event, namesAndValues) -> {};
 
     /**
      * @param event          such as {@code view}, {@code calendar.accepted}, {@code topology.held}
--- a/router/src/main/java/stagepier/fleet/Lines.java
+++ b/router/src/main/java/stagepier/fleet/Lines.java
@@ -17,18 +17,18 @@
  * listened to further.
  */
 final class Lines {
-    private static final Gson GSON = new GsonBuilder().setStrictness(Strictness.STRICT).create();
+    private static final Gson GSON =
+            new GsonBuilder().setStrictness(Strictness.STRICT).create();
     /** Beyond the message itself: its number on the link. */
     private static final int LONGEST_LINE = Calls.LONGEST + 64;
+
     private static final int USUAL = 4 * 1024;
 
     /** The first line of who called up: who it is, whom it takes this for, and which fleet it knows. */
-    record Hello(String name, String target, String configuration) {
-    }
+    record Hello(String name, String target, String configuration) {}
 
     /** A call or its reply, which has the same number. A reply of no kind says that nobody here answers such a call. */
-    record Frame(long id, String kind, JsonElement body) {
-    }
+    record Frame(long id, String kind, JsonElement body) {}
 
     private final InputStream in;
     private byte[] buffer = new byte[USUAL];
@@ -47,7 +47,7 @@
      */
     <T> T next(Class<T> type) throws IOException, Message.MalformedException {
         int seen = from;
-        for (;;) {
+        for (; ; ) {
             for (int i = seen; i < to; i++) {
                 if (buffer[i] == '\n') {
                     String line = new String(buffer, from, i - from, StandardCharsets.UTF_8);
--- a/router/src/main/java/stagepier/fleet/Membership.java
+++ b/router/src/main/java/stagepier/fleet/Membership.java
@@ -11,11 +11,11 @@
 import stagepier.fleet.FleetView.Facts;
 import stagepier.fleet.FleetView.Member;
 import stagepier.fleet.FleetView.State;
-import stagepier.fleet.ViewWords.Ask;
-import stagepier.fleet.ViewWords.Ping;
-import stagepier.fleet.ViewWords.Pong;
-import stagepier.fleet.ViewWords.Sync;
-import stagepier.fleet.ViewWords.Told;
+import stagepier.fleet.MembershipMessages.AgeRequest;
+import stagepier.fleet.MembershipMessages.AgeResponse;
+import stagepier.fleet.MembershipMessages.Ping;
+import stagepier.fleet.MembershipMessages.Pong;
+import stagepier.fleet.MembershipMessages.Sync;
 import stagepier.tasks.Tasks;
 
 /**
@@ -45,6 +45,7 @@
     private final Random random;
     /** Held for moments, never while something is waited for. */
     private final MemberTable table;
+
     private volatile FleetView view;
     private volatile Facts ownFacts = Facts.NONE;
 
@@ -76,7 +77,7 @@
             synchronized (table) {
                 table.leave();
                 for (int i = 0; i < 2 * RELAYS && i < config.members().size() - 1; i++) {
-                    Peer p = table.next(tasks.nanoTime());
+                    Peer p = table.turns().next(tasks.nanoTime());
                     if (p != null) {
                         some.add(p);
                     }
@@ -107,11 +108,11 @@
 
     private void probeInTurn() throws InterruptedException {
         tasks.sleep(part(PROBE_EVERY));
-        for (;;) {
+        for (; ; ) {
             long began = tasks.nanoTime();
             Peer p;
             synchronized (table) {
-                p = table.next(began);
+                p = table.turns().next(began);
             }
             if (p != null) {
                 probe(p);
@@ -127,18 +128,19 @@
         int stalls;
         double factor;
         synchronized (table) {
-            words = table.ping(p);
+            words = table.told().ping(p);
             stalls = table.stalls();
             factor = table.waitLonger();
         }
         try {
-            Message reply = calls.call(p.name, Message.of(ViewWords.PING, words), Duration.ofNanos((long) (PROBE_MOST.toNanos() * factor)));
+            Message reply = calls.call(p.name, Message.of(MembershipMessages.PING, words), Duration.ofNanos((long)
+                    (PROBE_MOST.toNanos() * factor)));
             hear(p, read(reply, Pong.class), sentAt);
         } catch (Calls.SilentException e) {
             List<String> relays;
             synchronized (table) {
                 table.silent(p.name, sentAt, stalls);
-                relays = table.relays(p, RELAYS, tasks.nanoTime());
+                relays = table.turns().relays(p, RELAYS, tasks.nanoTime());
             }
             for (String relay : relays) {
                 if (ask(relay, p)) {
@@ -155,12 +157,12 @@
         long now = tasks.nanoTime();
         synchronized (table) {
             table.answered(p.name, sentAt);
-            table.applyAlive(p.name, pong.i(), now);
-            if (pong.heard() != null) {
-                table.heardOfOthers(pong.heard(), sentAt);
+            table.applyAlive(p.name, pong.incarnation(), now);
+            if (pong.ages() != null) {
+                table.heardOfOthers(pong.ages(), sentAt);
             }
-            if (pong.reach() != null) {
-                table.reachedBy(p.name, pong.reach());
+            if (pong.reachable() != null) {
+                table.reachedBy(p.name, pong.reachable());
             }
             table.apply(p.name, pong.about(), now);
             table.apply(p.name, pong.news(), now);
@@ -171,7 +173,9 @@
     private boolean ask(String relay, Peer about) throws InterruptedException {
         long sentAt = tasks.nanoTime();
         try {
-            Told told = read(calls.call(relay, Message.of(ViewWords.ASK, new Ask(about.name)), ASK_MOST), Told.class);
+            AgeResponse told = read(
+                    calls.call(relay, Message.of(MembershipMessages.AGE_REQUEST, new AgeRequest(about.name)), ASK_MOST),
+                    AgeResponse.class);
             synchronized (table) {
                 if (told != null && told.age() >= 0 && told.age() < Integer.MAX_VALUE) {
                     table.heardOfOthers(Map.of(about.name, (int) told.age()), sentAt);
@@ -185,7 +189,7 @@
     }
 
     private void tickOn() throws InterruptedException {
-        for (;;) {
+        for (; ; ) {
             long began = tasks.nanoTime();
             tasks.sleep(TICK);
             long now = tasks.nanoTime();
@@ -204,13 +208,16 @@
     private void syncOn() throws InterruptedException {
         int from = 0;
         int learned = 0;
-        for (;;) {
-            tasks.sleep(learned < 0 || learned > MUCH ? TICK : SYNC_EVERY.dividedBy(2).plus(part(SYNC_EVERY)));
+        for (; ; ) {
+            tasks.sleep(
+                    learned < 0 || learned > MUCH
+                            ? TICK
+                            : SYNC_EVERY.dividedBy(2).plus(part(SYNC_EVERY)));
             String other;
             Sync sync;
             synchronized (table) {
-                other = table.anyone(tasks.nanoTime());
-                sync = new Sync(table.part(from, SYNC_PART));
+                other = table.turns().anyone(tasks.nanoTime());
+                sync = new Sync(table.told().part(from, SYNC_PART));
             }
             learned = other == null ? 0 : sync(other, sync);
             from = (from + SYNC_PART) % config.members().size();
@@ -225,7 +232,7 @@
             stalls = table.stalls();
         }
         try {
-            Sync newer = read(calls.call(other, Message.of(ViewWords.SYNC, sync), PROBE_MOST), Sync.class);
+            Sync newer = read(calls.call(other, Message.of(MembershipMessages.SYNC, sync), PROBE_MOST), Sync.class);
             if (newer == null || newer.news() == null) {
                 return 0;
             }
@@ -250,36 +257,39 @@
     private Message answer(String from, Message call) throws Message.MalformedException {
         long now = tasks.nanoTime();
         switch (call.kind()) {
-            case ViewWords.PING -> {
+            case MembershipMessages.PING -> {
                 Ping ping = call.read(Ping.class);
                 Pong pong;
                 synchronized (table) {
-                    table.applyAlive(from, ping.i(), now);
-                    table.applyAlive(config.self(), ping.held(), now);
+                    table.applyAlive(from, ping.incarnation(), now);
+                    table.applyAlive(config.self(), ping.heldIncarnation(), now);
                     table.apply(from, ping.about(), now);
                     table.apply(from, ping.news(), now);
-                    pong = table.pong(from, ping, now);
+                    pong = table.told().pong(from, ping, now);
                 }
-                return Message.of(ViewWords.PONG, pong);
+                return Message.of(MembershipMessages.PONG, pong);
             }
-            case ViewWords.ASK -> {
-                Ask ask = call.read(Ask.class);
+            case MembershipMessages.AGE_REQUEST -> {
+                AgeRequest request = call.read(AgeRequest.class);
                 synchronized (table) {
-                    if (ask.n() == null || !table.isMember(ask.n())) {
-                        return Message.of(ViewWords.TOLD, new Told(-1));
+                    if (request.member() == null || !table.isMember(request.member())) {
+                        return Message.of(MembershipMessages.AGE_RESPONSE, new AgeResponse(-1));
                     }
-                    table.hint(ask.n(), now);
-                    return Message.of(ViewWords.TOLD, new Told(table.age(ask.n(), now)));
+                    table.turns().hint(request.member(), now);
+                    return Message.of(
+                            MembershipMessages.AGE_RESPONSE, new AgeResponse(table.age(request.member(), now)));
                 }
             }
-            case ViewWords.SYNC -> {
+            case MembershipMessages.SYNC -> {
                 Sync sync = call.read(Sync.class);
                 if (sync.news() == null) {
                     throw new Message.MalformedException("an exchange of nothing");
                 }
                 synchronized (table) {
                     table.apply(from, sync.news(), now);
-                    return Message.of(ViewWords.SYNCED, new Sync(table.newer(sync.news())));
+                    return Message.of(
+                            MembershipMessages.SYNC_RESPONSE,
+                            new Sync(table.told().newer(sync.news())));
                 }
             }
             default -> throw new Message.MalformedException(call.kind() + " is no word of the view");
@@ -309,7 +319,9 @@
             Member now = next.members().get(i);
             State then = before.members().get(i).state();
             states.add(now.name() + ":" + now.incarnation() + ":" + now.state());
-            if (now.state() != then && now.state() != State.SUSPECT && (then != State.SUSPECT || now.state() != State.ALIVE)) {
+            if (now.state() != then
+                    && now.state() != State.SUSPECT
+                    && (then != State.SUSPECT || now.state() != State.ALIVE)) {
                 LOG.info("{} is {}", now.name(), now.state());
             }
         }
@@ -326,17 +338,28 @@
     @Override
     public List<String> status() {
         FleetView v = view;
-        StringBuilder line = new StringBuilder("view epoch=" + v.epoch() + " majority=" + (v.majority() ? "yes" : "no"));
+        StringBuilder line =
+                new StringBuilder("view epoch=" + v.epoch() + " majority=" + (v.majority() ? "yes" : "no"));
         for (State state : State.values()) {
-            List<String> names = v.members().stream().filter(m -> m.state() == state).map(Member::name).toList();
-            line.append(' ').append(state.name().toLowerCase(Locale.ROOT)).append('=').append(names.size());
+            List<String> names = v.members().stream()
+                    .filter(m -> m.state() == state)
+                    .map(Member::name)
+                    .toList();
+            line.append(' ')
+                    .append(state.name().toLowerCase(Locale.ROOT))
+                    .append('=')
+                    .append(names.size());
             if (state != State.ALIVE && !names.isEmpty()) {
-                line.append('(').append(String.join(",", names.subList(0, Math.min(NAMES_IN_STATUS, names.size()))))
+                line.append('(')
+                        .append(String.join(",", names.subList(0, Math.min(NAMES_IN_STATUS, names.size()))))
                         .append(names.size() > NAMES_IN_STATUS ? ",...)" : ")");
             }
         }
-        long others = v.members().stream().filter(m -> !m.name().equals(v.self()) && m.counts()
-                && !m.facts().configuration().equals(config.hash())).count();
+        long others = v.members().stream()
+                .filter(m -> !m.name().equals(v.self())
+                        && m.counts()
+                        && !m.facts().configuration().equals(config.hash()))
+                .count();
         return List.of(line.append(" other_configuration=").append(others).toString());
     }
 }
