--- a/router/src/main/java/stagepier/fleet/Peer.java
+++ b/router/src/main/java/stagepier/fleet/Peer.java
@@ -12,6 +12,7 @@
     long factsVersion;
     /** Who found it silent, while it is suspect; a few are enough. */
     final Set<String> suspectedBy = new TreeSet<>();
+
     long suspectSince;
     /** When the call was sent that it answered last, whoever's call that was. */
     long heardAt;
@@ -29,13 +30,16 @@
     long answeredAt;
     /** When the first call was sent of those that went unanswered without one that was answered among them. */
     long failsSince;
+
     long calledAt;
     long hintedAt;
     /** How often its news is still to be told on, and its facts. */
     int tell;
+
     int tellFacts;
     /** That it is suspect or gone, said by others against what was heard here; told on, so that it can contradict. */
-    ViewWords.News claim;
+    MembershipMessages.News claim;
+
     int tellClaim;
 
     Peer(String name, long never) {
@@ -59,4 +63,15 @@
     boolean failsHere() {
         return failedAt > answeredAt;
     }
+
+    /** Alive or suspect. */
+    boolean isIn() {
+        return state == FleetView.State.ALIVE || state == FleetView.State.SUSPECT;
+    }
+
+    /** Whether news of it is newer (positive), as new (0) or older than what is held. */
+    int compare(long newsIncarnation, FleetView.State newsState) {
+        int byIncarnation = Long.compare(newsIncarnation, incarnation);
+        return byIncarnation != 0 ? byIncarnation : Integer.compare(newsState.ordinal(), state.ordinal());
+    }
 }
--- a/router/src/main/java/stagepier/fleet/PeerLink.java
+++ b/router/src/main/java/stagepier/fleet/PeerLink.java
@@ -23,12 +23,12 @@
     private static final int MOST_WAIT_MS = 1_000;
     /** Bytes of calls without a reply; the socket's buffer takes them all, so that no write waits for a member that stands still. */
     private static final int ROOM = 4 * Calls.LONGEST;
+
     private static final long STALE_NS = 3_000_000_000L;
     private static final Duration LOOK_AGAIN = Duration.ofMillis(10);
     private static final Lines.Frame BROKEN = new Lines.Frame(-1, null, null);
 
-    private record Sent(long id, int bytes, long at) {
-    }
+    private record Sent(long id, int bytes, long at) {}
 
     private final Tasks tasks;
     private final OpenSockets sockets;
@@ -54,7 +54,7 @@
     /** Until the tasks are stopped. */
     void keepOpen() throws InterruptedException {
         int wait = FIRST_WAIT_MS;
-        for (;;) {
+        for (; ; ) {
             boolean wentWell = openOnce();
             wait = wentWell ? FIRST_WAIT_MS : Math.min(MOST_WAIT_MS, 2 * wait);
             // Spread, so that all who lost the same member do not come back in step.
@@ -107,7 +107,8 @@
         try {
             Lines.Frame said = reply.take(Duration.ofNanos(Math.max(0, until - tasks.nanoTime())));
             if (said == null || said.kind() == null) {
-                throw new Calls.SilentException(member + (said == null ? " said nothing to " : " has no answer to ") + message.kind());
+                throw new Calls.SilentException(
+                        member + (said == null ? " said nothing to " : " has no answer to ") + message.kind());
             }
             return new Message(said.kind(), said.body());
         } finally {
@@ -122,6 +123,7 @@
         private final Map<Long, Box<Lines.Frame>> pending = new ConcurrentHashMap<>();
         /** In the order of their numbers, which is that of their replies. Guarded by itself. */
         private final ArrayDeque<Sent> unanswered = new ArrayDeque<>();
+
         private int unansweredBytes;
         private long lastId;
         private volatile boolean heard;
@@ -159,7 +161,7 @@
 
         boolean readReplies(Lines lines) throws IOException {
             try {
-                for (;;) {
+                for (; ; ) {
                     Lines.Frame frame = lines.next(Lines.Frame.class);
                     heard = true;
                     answered(frame.id());
--- a/router/src/main/java/stagepier/fleet/TcpCalls.java
+++ b/router/src/main/java/stagepier/fleet/TcpCalls.java
@@ -26,6 +26,7 @@
     private static final int HELLO_MS = 2_000;
     /** A link on which nobody calls any more: the view calls all the time. */
     private static final int IDLE_MS = 60_000;
+
     private static final Duration BIND_AGAIN = Duration.ofMillis(200);
     /** Those that have not named themselves yet. */
     private static final int MOST_NAMELESS = 32;
@@ -40,6 +41,7 @@
     private final AtomicInteger nameless = new AtomicInteger();
     /** Accepted links by who called up, oldest first. Each queue is guarded by itself. */
     private final Map<String, ArrayDeque<Socket>> accepted = new ConcurrentHashMap<>();
+
     private final Map<String, String> otherFleets = new ConcurrentHashMap<>();
 
     /** @param seed for the waits before a link is opened again */
@@ -50,8 +52,14 @@
         config.members().forEach((name, address) -> {
             accepted.put(name, new ArrayDeque<>());
             if (!name.equals(config.self())) {
-                links.put(name, new PeerLink(tasks, sockets, address, new Lines.Hello(config.self(), name, config.hash()),
-                        random.nextLong()));
+                links.put(
+                        name,
+                        new PeerLink(
+                                tasks,
+                                sockets,
+                                address,
+                                new Lines.Hello(config.self(), name, config.hash()),
+                                random.nextLong()));
             }
         });
     }
@@ -65,7 +73,7 @@
     public void start() {
         tasks.start("fleet-closer", () -> {
             try {
-                for (;;) {
+                for (; ; ) {
                     tasks.sleep(Duration.ofHours(1));
                 }
             } finally {
@@ -87,7 +95,8 @@
 
     /** One line for {@code STATUS}. */
     public String status() {
-        return "fleet_links open=" + links.values().stream().filter(PeerLink::isOpen).count() + " of=" + links.size() + " strangers="
+        return "fleet_links open="
+                + links.values().stream().filter(PeerLink::isOpen).count() + " of=" + links.size() + " strangers="
                 + sockets.strangers() + " garbage=" + sockets.garbage();
     }
 
@@ -124,7 +133,7 @@
     }
 
     private void accept(ServerSocket server) throws IOException {
-        for (;;) {
+        for (; ; ) {
             Socket socket = server.accept();
             sockets.add(socket);
             if (nameless.incrementAndGet() > MOST_NAMELESS) {
@@ -154,7 +163,8 @@
                 answerAll(from, lines, socket.getOutputStream());
             }
         } catch (Message.MalformedException e) {
-            sockets.garbage(e.getMessage() + " from " + (from == null ? text((InetSocketAddress) socket.getRemoteSocketAddress()) : from));
+            sockets.garbage(e.getMessage() + " from "
+                    + (from == null ? text((InetSocketAddress) socket.getRemoteSocketAddress()) : from));
         } catch (IOException e) {
             LOG.debug("the link from {} ended: {}", from, e.getMessage());
         } finally {
@@ -179,7 +189,8 @@
             return null;
         }
         if (!config.hash().equals(hello.configuration())
-                && !String.valueOf(hello.configuration()).equals(otherFleets.put(hello.name(), String.valueOf(hello.configuration())))) {
+                && !String.valueOf(hello.configuration())
+                        .equals(otherFleets.put(hello.name(), String.valueOf(hello.configuration())))) {
             LOG.warn("{} has another fleet.toml than this router", hello.name());
         }
         return hello.name();
@@ -197,7 +208,7 @@
 
     private void answerAll(String from, Lines lines, OutputStream out)
             throws IOException, Message.MalformedException, InterruptedException {
-        for (;;) {
+        for (; ; ) {
             Lines.Frame call = lines.next(Lines.Frame.class);
             if (call.kind() == null) {
                 throw new Message.MalformedException("a call of no kind");
--- a/router/src/main/java/stagepier/freeze/Acceptor.java
+++ b/router/src/main/java/stagepier/freeze/Acceptor.java
@@ -12,7 +12,7 @@
  * held only while it looks something up. Never on the event loop.
  *
  * <p>A process starts without a memory and has no vote. It has one once it has taken over what a majority holds ({@link
- * #recovered}), or was one of all that founded the fleet ({@link Ask#FOUNDED}).
+ * #recovered}), or was one of all that founded the fleet ({@link RegisterRequest#FOUNDED}).
  */
 class Acceptor {
     private final String self;
@@ -24,6 +24,7 @@
     private long generation;
     /** The last generation that it promised to found; it takes no part in an earlier one. */
     private long founding;
+
     private String founder = "";
     private long founderIncarnation;
     private long earlier;
@@ -58,8 +59,8 @@
         return vector;
     }
 
-    /** @param kind one of those in {@link Ask} */
-    final synchronized Reply answer(String kind, Ask ask) {
+    /** @param kind one of those in {@link RegisterRequest} */
+    final synchronized RegisterResponse answer(String kind, RegisterRequest ask) {
         heard(ask.name(), ask.incarnation());
         if (ask.yours() > incarnation) {
             startOver(ask.yours());
@@ -67,34 +68,54 @@
         boolean current = ask.incarnation() >= vector.get(ask.name());
         highest = Math.max(highest, ask.generation());
         boolean ok = current && does(kind, ask);
-        boolean whole = kind.equals(Ask.PREPARE) || kind.equals(Ask.ACCEPT) || kind.equals(Ask.FOUND) || kind.equals(Ask.FOUNDED)
-                || kind.equals(Ask.RECOVER) && ok;
-        boolean content = kind.equals(Ask.RECOVER) && ok || kind.equals(Ask.FOUND) || kind.equals(Ask.PREPARE) && ok;
-        boolean news = kind.equals(Ask.PULL) && ask.after().compareTo(learned.version()) < 0;
-        return new Reply(ok, incarnation, member, generation, earlier, highest, promised, ballot, entry.version(),
-                learned.version(), wallMs.getAsLong(), content ? entry : null, news ? learned : null, news ? learnedIn : null,
+        boolean whole = kind.equals(RegisterRequest.PREPARE)
+                || kind.equals(RegisterRequest.ACCEPT)
+                || kind.equals(RegisterRequest.FOUND)
+                || kind.equals(RegisterRequest.FOUNDED)
+                || kind.equals(RegisterRequest.RECOVER) && ok;
+        boolean content = kind.equals(RegisterRequest.RECOVER) && ok
+                || kind.equals(RegisterRequest.FOUND)
+                || kind.equals(RegisterRequest.PREPARE) && ok;
+        boolean news = kind.equals(RegisterRequest.PULL) && ask.after().compareTo(learned.version()) < 0;
+        return new RegisterResponse(
+                ok,
+                incarnation,
+                member,
+                generation,
+                earlier,
+                highest,
+                promised,
+                ballot,
+                entry.version(),
+                learned.version(),
+                wallMs.getAsLong(),
+                content ? entry : null,
+                news ? learned : null,
+                news ? learnedIn : null,
                 whole ? file : null,
-                whole ? new TreeMap<>(known()) : kind.equals(Ask.RECOVER) ? Map.of(ask.name(), vector.get(ask.name())) : null);
+                whole
+                        ? new TreeMap<>(known())
+                        : kind.equals(RegisterRequest.RECOVER) ? Map.of(ask.name(), vector.get(ask.name())) : null);
     }
 
-    private boolean does(String kind, Ask ask) {
+    private boolean does(String kind, RegisterRequest ask) {
         return switch (kind) {
-            case Ask.CONFIRM -> member && generation == ask.generation();
-            case Ask.RECOVER -> member;
-            case Ask.PREPARE -> promises(ask);
-            case Ask.ACCEPT -> votes(ask);
-            case Ask.LEARN -> {
+            case RegisterRequest.CONFIRM -> member && generation == ask.generation();
+            case RegisterRequest.RECOVER -> member;
+            case RegisterRequest.PREPARE -> promises(ask);
+            case RegisterRequest.ACCEPT -> votes(ask);
+            case RegisterRequest.LEARN -> {
                 learn(ask.entry(), ask.ballot());
                 yield true;
             }
-            case Ask.PULL -> true;
-            case Ask.FOUND -> promisesFounding(ask);
-            case Ask.FOUNDED -> isFounded(ask);
+            case RegisterRequest.PULL -> true;
+            case RegisterRequest.FOUND -> promisesFounding(ask);
+            case RegisterRequest.FOUNDED -> isFounded(ask);
             default -> false;
         };
     }
 
-    private boolean promises(Ask ask) {
+    private boolean promises(RegisterRequest ask) {
         if (!mayVote(ask.generation()) || promised.compareTo(ask.ballot()) > 0) {
             return false;
         }
@@ -103,7 +124,7 @@
         return true;
     }
 
-    private boolean votes(Ask ask) {
+    private boolean votes(RegisterRequest ask) {
         if (!mayVote(ask.generation()) || promised.compareTo(ask.ballot()) > 0) {
             return false;
         }
@@ -111,12 +132,22 @@
         ballot = ask.ballot();
         entry = ask.entry();
         ballotsHeard++;
-        history.write("calendar.vote", "generation", generation, "round", ballot.round(), "by", ballot.name(), "version",
-                entry.version().toString(), "hash", Windows.hash(entry.text()));
+        history.write(
+                "calendar.vote",
+                "generation",
+                generation,
+                "round",
+                ballot.round(),
+                "by",
+                ballot.name(),
+                "version",
+                entry.version().toString(),
+                "hash",
+                Windows.hash(entry.text()));
         return true;
     }
 
-    private boolean promisesFounding(Ask ask) {
+    private boolean promisesFounding(RegisterRequest ask) {
         if (ask.generation() <= Math.max(generation, founding)) {
             return false;
         }
@@ -130,7 +161,7 @@
         return true;
     }
 
-    private boolean isFounded(Ask ask) {
+    private boolean isFounded(RegisterRequest ask) {
         if (member && generation == ask.generation()) {
             return true;
         }
@@ -150,7 +181,13 @@
         entry = votedFor;
         member = true;
         holdLearned();
-        history.write("calendar.member", "generation", generation, "incarnation", incarnation, "version",
+        history.write(
+                "calendar.member",
+                "generation",
+                generation,
+                "incarnation",
+                incarnation,
+                "version",
                 entry.version().toString());
     }
 
@@ -161,13 +198,13 @@
      * @param replies of a majority of the configured fleet, of one generation, none of a process that is over
      * @return false where this process is not the one that asked any more, or has promised to found a later generation meanwhile
      */
-    final synchronized boolean recovered(long asked, long inGeneration, Collection<Reply> replies) {
+    final synchronized boolean recovered(long asked, long inGeneration, Collection<RegisterResponse> replies) {
         if (asked != incarnation || member || inGeneration < founding) {
             return false;
         }
         Ballot most = Ballot.ZERO;
-        Reply last = null;
-        for (Reply r : replies) {
+        RegisterResponse last = null;
+        for (RegisterResponse r : replies) {
             most = r.promised().compareTo(most) > 0 ? r.promised() : most;
             last = last == null || r.ballot().compareTo(last.ballot()) > 0 ? r : last;
             r.vector().forEach(this::heard);
@@ -207,7 +244,12 @@
             learned = accepted;
             learnedIn = in;
             holdLearned();
-            history.write("calendar.learned", "version", accepted.version().toString(), "hash", Windows.hash(accepted.text()));
+            history.write(
+                    "calendar.learned",
+                    "version",
+                    accepted.version().toString(),
+                    "hash",
+                    Windows.hash(accepted.text()));
         }
     }
 
--- a/router/src/main/java/stagepier/freeze/AgreedTexts.java
+++ b/router/src/main/java/stagepier/freeze/AgreedTexts.java
@@ -15,6 +15,7 @@
 public final class AgreedTexts {
     /** What the fleet begins with: nothing agreed. */
     private static final String NOTHING = "";
+
     private static final Duration LOOK = Duration.ofMillis(50);
 
     /**
@@ -22,8 +23,7 @@
      *
      * @param version grows with each
      */
-    public record Last(long version, String text) {
-    }
+    public record Last(long version, String text) {}
 
     private final Tasks tasks;
     private final Register register;
@@ -35,22 +35,33 @@
      */
     public AgreedTexts(String topic, Tasks tasks, Calls calls, FleetConfig config, History history, long seed) {
         this.tasks = tasks;
-        History renamed = (event, values) -> history.write(rename(event, Ask.PART, topic), values);
-        Acceptor acceptor = new Acceptor(config.self(), Incarnations.first(tasks.wall(), seed), () -> tasks.wall().millis(),
+        History renamed = (event, values) -> history.write(rename(event, RegisterRequest.PART, topic), values);
+        Acceptor acceptor = new Acceptor(
+                config.self(),
+                Incarnations.first(tasks.wall(), seed),
+                () -> tasks.wall().millis(),
                 renamed);
-        register = new Register(tasks, new Renamed(calls, topic), config, renamed, acceptor, new Register.Listener() {
-            @Override
-            public void confirmed(Entry accepted, long startNano, long startWallMs, Clocks.Offset offset) {
-                if (accepted.text() != null && !accepted.text().equals(NOTHING)) {
-                    last = new Last(accepted.version().packed(), accepted.text());
-                }
-            }
+        register = new Register(
+                tasks,
+                new Renamed(calls, topic),
+                config,
+                renamed,
+                acceptor,
+                new Register.Listener() {
+                    @Override
+                    public void confirmed(Entry accepted, long startNano, long startWallMs, Clocks.Offset offset) {
+                        if (accepted.text() != null && !accepted.text().equals(NOTHING)) {
+                            last = new Last(accepted.version().packed(), accepted.text());
+                        }
+                    }
 
-            @Override
-            public void unconfirmed(String why) {
-                // What was learnt stays: a text is agreed for good.
-            }
-        }, NOTHING, seed);
+                    @Override
+                    public void unconfirmed(String why) {
+                        // What was learnt stays: a text is agreed for good.
+                    }
+                },
+                NOTHING,
+                seed);
     }
 
     /** Before the calls start. */
@@ -66,7 +77,7 @@
     /** @return whether it was accepted within that time, as far as is known; where not, it may still be */
     public boolean propose(String text, Duration most) throws InterruptedException {
         register.propose(text);
-        for (long until = tasks.nanoTime() + most.toNanos(); tasks.nanoTime() - until < 0;) {
+        for (long until = tasks.nanoTime() + most.toNanos(); tasks.nanoTime() - until < 0; ) {
             tasks.sleep(LOOK);
             Last now = last;
             if (now != null && now.text().equals(text)) {
@@ -93,16 +104,17 @@
         }
 
         @Override
-        public Message call(String member, Message message, Duration most) throws SilentException, InterruptedException {
+        public Message call(String member, Message message, Duration most)
+                throws SilentException, InterruptedException {
             return in(calls.call(member, out(message), most));
         }
 
         private Message out(Message message) {
-            return new Message(rename(message.kind(), Ask.PART, topic), message.body());
+            return new Message(rename(message.kind(), RegisterRequest.PART, topic), message.body());
         }
 
         private Message in(Message message) {
-            return new Message(rename(message.kind(), topic, Ask.PART), message.body());
+            return new Message(rename(message.kind(), topic, RegisterRequest.PART), message.body());
         }
     }
 }
--- a/router/src/main/java/stagepier/freeze/Calendar.java
+++ b/router/src/main/java/stagepier/freeze/Calendar.java
@@ -19,8 +19,7 @@
      * @param permit what holds for the change
      * @param reason of the window, or why nothing is known; "" where open
      */
-    record Answer(Permit permit, String reason) {
-    }
+    record Answer(Permit permit, String reason) {}
 
     /** No calendar is configured: all is open. */
     Calendar NONE = new Calendar() {
--- a/router/src/main/java/stagepier/freeze/CalendarFile.java
+++ b/router/src/main/java/stagepier/freeze/CalendarFile.java
@@ -24,12 +24,14 @@
 /** Reads {@code calendar.toml}, strictly: what makes no sense is refused in one line {@code FILE: line N: key K: what}. */
 final class CalendarFile {
     private static final Set<String> ROOT = Set.of("zone", "window");
-    private static final Set<String> KEYS = Set.of("name", "zone", "start", "end", "rule", "duration", "scope", "reason");
+    private static final Set<String> KEYS =
+            Set.of("name", "zone", "start", "end", "rule", "duration", "scope", "reason");
     private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,63}";
     private static final int REASON_MOST = 200;
     private static final int WINDOWS_MOST = 64;
     /** Guards against a year that was mistyped: nothing is frozen for longer than this by one window. */
     private static final Duration LONGEST = Duration.ofDays(31);
+
     private static final long LARGEST = 256 * 1024;
 
     private final String file;
@@ -46,7 +48,8 @@
             }
             return parse(path.toString(), Files.readString(path));
         } catch (IOException e) {
-            throw new SettingsException(path + ": line 1: key -: cannot be read: " + e.getClass().getSimpleName());
+            throw new SettingsException(
+                    path + ": line 1: key -: cannot be read: " + e.getClass().getSimpleName());
         }
     }
 
@@ -78,7 +81,8 @@
             Window window = window(table, at, zone);
             Integer before = lines.put(window.name(), line(table, "name"));
             if (before != null) {
-                throw bad(table, at, "name", "'" + window.name() + "' is the name of another window, in line " + before);
+                throw bad(
+                        table, at, "name", "'" + window.name() + "' is the name of another window, in line " + before);
             }
             windows.add(window);
         }
@@ -159,7 +163,11 @@
     private LocalDateTime time(TomlTable table, String at, String key) {
         Object value = required(table, at, key);
         if (!(value instanceof LocalDateTime time)) {
-            throw bad(table, at, key, "has to be a local date and time such as 2026-12-05T18:00:00, without quotes and offset");
+            throw bad(
+                    table,
+                    at,
+                    key,
+                    "has to be a local date and time such as 2026-12-05T18:00:00, without quotes and offset");
         }
         if (time.getYear() < 2020 || time.getYear() > 2099) {
             throw bad(table, at, key, "the year " + time.getYear() + " is not from 2020 to 2099");
@@ -170,7 +178,8 @@
     private ZoneId zone(TomlTable table, String at) {
         String name = text(table, at, "zone");
         // Not every word that ZoneId takes: an offset has no summer time, and "EST" is one.
-        if (!name.equals("UTC") && !(name.contains("/") && ZoneId.getAvailableZoneIds().contains(name))) {
+        if (!name.equals("UTC")
+                && !(name.contains("/") && ZoneId.getAvailableZoneIds().contains(name))) {
             throw bad(table, at, "zone", "'" + name + "' is no time zone such as Africa/Cairo");
         }
         return ZoneId.of(name);
@@ -203,8 +212,11 @@
     private static int line(TomlTable table, String key) {
         TomlPosition position = table.inputPositionOf(List.of(key));
         if (position == null) {
-            position = table.keySet().stream().map(k -> table.inputPositionOf(List.of(k))).filter(p -> p != null)
-                    .min(java.util.Comparator.comparingInt(TomlPosition::line)).orElse(null);
+            position = table.keySet().stream()
+                    .map(k -> table.inputPositionOf(List.of(k)))
+                    .filter(p -> p != null)
+                    .min(java.util.Comparator.comparingInt(TomlPosition::line))
+                    .orElse(null);
         }
         return position == null ? 1 : position.line();
     }
--- a/router/src/main/java/stagepier/freeze/Change.java
+++ b/router/src/main/java/stagepier/freeze/Change.java
@@ -8,5 +8,13 @@
  */
 public record Change(Kind kind, String server, String zone) {
     /** What is changed. Those that are not voluntary pass in any state of the calendar and are never asked about. */
-    public enum Kind { ADD_SERVER, WEIGHT, ZONE, ADDRESS, MOVE_DISCOVERY, RESTORE, PROMOTE }
+    public enum Kind {
+        ADD_SERVER,
+        WEIGHT,
+        ZONE,
+        ADDRESS,
+        MOVE_DISCOVERY,
+        RESTORE,
+        PROMOTE
+    }
 }
--- a/router/src/main/java/stagepier/freeze/Clocks.java
+++ b/router/src/main/java/stagepier/freeze/Clocks.java
@@ -35,9 +35,12 @@
     }
 
     /** The time that the round took bounds the error: each looked at its clock between its start and its end. */
-    Offset offset(Collection<Reply> replies, Duration skew) {
+    Offset offset(Collection<RegisterResponse> replies, Duration skew) {
         long took = (tasks.nanoTime() - startNano) / 1_000_000;
-        long[] ahead = replies.stream().mapToLong(r -> r.wall() - startMs - took / 2).sorted().toArray();
+        long[] ahead = replies.stream()
+                .mapToLong(r -> r.wall() - startMs - took / 2)
+                .sorted()
+                .toArray();
         // Of an even number both in the middle: of two that differ nobody can tell which is right.
         long lower = ahead[(ahead.length - 1) / 2];
         long upper = ahead[ahead.length / 2];
--- a/router/src/main/java/stagepier/freeze/Fanout.java
+++ b/router/src/main/java/stagepier/freeze/Fanout.java
@@ -23,8 +23,7 @@
     private static final int WORKERS_MOST = 16;
     private static final Duration IDLE = Duration.ofHours(1);
 
-    private record Errand(String to, Message message, long until, Round round) {
-    }
+    private record Errand(String to, Message message, long until, Round round) {}
 
     /** Takes the replies to one question; what comes after its end is left. */
     private static final class Round {
@@ -42,7 +41,7 @@
         }
 
         /** @param reply null where none came, or one that makes no sense */
-        synchronized void take(String from, Reply reply) {
+        synchronized void take(String from, RegisterResponse reply) {
             if (over) {
                 return;
             }
@@ -67,6 +66,7 @@
     private final Map<String, Boolean> silent = new ConcurrentHashMap<>();
     /** Tasks that have nothing to do, each by what wakes it; what is to be done lies in {@code errands}. */
     private final ConcurrentLinkedQueue<Box<Boolean>> idle = new ConcurrentLinkedQueue<>();
+
     private final ConcurrentLinkedQueue<Errand> errands = new ConcurrentLinkedQueue<>();
     private final AtomicInteger waiting = new AtomicInteger();
     private final int most;
@@ -117,13 +117,14 @@
         return true;
     }
 
-    private Reply ask(Errand errand) throws InterruptedException {
+    private RegisterResponse ask(Errand errand) throws InterruptedException {
         long left = errand.until() - tasks.nanoTime();
         if (left <= 0) {
             return null;
         }
         try {
-            Reply reply = calls.call(errand.to(), errand.message(), Duration.ofNanos(left)).read(Reply.class);
+            RegisterResponse reply = calls.call(errand.to(), errand.message(), Duration.ofNanos(left))
+                    .read(RegisterResponse.class);
             silent.remove(errand.to());
             return reply.whole() ? reply : null;
         } catch (Calls.SilentException | Message.MalformedException e) {
@@ -140,7 +141,8 @@
      * @param enough looked at after each reply: the round is over where it holds
      * @param tally  takes the replies
      */
-    void ask(Function<String, Message> call, Duration most, Tally tally, Predicate<Tally> enough) throws InterruptedException {
+    void ask(Function<String, Message> call, Duration most, Tally tally, Predicate<Tally> enough)
+            throws InterruptedException {
         ask(order(), call, most, tally, enough);
     }
 
--- a/router/src/main/java/stagepier/freeze/FreezePart.java
+++ b/router/src/main/java/stagepier/freeze/FreezePart.java
@@ -46,11 +46,27 @@
      * @throws IllegalArgumentException where the file cannot be read or makes no sense: one line
      */
     public FreezePart(Tasks tasks, Calls calls, FleetConfig config, History history, long seed) {
-        this(tasks, calls, config, history, seed, () -> CalendarFile.read(config.calendar()),
-                new Acceptor(config.self(), Incarnations.first(tasks.wall(), seed), () -> tasks.wall().millis(), history));
+        this(
+                tasks,
+                calls,
+                config,
+                history,
+                seed,
+                () -> CalendarFile.read(config.calendar()),
+                new Acceptor(
+                        config.self(),
+                        Incarnations.first(tasks.wall(), seed),
+                        () -> tasks.wall().millis(),
+                        history));
     }
 
-    FreezePart(Tasks tasks, Calls calls, FleetConfig config, History history, long seed, Supplier<Windows> source,
+    FreezePart(
+            Tasks tasks,
+            Calls calls,
+            FleetConfig config,
+            History history,
+            long seed,
+            Supplier<Windows> source,
             Acceptor acceptor) {
         this.tasks = tasks;
         this.config = config;
@@ -63,18 +79,26 @@
         } catch (SettingsException e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
-        register = new Register(tasks, calls, config, history, acceptor, new Register.Listener() {
-            @Override
-            public void confirmed(Entry accepted, long startNano, long startWallMs, Clocks.Offset offset) {
-                FreezePart.this.confirmed(accepted, startNano, startWallMs, offset);
-            }
-
-            @Override
-            public void unconfirmed(String reason) {
-                why = reason;
-                sayWhenOver();
-            }
-        }, own.text(), seed);
+        register = new Register(
+                tasks,
+                calls,
+                config,
+                history,
+                acceptor,
+                new Register.Listener() {
+                    @Override
+                    public void confirmed(Entry accepted, long startNano, long startWallMs, Clocks.Offset offset) {
+                        FreezePart.this.confirmed(accepted, startNano, startWallMs, offset);
+                    }
+
+                    @Override
+                    public void unconfirmed(String reason) {
+                        why = reason;
+                        sayWhenOver();
+                    }
+                },
+                own.text(),
+                seed);
     }
 
     /** What is accepted and can be relied on now; the event loop takes a new one each time that it asks. */
@@ -94,7 +118,8 @@
 
     /** What holds changes for the event loop by this calendar; {@code STATUS} counts them. Once. */
     public <T> HeldChanges<T> holder() {
-        HeldChanges<T> holder = new HeldChanges<>(this::calendar, history, Register.fleet(config).hashCode(), interval());
+        HeldChanges<T> holder = new HeldChanges<>(
+                this::calendar, history, Register.fleet(config).hashCode(), interval());
         held = holder::size;
         return holder;
     }
@@ -130,7 +155,8 @@
 
     private void confirmed(Entry accepted, long startNano, long startWallMs, Clocks.Offset offset) {
         if (accepted.text() == null) {
-            close(accepted.version(),
+            close(
+                    accepted.version(),
                     "the fleet was founded anew and what was accepted may be lost: propose the calendar (SIGHUP)");
             return;
         }
@@ -141,8 +167,13 @@
         LeasedCalendar again = calendar.again(accepted.version(), startNano, startWallMs);
         if (again == null) {
             try {
-                again = LeasedCalendar.of(accepted.version(), Windows.read(accepted.text()), startNano,
-                        Instant.ofEpochMilli(startWallMs), config.lease(), config.skew());
+                again = LeasedCalendar.of(
+                        accepted.version(),
+                        Windows.read(accepted.text()),
+                        startNano,
+                        Instant.ofEpochMilli(startWallMs),
+                        config.lease(),
+                        config.skew());
             } catch (IllegalArgumentException e) {
                 close(accepted.version(), "the accepted calendar cannot be read by this build");
                 return;
@@ -156,9 +187,19 @@
         calendar = again;
         confirmedNano = startNano;
         wasConfirmed = true;
-        history.write("calendar.lease", "version", accepted.version().toString(), "start", startNano, "offset_ms", offset.ms());
+        history.write(
+                "calendar.lease",
+                "version",
+                accepted.version().toString(),
+                "start",
+                startNano,
+                "offset_ms",
+                offset.ms());
         if (news) {
-            LOG.info("calendar: {} confirmed, {}", accepted.version(), again.state(tasks.wall().instant(), tasks.nanoTime()));
+            LOG.info(
+                    "calendar: {} confirmed, {}",
+                    accepted.version(),
+                    again.state(tasks.wall().instant(), tasks.nanoTime()));
         }
         told = false;
     }
@@ -166,9 +207,15 @@
     /** So that a checker knows what a version forbids: {@code START..END SCOPE} in milliseconds since 1970, for a day. */
     private void tellWindows(Entry accepted) {
         Instant now = tasks.wall().instant();
-        history.write("calendar.windows", "version", accepted.version().toString(), "windows",
+        history.write(
+                "calendar.windows",
+                "version",
+                accepted.version().toString(),
+                "windows",
                 Windows.read(accepted.text()).spans(now, now.plus(Duration.ofDays(1))).stream()
-                        .map(s -> s.startMs() + ".." + s.endMs() + " " + s.window().scope()).toList());
+                        .map(s -> s.startMs() + ".." + s.endMs() + " "
+                                + s.window().scope())
+                        .toList());
     }
 
     private void close(Version version, String reason) {
@@ -197,7 +244,9 @@
             state = "unknown: " + why + (wasConfirmed ? ", last confirmed " + since.toSeconds() + " s ago" : "");
         }
         Entry learned = acceptor.learned();
-        String version = learned.version().equals(Version.NONE) ? "none" : learned.version().toString();
+        String version = learned.version().equals(Version.NONE)
+                ? "none"
+                : learned.version().toString();
         return List.of("calendar " + version + " " + state + "; held " + held.getAsInt()
                 + (register.waits() ? "; a proposal of this router waits" : "")
                 + (learned.text() == null || learned.text().equals(own.text()) ? "" : "; own file differs"));
--- a/router/src/main/java/stagepier/freeze/HeldChanges.java
+++ b/router/src/main/java/stagepier/freeze/HeldChanges.java
@@ -24,7 +24,12 @@
  */
 public final class HeldChanges<T> {
     /** What overtakes each other: staff's word of a server and the list's stand side by side. */
-    private enum Line { LIST, RESTORE, DISCOVERY, PROMOTION }
+    private enum Line {
+        LIST,
+        RESTORE,
+        DISCOVERY,
+        PROMOTION
+    }
 
     private record Place(Line line, String server) {
         static Place of(Change change) {
@@ -37,8 +42,7 @@
         }
     }
 
-    private record Held<T>(Change change, T payload, long sinceNano) {
-    }
+    private record Held<T>(Change change, T payload, long sinceNano) {}
 
     /** As many servers as a router ever remembers of a list. */
     private static final int MOST = 4096;
@@ -50,6 +54,7 @@
     private final Map<Place, Held<T>> held = new LinkedHashMap<>();
     /** {@code held.size()}, for other threads. */
     private volatile int size;
+
     private long lastSlot = Long.MIN_VALUE;
     private long lastNano;
     private long released;
@@ -138,7 +143,8 @@
             return List.of();
         }
         long slot = Math.floorDiv(wall.toEpochMilli(), intervalMs);
-        boolean early = lastSlot != Long.MIN_VALUE && (slot == lastSlot || nanoTime - lastNano < intervalMs * 1_000_000);
+        boolean early =
+                lastSlot != Long.MIN_VALUE && (slot == lastSlot || nanoTime - lastNano < intervalMs * 1_000_000);
         if (early) {
             return List.of();
         }
@@ -169,14 +175,25 @@
     }
 
     private long rank(Place place, long slot) {
-        long id = (long) place.server().hashCode() << Integer.SIZE | place.line().ordinal();
+        long id =
+                (long) place.server().hashCode() << Integer.SIZE | place.line().ordinal();
         long name = new SplittableRandom(key ^ id).nextLong();
         return new SplittableRandom(name ^ slot).nextLong();
     }
 
     private void write(String event, Change change, Calendar by, String why) {
-        history.write(event, "kind", change.kind().name(), "server", change.server(), "zone", change.zone(),
-                "calendar", by.version(), "why", why);
+        history.write(
+                event,
+                "kind",
+                change.kind().name(),
+                "server",
+                change.server(),
+                "zone",
+                change.zone(),
+                "calendar",
+                by.version(),
+                "why",
+                why);
     }
 
     /** From any thread. */
@@ -186,7 +203,10 @@
 
     /** For how long the oldest has been held; zero where nothing is. */
     public Duration oldest(long nanoTime) {
-        return Duration.ofNanos(held.values().stream().mapToLong(h -> nanoTime - h.sinceNano()).max().orElse(0));
+        return Duration.ofNanos(held.values().stream()
+                .mapToLong(h -> nanoTime - h.sinceNano())
+                .max()
+                .orElse(0));
     }
 
     /** Taken up after they were held. */
--- a/router/src/main/java/stagepier/freeze/Incarnations.java
+++ b/router/src/main/java/stagepier/freeze/Incarnations.java
@@ -10,8 +10,7 @@
 final class Incarnations {
     static final int LOW_BITS = 10;
 
-    private Incarnations() {
-    }
+    private Incarnations() {}
 
     static long first(Clock wall, long seed) {
         long low = new java.util.SplittableRandom(seed).nextLong(1L << LOW_BITS);
--- a/router/src/main/java/stagepier/freeze/LeasedCalendar.java
+++ b/router/src/main/java/stagepier/freeze/LeasedCalendar.java
@@ -24,8 +24,7 @@
     private static final Duration AHEAD = Duration.ofHours(2);
 
     /** A window at one time, and what is answered in it. */
-    private record Held(long startMs, long endMs, Scope scope, String name, Answer answer) {
-    }
+    private record Held(long startMs, long endMs, Scope scope, String name, Answer answer) {}
 
     private final Version version;
     private final Answer closed;
@@ -35,7 +34,13 @@
     private final long leaseNano;
     private final long lookedUpMs;
 
-    private LeasedCalendar(Version version, Answer closed, Held[] held, long startNano, long startWallMs, long leaseNano,
+    private LeasedCalendar(
+            Version version,
+            Answer closed,
+            Held[] held,
+            long startNano,
+            long startWallMs,
+            long leaseNano,
             long lookedUpMs) {
         this.version = version;
         this.closed = closed;
@@ -61,18 +66,29 @@
      * @param startWall the wall clock then
      * @param skew      by how much each window begins early and ends late
      */
-    static LeasedCalendar of(Version version, Windows windows, long startNano, Instant startWall, Duration lease, Duration skew) {
+    static LeasedCalendar of(
+            Version version, Windows windows, long startNano, Instant startWall, Duration lease, Duration skew) {
         Instant to = startWall.plus(AHEAD);
         List<Window.Span> spans = windows.spans(startWall.minus(skew).minus(Duration.ofMinutes(1)), to.plus(skew));
-        Held[] held = spans.stream().map(s -> new Held(s.startMs() - skew.toMillis(), s.endMs() + skew.toMillis(),
-                s.window().scope(), s.window().name(),
-                new Answer(Permit.FROZEN, s.window().name() + ": " + s.window().reason()))).toArray(Held[]::new);
-        return new LeasedCalendar(version, null, held, startNano, startWall.toEpochMilli(), lease.toNanos(), to.toEpochMilli());
+        Held[] held = spans.stream()
+                .map(s -> new Held(
+                        s.startMs() - skew.toMillis(),
+                        s.endMs() + skew.toMillis(),
+                        s.window().scope(),
+                        s.window().name(),
+                        new Answer(
+                                Permit.FROZEN,
+                                s.window().name() + ": " + s.window().reason())))
+                .toArray(Held[]::new);
+        return new LeasedCalendar(
+                version, null, held, startNano, startWall.toEpochMilli(), lease.toNanos(), to.toEpochMilli());
     }
 
     /** The same windows, confirmed again; null where they have to be looked up again. */
     LeasedCalendar again(Version confirmed, long atNano, long atWallMs) {
-        boolean same = closed == null && confirmed.equals(version) && atWallMs >= startWallMs
+        boolean same = closed == null
+                && confirmed.equals(version)
+                && atWallMs >= startWallMs
                 && atWallMs + AHEAD.toMillis() / 2 < lookedUpMs;
         return same ? new LeasedCalendar(version, null, held, atNano, atWallMs, leaseNano, lookedUpMs) : null;
     }
@@ -129,7 +145,9 @@
                 last = h;
             }
         }
-        return last == null ? "open" : "frozen until " + Instant.ofEpochMilli(last.endMs) + " by " + last.name
-                + (last.scope.what() == Scope.What.ALL ? "" : " (" + last.scope + ")");
+        return last == null
+                ? "open"
+                : "frozen until " + Instant.ofEpochMilli(last.endMs) + " by " + last.name
+                        + (last.scope.what() == Scope.What.ALL ? "" : " (" + last.scope + ")");
     }
 }
--- a/router/src/main/java/stagepier/freeze/LocalTimes.java
+++ b/router/src/main/java/stagepier/freeze/LocalTimes.java
@@ -12,8 +12,7 @@
  * meant.
  */
 final class LocalTimes {
-    private LocalTimes() {
-    }
+    private LocalTimes() {}
 
     static Instant earlier(LocalDateTime local, ZoneId zone) {
         return read(local, zone, true);
--- a/router/src/main/java/stagepier/freeze/Recurrence.java
+++ b/router/src/main/java/stagepier/freeze/Recurrence.java
@@ -29,14 +29,15 @@
         if (rule.getUntil() != null && rule.getUntil().getTimeZone() != null) {
             throw new IllegalArgumentException("UNTIL has to be a local time, without Z");
         }
-        if (rule.hasPart(RecurrenceRule.Part.BYHOUR) || rule.hasPart(RecurrenceRule.Part.BYMINUTE)
+        if (rule.hasPart(RecurrenceRule.Part.BYHOUR)
+                || rule.hasPart(RecurrenceRule.Part.BYMINUTE)
                 || rule.hasPart(RecurrenceRule.Part.BYSECOND)) {
             throw new IllegalArgumentException("the time of day is that of start, not of BYHOUR, BYMINUTE or BYSECOND");
         }
         List<LocalDateTime> first = starts(start, start, start.plusYears(8), 1);
         if (first.isEmpty() || !first.get(0).equals(start)) {
-            throw new IllegalArgumentException("start is none of its times"
-                    + (first.isEmpty() ? "" : ", the first is " + first.get(0)));
+            throw new IllegalArgumentException(
+                    "start is none of its times" + (first.isEmpty() ? "" : ", the first is " + first.get(0)));
         }
     }
 
@@ -44,8 +45,10 @@
         try {
             return new RecurrenceRule(text, RecurrenceRule.RfcMode.RFC5545_STRICT);
         } catch (InvalidRecurrenceRuleException | RuntimeException e) {
-            throw new IllegalArgumentException("no recurrence rule of RFC 5545: "
-                    + String.valueOf(e.getMessage()).lines().findFirst().orElse(""), e);
+            throw new IllegalArgumentException(
+                    "no recurrence rule of RFC 5545: "
+                            + String.valueOf(e.getMessage()).lines().findFirst().orElse(""),
+                    e);
         }
     }
 
--- a/router/src/main/java/stagepier/freeze/Register.java
+++ b/router/src/main/java/stagepier/freeze/Register.java
@@ -35,18 +35,22 @@
     private static final Duration CONFIRM_EACH = Duration.ofSeconds(1);
     /** Above this many routers confirmations get rarer, so that what a router hears does not grow with the fleet. */
     private static final Duration CONFIRM_EACH_OTHER = Duration.ofMillis(20);
+
     private static final Duration AGAIN = Duration.ofMillis(300);
     private static final Duration AGAIN_OTHER = Duration.ofMillis(5);
     /** A ballot that met another one waits up to this, and twice as long each time, before it tries again. */
     private static final int BACKOFF_MS = 60;
+
     private static final int BALLOTS_AT_ONCE = 4;
     /** A ballot of another router is over, or lost, when nothing is heard of it for this long. */
     private static final int QUIET_MS = 40;
+
     private static final int QUIET_LOOKS = 6;
     /** Who would finish what another one left waits up to this, so that one of them does. */
     private static final int FINISH_MS = 400;
     /** Guards against a file that is accepted long after staff gave it, over a newer one that they gave elsewhere. */
     private static final Duration PROPOSAL_MOST = Duration.ofSeconds(10);
+
     private static final int FEW = 8;
     private static final int WISHES = 8;
     /** Something newer was heard of: confirm it now. No calendar is this text. */
@@ -65,8 +69,7 @@
     }
 
     /** A calendar that this router's staff want. */
-    private record Proposal(String id, String text, long untilNano) {
-    }
+    private record Proposal(String id, String text, long untilNano) {}
 
     private final Tasks tasks;
     private final FleetConfig config;
@@ -74,7 +77,7 @@
     private final Listener listener;
     private final Acceptor acceptor;
     private final Fanout fanout;
-    private final Founding founding;
+    private final FleetBootstrap bootstrap;
     private final SplittableRandom random;
     private final String fleet;
     private final int majority;
@@ -84,16 +87,26 @@
     private final Box<String> wishes;
     /** Whether {@link #LOOK} lies in {@code wishes}: once at the most, so that it takes no place from what staff want. */
     private final AtomicBoolean looks = new AtomicBoolean();
+
     private final Set<String> ofOtherFleets = ConcurrentHashMap.newKeySet();
     /** Written by the task alone. */
     private volatile Proposal pending;
+
     private int proposed;
     /** In the last ballot a majority could have voted. */
     private boolean heardEnough;
+
     private long round;
 
     /** @param file the windows in this router's own file, canonical */
-    Register(Tasks tasks, Calls calls, FleetConfig config, History history, Acceptor acceptor, Listener listener, String file,
+    Register(
+            Tasks tasks,
+            Calls calls,
+            FleetConfig config,
+            History history,
+            Acceptor acceptor,
+            Listener listener,
+            String file,
             long seed) {
         this.tasks = tasks;
         this.config = config;
@@ -106,14 +119,14 @@
         Collection<String> others = new TreeSet<>(config.members().keySet());
         others.remove(config.self());
         fanout = new Fanout(tasks, calls, List.copyOf(others));
-        founding = new Founding(this, acceptor, config, tasks);
+        bootstrap = new FleetBootstrap(this, acceptor, config, tasks);
         file(file);
         wishes = tasks.box(WISHES);
         Duration byFleet = CONFIRM_EACH_OTHER.multipliedBy(config.members().size());
         Duration slowest = config.lease().dividedBy(3);
         confirmEach = max(CONFIRM_EACH, byFleet.compareTo(slowest) < 0 ? byFleet : slowest);
         again = max(AGAIN, AGAIN_OTHER.multipliedBy(config.members().size()));
-        calls.answer(Ask.PART, this::answer);
+        calls.answer(RegisterRequest.PART, this::answer);
     }
 
     /** Names the configured fleet: routers with another one have another agreement. */
@@ -136,7 +149,7 @@
     }
 
     private void file(String text) {
-        founding.file(text);
+        bootstrap.file(text);
         acceptor.file(Windows.hash(text));
     }
 
@@ -152,21 +165,22 @@
     }
 
     private Message answer(String from, Message call) throws Message.MalformedException {
-        Ask ask = call.read(Ask.class);
+        RegisterRequest ask = call.read(RegisterRequest.class);
         ask.check(call.kind(), from);
         if (!config.members().containsKey(from)) {
             throw new Message.MalformedException(from + " is none of this fleet");
         }
         if (!fleet.equals(ask.fleet())) {
-            // While staff change fleet.toml at one router after the other: no reason to break what else goes over that link.
+            // While staff change fleet.toml at one router after the other: no reason to break what else goes over that
+            // link.
             if (ofOtherFleets.add(from)) {
                 LOG.warn("calendar: fleet.toml of {} names other routers: it has no part in this agreement", from);
             }
             return Message.of(call.kind(), NOTHING);
         }
         ofOtherFleets.remove(from);
-        Reply reply = acceptor.answer(call.kind(), ask);
-        if (call.kind().equals(Ask.LEARN) && !looks.getAndSet(true) && !wishes.put(LOOK)) {
+        RegisterResponse reply = acceptor.answer(call.kind(), ask);
+        if (call.kind().equals(RegisterRequest.LEARN) && !looks.getAndSet(true) && !wishes.put(LOOK)) {
             looks.set(false);
         }
         return Message.of(call.kind(), reply);
@@ -176,7 +190,8 @@
         while (true) {
             boolean good = acceptor.isMember() || recover();
             if (pending != null && tasks.nanoTime() >= pending.untilNano()) {
-                LOG.warn("calendar: the fleet did not accept this router's file within {} s: given up",
+                LOG.warn(
+                        "calendar: the fleet did not accept this router's file within {} s: given up",
                         PROPOSAL_MOST.toSeconds());
                 pending = null;
             }
@@ -188,21 +203,38 @@
             if (LOOK.equals(wanted)) {
                 looks.set(false);
             } else if (wanted != null) {
-                pending = new Proposal(acceptor.incarnation() + ":" + ++proposed, wanted,
-                        tasks.nanoTime() + PROPOSAL_MOST.toNanos());
+                pending = new Proposal(
+                        acceptor.incarnation() + ":" + ++proposed, wanted, tasks.nanoTime() + PROPOSAL_MOST.toNanos());
             }
         }
     }
 
     // Rounds
 
-    Ask ask(String to, long generation, Ballot ballot, Entry entry) {
-        return new Ask(fleet, config.self(), acceptor.incarnation(), acceptor.known(to), generation, ballot, entry, null, null);
+    RegisterRequest ask(String to, long generation, Ballot ballot, Entry entry) {
+        return new RegisterRequest(
+                fleet,
+                config.self(),
+                acceptor.incarnation(),
+                acceptor.known(to),
+                generation,
+                ballot,
+                entry,
+                null,
+                null);
     }
 
-    /** The second phase of a founding. */
-    Ask founded(String to, long generation, Entry base, Map<String, Long> incarnations) {
-        return new Ask(fleet, config.self(), acceptor.incarnation(), acceptor.known(to), generation, null, base, null,
+    /** The second phase of a bootstrap. */
+    RegisterRequest founded(String to, long generation, Entry base, Map<String, Long> incarnations) {
+        return new RegisterRequest(
+                fleet,
+                config.self(),
+                acceptor.incarnation(),
+                acceptor.known(to),
+                generation,
+                null,
+                base,
+                null,
                 incarnations);
     }
 
@@ -210,8 +242,12 @@
     private Tally all(String kind, long generation, Ballot ballot, Entry entry) throws InterruptedException {
         Tally tally = new Tally();
         tally.add(config.self(), acceptor.answer(kind, ask(config.self(), generation, ballot, entry)));
-        fanout.ask(to -> Message.of(kind, ask(to, generation, ballot, entry)), ROUND, tally,
-                t -> t.agreed().size() >= majority || refused(t) > config.members().size() - majority);
+        fanout.ask(
+                to -> Message.of(kind, ask(to, generation, ballot, entry)),
+                ROUND,
+                tally,
+                t -> t.agreed().size() >= majority
+                        || refused(t) > config.members().size() - majority);
         return tally;
     }
 
@@ -220,7 +256,7 @@
     }
 
     /** For a founding: asks all, this router among them, and waits for all. */
-    Tally every(String kind, Function<String, Ask> call) throws InterruptedException {
+    Tally every(String kind, Function<String, RegisterRequest> call) throws InterruptedException {
         Tally tally = new Tally();
         tally.add(config.self(), acceptor.answer(kind, call.apply(config.self())));
         fanout.ask(to -> Message.of(kind, call.apply(to)), ROUND, tally, t -> false);
@@ -233,34 +269,49 @@
     private boolean recover() throws InterruptedException {
         long mine = acceptor.incarnation();
         Tally tally = new Tally();
-        Function<String, Message> call = to -> Message.of(Ask.RECOVER, ask(to, 0, null, null));
-        // Where none of a few has a memory, hardly a majority has: only who may found the fleet needs to hear all each time.
+        Function<String, Message> call = to -> Message.of(RegisterRequest.RECOVER, ask(to, 0, null, null));
+        // Where none of a few has a memory, hardly a majority has: only who may found the fleet needs to hear all each
+        // time.
         List<String> order = fanout.order();
         Collections.shuffle(order, new Random(random.nextLong()));
-        int first = founding.isMine() ? order.size() : Math.min(order.size(), Math.min(majority, FEW));
+        int first = bootstrap.isMine() ? order.size() : Math.min(order.size(), Math.min(majority, FEW));
         fanout.ask(order.subList(0, first), call, ROUND, tally, t -> latest(t).size() >= majority);
-        if (first < order.size() && latest(tally).size() < majority && !tally.agreed().isEmpty()) {
-            fanout.ask(order.subList(first, order.size()), call, ROUND, tally, t -> latest(t).size() >= majority);
+        if (first < order.size()
+                && latest(tally).size() < majority
+                && !tally.agreed().isEmpty()) {
+            fanout.ask(
+                    order.subList(first, order.size()),
+                    call,
+                    ROUND,
+                    tally,
+                    t -> latest(t).size() >= majority);
         }
-        long over = tally.all().values().stream().mapToLong(r -> r.known(config.self())).max().orElse(0);
+        long over = tally.all().values().stream()
+                .mapToLong(r -> r.known(config.self()))
+                .max()
+                .orElse(0);
         if (over > mine) {
             acceptor.startOver(over);
             return false;
         }
-        Collection<Reply> latest = latest(tally).values();
-        if (latest.size() >= majority && acceptor.recovered(mine, latest.iterator().next().generation(), latest)) {
+        Collection<RegisterResponse> latest = latest(tally).values();
+        if (latest.size() >= majority
+                && acceptor.recovered(mine, latest.iterator().next().generation(), latest)) {
             LOG.info("calendar: recovered in generation {} from {} routers", acceptor.generation(), latest.size());
             return true;
         }
-        listener.unconfirmed("this router has no vote yet: " + latest.size() + " of " + majority
-                + " routers with a memory heard");
-        founding.consider(tally);
+        listener.unconfirmed(
+                "this router has no vote yet: " + latest.size() + " of " + majority + " routers with a memory heard");
+        bootstrap.consider(tally);
         return acceptor.isMember();
     }
 
     /** Those with a memory of the last generation that any of them holds. */
-    private static Map<String, Reply> latest(Tally tally) {
-        long last = tally.agreed().values().stream().mapToLong(Reply::generation).max().orElse(0);
+    private static Map<String, RegisterResponse> latest(Tally tally) {
+        long last = tally.agreed().values().stream()
+                .mapToLong(RegisterResponse::generation)
+                .max()
+                .orElse(0);
         return tally.standing(r -> r.ok() && r.generation() == last && r.entry() != null && r.vector() != null);
     }
 
@@ -288,17 +339,24 @@
         long generation = acceptor.generation();
         round = Math.max(round, acceptor.promised().round()) + 1;
         Ballot ballot = new Ballot(round, config.self(), acceptor.incarnation());
-        Tally promises = all(Ask.PREPARE, generation, ballot, null);
-        promises.all().values().forEach(r -> round = Math.max(round, r.promised().round()));
-        Map<String, Reply> agreed = promises.standing(r -> r.ok() && r.entry() != null);
-        heardEnough = promises.standing(r -> r.member() && r.generation() == generation).size() >= majority;
+        Tally promises = all(RegisterRequest.PREPARE, generation, ballot, null);
+        promises.all()
+                .values()
+                .forEach(r -> round = Math.max(round, r.promised().round()));
+        Map<String, RegisterResponse> agreed = promises.standing(r -> r.ok() && r.entry() != null);
+        heardEnough = promises.standing(r -> r.member() && r.generation() == generation)
+                        .size()
+                >= majority;
         if (agreed.size() < majority) {
             return false;
         }
-        Entry last = agreed.values().stream().max(Comparator.comparing(Reply::ballot)).orElseThrow().entry();
+        Entry last = agreed.values().stream()
+                .max(Comparator.comparing(RegisterResponse::ballot))
+                .orElseThrow()
+                .entry();
         boolean fresh = proposal != null && !last.holds(config.self(), proposal.id());
         Entry entry = fresh ? last.next(proposal.text(), config.self(), proposal.id()) : last;
-        Tally votes = all(Ask.ACCEPT, generation, ballot, entry);
+        Tally votes = all(RegisterRequest.ACCEPT, generation, ballot, entry);
         votes.all().values().forEach(r -> round = Math.max(round, r.promised().round()));
         if (votes.agreed().size() < majority) {
             return false;
@@ -313,18 +371,35 @@
     /** The proposal is in the sequence: as what was accepted, or before it, where another router's came on top at once. */
     private void ordered(Proposal proposal, Entry entry) {
         pending = null;
-        history.write("calendar.ordered", "hash", Windows.hash(proposal.text()), "version", entry.version().toString());
+        history.write(
+                "calendar.ordered",
+                "hash",
+                Windows.hash(proposal.text()),
+                "version",
+                entry.version().toString());
         if (!proposal.text().equals(entry.text())) {
-            LOG.warn("calendar: this router's file was accepted, and overtaken at once by another router's, now {}",
+            LOG.warn(
+                    "calendar: this router's file was accepted, and overtaken at once by another router's, now {}",
                     entry.version());
         }
     }
 
-    private void accepted(Entry entry, Ballot ballot, Map<String, Reply> votes) {
-        history.write("calendar.accepted", "version", entry.version().toString(), "hash", Windows.hash(entry.text()), "round",
-                ballot.round(), "by", config.self(), "votes", new ArrayList<>(votes.keySet()));
+    private void accepted(Entry entry, Ballot ballot, Map<String, RegisterResponse> votes) {
+        history.write(
+                "calendar.accepted",
+                "version",
+                entry.version().toString(),
+                "hash",
+                Windows.hash(entry.text()),
+                "round",
+                ballot.round(),
+                "by",
+                config.self(),
+                "votes",
+                new ArrayList<>(votes.keySet()));
         acceptor.learn(entry, ballot);
-        fanout.tell(to -> Message.of(Ask.LEARN, ask(to, entry.version().generation(), ballot, entry)), ROUND);
+        fanout.tell(
+                to -> Message.of(RegisterRequest.LEARN, ask(to, entry.version().generation(), ballot, entry)), ROUND);
     }
 
     // Confirming
@@ -336,22 +411,35 @@
             Clocks clocks = new Clocks(tasks);
             long generation = acceptor.generation();
             Tally tally = new Tally();
-            tally.add(config.self(), acceptor.answer(Ask.CONFIRM, ask(config.self(), generation, null, null)));
+            tally.add(
+                    config.self(),
+                    acceptor.answer(RegisterRequest.CONFIRM, ask(config.self(), generation, null, null)));
             List<String> order = fanout.order();
             int first = Math.min(order.size(), majority);
-            fanout.ask(order.subList(0, first), to -> Message.of(Ask.CONFIRM, ask(to, generation, null, null)),
-                    first < order.size() ? ROUND.dividedBy(2) : ROUND, tally, t -> t.agreed().size() >= majority);
+            fanout.ask(
+                    order.subList(0, first),
+                    to -> Message.of(RegisterRequest.CONFIRM, ask(to, generation, null, null)),
+                    first < order.size() ? ROUND.dividedBy(2) : ROUND,
+                    tally,
+                    t -> t.agreed().size() >= majority);
             if (tally.agreed().size() < majority && first < order.size()) {
-                fanout.ask(order.subList(first, order.size()), to -> Message.of(Ask.CONFIRM, ask(to, generation, null, null)),
-                        ROUND, tally, t -> t.agreed().size() >= majority);
+                fanout.ask(
+                        order.subList(first, order.size()),
+                        to -> Message.of(RegisterRequest.CONFIRM, ask(to, generation, null, null)),
+                        ROUND,
+                        tally,
+                        t -> t.agreed().size() >= majority);
             }
-            Map<String, Reply> agreed = tally.agreed();
+            Map<String, RegisterResponse> agreed = tally.agreed();
             if (agreed.size() < majority) {
                 listener.unconfirmed("no majority: " + agreed.size() + " of " + majority + " routers heard");
-                founding.consider(tally);
+                bootstrap.consider(tally);
                 return false;
             }
-            Version last = agreed.values().stream().max(Comparator.comparing(Reply::ballot)).orElseThrow().voted();
+            Version last = agreed.values().stream()
+                    .max(Comparator.comparing(RegisterResponse::ballot))
+                    .orElseThrow()
+                    .voted();
             Entry learned = acceptor.learned();
             if (learned.version().compareTo(last) >= 0) {
                 listener.confirmed(learned, startNano, clocks.startMs(), clocks.offset(agreed.values(), config.skew()));
@@ -366,16 +454,32 @@
     /**
      * Fetches what is newer from one that knows it; where nobody does, who voted for it is dead or slow, and it is finished here.
      */
-    private void catchUp(Map<String, Reply> replies, Version last) throws InterruptedException {
-        Optional<Map.Entry<String, Reply>> knows = replies.entrySet().stream()
+    private void catchUp(Map<String, RegisterResponse> replies, Version last) throws InterruptedException {
+        Optional<Map.Entry<String, RegisterResponse>> knows = replies.entrySet().stream()
                 .filter(e -> e.getValue().learned().compareTo(acceptor.learned().version()) > 0)
                 .max(Comparator.comparing(e -> e.getValue().learned()));
         if (knows.isPresent()) {
             Tally tally = new Tally();
-            fanout.ask(List.of(knows.get().getKey()), to -> Message.of(Ask.PULL, new Ask(fleet, config.self(),
-                    acceptor.incarnation(), 0, acceptor.generation(), null, null, acceptor.learned().version(), null)), ROUND,
-                    tally, t -> false);
-            tally.all().values().stream().filter(r -> r.news() != null).forEach(r -> acceptor.learn(r.news(), r.newsIn()));
+            fanout.ask(
+                    List.of(knows.get().getKey()),
+                    to -> Message.of(
+                            RegisterRequest.PULL,
+                            new RegisterRequest(
+                                    fleet,
+                                    config.self(),
+                                    acceptor.incarnation(),
+                                    0,
+                                    acceptor.generation(),
+                                    null,
+                                    null,
+                                    acceptor.learned().version(),
+                                    null)),
+                    ROUND,
+                    tally,
+                    t -> false);
+            tally.all().values().stream()
+                    .filter(r -> r.news() != null)
+                    .forEach(r -> acceptor.learn(r.news(), r.newsIn()));
             return;
         }
         tasks.sleep(Duration.ofMillis(random.nextInt(FINISH_MS)));
--- a/router/src/main/java/stagepier/freeze/Ask.java
+++ b/router/src/main/java/stagepier/freeze/RegisterRequest.java
@@ -14,7 +14,15 @@
  * @param after       for {@link #PULL}: a later one than this is wanted
  * @param vector      for {@link #FOUNDED}: incarnations of all that founded
  */
-record Ask(String fleet, String name, long incarnation, long yours, long generation, Ballot ballot, Entry entry, Version after,
+record RegisterRequest(
+        String fleet,
+        String name,
+        long incarnation,
+        long yours,
+        long generation,
+        Ballot ballot,
+        Entry entry,
+        Version after,
         Map<String, Long> vector) {
     static final String PART = "calendar";
     /** Which version have you voted for last, and which do you know to be accepted? */
@@ -38,10 +46,13 @@
     void check(String kind, String from) throws Message.MalformedException {
         boolean needsBallot = kind.equals(PREPARE) || kind.equals(ACCEPT) || kind.equals(LEARN);
         boolean needsEntry = kind.equals(ACCEPT) || kind.equals(LEARN) || kind.equals(FOUNDED);
-        boolean whole = fleet != null && from.equals(name) && incarnation > 0
+        boolean whole = fleet != null
+                && from.equals(name)
+                && incarnation > 0
                 && (!needsBallot || ballot != null && ballot.name() != null)
                 && (!needsEntry || entry != null && entry.version() != null && entry.done() != null)
-                && (!kind.equals(PULL) || after != null) && (!kind.equals(FOUNDED) || vector != null);
+                && (!kind.equals(PULL) || after != null)
+                && (!kind.equals(FOUNDED) || vector != null);
         if (!whole) {
             throw new Message.MalformedException(kind + " of " + from + " lacks what it needs");
         }
--- a/router/src/main/java/stagepier/freeze/Reply.java
+++ b/router/src/main/java/stagepier/freeze/RegisterResponse.java
@@ -22,14 +22,35 @@
  * @param file        hash of its own file of windows, for a founding
  * @param vector      the last incarnation of each router that it knows of; null in what needs none
  */
-record Reply(boolean ok, long incarnation, boolean member, long generation, long earlier, long highest, Ballot promised,
-        Ballot ballot, Version voted, Version learned, long wall, Entry entry, Entry news, Ballot newsIn, String file,
+record RegisterResponse(
+        boolean ok,
+        long incarnation,
+        boolean member,
+        long generation,
+        long earlier,
+        long highest,
+        Ballot promised,
+        Ballot ballot,
+        Version voted,
+        Version learned,
+        long wall,
+        Entry entry,
+        Entry news,
+        Ballot newsIn,
+        String file,
         Map<String, Long> vector) {
     /** Whether it may be used at all: fields that are absent are null. */
     boolean whole() {
-        return incarnation > 0 && promised != null && promised.name() != null && ballot != null && ballot.name() != null
-                && voted != null && learned != null && (entry == null || entry.version() != null && entry.done() != null)
-                && (news == null || news.version() != null && news.done() != null && newsIn != null && newsIn.name() != null);
+        return incarnation > 0
+                && promised != null
+                && promised.name() != null
+                && ballot != null
+                && ballot.name() != null
+                && voted != null
+                && learned != null
+                && (entry == null || entry.version() != null && entry.done() != null)
+                && (news == null
+                        || news.version() != null && news.done() != null && newsIn != null && newsIn.name() != null);
     }
 
     long known(String name) {
--- a/router/src/main/java/stagepier/freeze/Scope.java
+++ b/router/src/main/java/stagepier/freeze/Scope.java
@@ -9,7 +9,11 @@
  * @param of   the zone's name, or the kind's in small letters; "" for all
  */
 record Scope(What what, String of) {
-    enum What { ALL, ZONE, KIND }
+    enum What {
+        ALL,
+        ZONE,
+        KIND
+    }
 
     private static final String ZONE = "zone:";
     private static final String KIND = "kind:";
--- a/router/src/main/java/stagepier/freeze/Tally.java
+++ b/router/src/main/java/stagepier/freeze/Tally.java
@@ -10,9 +10,9 @@
  * stable storage</i>, DISC 2017).
  */
 final class Tally {
-    private final Map<String, Reply> replies = new LinkedHashMap<>();
+    private final Map<String, RegisterResponse> replies = new LinkedHashMap<>();
 
-    void add(String name, Reply reply) {
+    void add(String name, RegisterResponse reply) {
         replies.put(name, reply);
     }
 
@@ -20,13 +20,13 @@
         return replies.size();
     }
 
-    Map<String, Reply> all() {
+    Map<String, RegisterResponse> all() {
         return replies;
     }
 
     /** Replies that count: of a process that none of this round's replies knows to be over. */
-    Map<String, Reply> standing(Predicate<Reply> which) {
-        Map<String, Reply> standing = new LinkedHashMap<>();
+    Map<String, RegisterResponse> standing(Predicate<RegisterResponse> which) {
+        Map<String, RegisterResponse> standing = new LinkedHashMap<>();
         replies.forEach((name, reply) -> {
             boolean over = replies.values().stream().anyMatch(r -> r.known(name) > reply.incarnation());
             if (!over && which.test(reply)) {
@@ -36,7 +36,7 @@
         return standing;
     }
 
-    Map<String, Reply> agreed() {
-        return standing(Reply::ok);
+    Map<String, RegisterResponse> agreed() {
+        return standing(RegisterResponse::ok);
     }
 }
--- a/router/src/main/java/stagepier/freeze/Window.java
+++ b/router/src/main/java/stagepier/freeze/Window.java
@@ -14,7 +14,14 @@
  * @param rule     null where it comes once
  * @param duration of each time that it comes; null where it comes once
  */
-record Window(String name, ZoneId zone, LocalDateTime start, LocalDateTime end, Recurrence rule, Duration duration, Scope scope,
+record Window(
+        String name,
+        ZoneId zone,
+        LocalDateTime start,
+        LocalDateTime end,
+        Recurrence rule,
+        Duration duration,
+        Scope scope,
         String reason) {
     /** Clocks are set by less than this. */
     private static final Duration MARGIN = Duration.ofDays(2);
--- a/router/src/main/java/stagepier/freeze/Windows.java
+++ b/router/src/main/java/stagepier/freeze/Windows.java
@@ -25,18 +25,33 @@
     private static final int HASH_BYTES = 8;
 
     /** One window as it is written. */
-    private record Written(String name, String zone, String start, String end, String rule, String duration, String scope,
-            String reason) {
-    }
+    private record Written(
+            String name,
+            String zone,
+            String start,
+            String end,
+            String rule,
+            String duration,
+            String scope,
+            String reason) {}
 
     private final List<Window> windows;
     private final String text;
 
     Windows(List<Window> windows) {
-        this.windows = windows.stream().sorted(Comparator.comparing(Window::name)).toList();
-        text = GSON.toJson(this.windows.stream().map(w -> new Written(w.name(), w.zone().getId(), w.start().toString(),
-                w.end() == null ? null : w.end().toString(), w.rule() == null ? null : w.rule().toString(),
-                w.duration() == null ? null : w.duration().toString(), w.scope().toString(), w.reason())).toList());
+        this.windows =
+                windows.stream().sorted(Comparator.comparing(Window::name)).toList();
+        text = GSON.toJson(this.windows.stream()
+                .map(w -> new Written(
+                        w.name(),
+                        w.zone().getId(),
+                        w.start().toString(),
+                        w.end() == null ? null : w.end().toString(),
+                        w.rule() == null ? null : w.rule().toString(),
+                        w.duration() == null ? null : w.duration().toString(),
+                        w.scope().toString(),
+                        w.reason()))
+                .toList());
     }
 
     /**
@@ -53,10 +68,15 @@
                 if (scope == null || (w.rule() == null) != (w.end() != null)) {
                     throw new IllegalArgumentException("window " + w.name() + " makes no sense");
                 }
-                windows.add(new Window(w.name(), ZoneId.of(w.zone()), start,
+                windows.add(new Window(
+                        w.name(),
+                        ZoneId.of(w.zone()),
+                        start,
                         w.end() == null ? null : LocalDateTime.parse(w.end()),
                         w.rule() == null ? null : new Recurrence(w.rule(), start),
-                        w.duration() == null ? null : Duration.parse(w.duration()), scope, w.reason()));
+                        w.duration() == null ? null : Duration.parse(w.duration()),
+                        scope,
+                        w.reason()));
             }
             return new Windows(windows);
         } catch (JsonParseException | DateTimeException | NullPointerException e) {
@@ -75,8 +95,10 @@
 
     /** When any of them holds between two moments, in the order of their beginning. */
     List<Window.Span> spans(Instant from, Instant to) {
-        return windows.stream().flatMap(w -> w.spans(from, to).stream())
-                .sorted(Comparator.comparingLong(Window.Span::startMs)).toList();
+        return windows.stream()
+                .flatMap(w -> w.spans(from, to).stream())
+                .sorted(Comparator.comparingLong(Window.Span::startMs))
+                .toList();
     }
 
     /** Names a text in histories and messages; "" for null. */
--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -38,6 +38,7 @@
     private boolean inputOver;
     /** On its way out, or null. */
     private LingeringClose lingering;
+
     private boolean givenBack;
     private long queuedBytes;
     private long writtenBytes;
@@ -127,12 +128,16 @@
 
     /** Reads what has come by this moment, without waiting to be told of it. */
     protected final void readNow() {
-        if (!closed && in.free() > 0 && wantsInput() && isActive()
+        if (!closed
+                && in.free() > 0
+                && wantsInput()
+                && isActive()
                 && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
             unsafe.read();
         }
         if (!closed && channel != null && !channel.isOpen()) {
-            // The channel tells of its end by way of a task, whoever read that end, and nothing may be written until then.
+            // The channel tells of its end by way of a task, whoever read that end, and nothing may be written until
+            // then.
             nothingMoreComes();
         }
     }
@@ -190,8 +195,7 @@
     }
 
     /** Nothing more comes, and what lies in the ring is taken by and by. */
-    protected void onInputOver() {
-    }
+    protected void onInputOver() {}
 
     /** Whether nothing more comes on it. */
     protected final boolean isInputOver() {
--- a/router/src/main/java/stagepier/memcache/AnswerParser.java
+++ b/router/src/main/java/stagepier/memcache/AnswerParser.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import stagepier.overload.SharedRoom;
 
 /**
@@ -19,8 +20,11 @@
 
     /** Memory for values that are collected, shared by all connections. */
     private final SharedRoom room;
+
+    private final LoadReportFormat reports;
     /** The line of a large value, while that is collected; null otherwise. */
     private String[] large;
+
     private int length;
     private int got;
     private byte[] body = Answer.NO_BODY;
@@ -34,8 +38,15 @@
         this(new SharedRoom(Long.MAX_VALUE));
     }
 
+    /** A parser that reads no load reports. */
     public AnswerParser(SharedRoom room) {
+        this(room, new LoadReportFormat(List.of()));
+    }
+
+    /** @param reports reads the load reports of all connections */
+    public AnswerParser(SharedRoom room, LoadReportFormat reports) {
         this.room = room;
+        this.reports = reports;
     }
 
     /** Whether an answer has begun to be collected. */
@@ -128,14 +139,20 @@
                 return value(in, line, words, keep);
             case "HD":
                 in.skip(line);
-                return new Answer(Answer.Kind.RECEIPT, flag(words, 1, 'O'),
-                        flag(words, 1, 'c').getBytes(StandardCharsets.ISO_8859_1), Answer.Hit.UNTOLD, 0);
+                return new Answer(
+                        Answer.Kind.RECEIPT,
+                        flag(words, 1, 'O'),
+                        flag(words, 1, 'c').getBytes(StandardCharsets.ISO_8859_1),
+                        Answer.Hit.UNTOLD,
+                        0,
+                        reports.read(words));
             case "MN":
                 in.skip(line);
-                return plain(Answer.Kind.ALIVE);
+                return plain(Answer.Kind.ALIVE, words);
             case "SERVER_ERROR":
                 in.skip(line);
-                return plain(words.length > 1 && words[1].equals("busy") ? Answer.Kind.BUSY : Answer.Kind.FAILED);
+                return plain(
+                        words.length > 1 && words[1].equals("busy") ? Answer.Kind.BUSY : Answer.Kind.FAILED, words);
             default:
                 throw new MalformedException("no answer");
         }
@@ -186,17 +203,17 @@
         return whole;
     }
 
-    private static Answer value(String[] words, byte[] value, int flow) {
+    private Answer value(String[] words, byte[] value, int flow) {
         Answer.Hit hit = switch (flag(words, 2, 'h')) {
             case "1" -> Answer.Hit.HIT;
             case "0" -> Arrays.asList(words).contains("Z") ? Answer.Hit.MISS_FETCHING : Answer.Hit.MISS;
             default -> Answer.Hit.UNTOLD;
         };
-        return new Answer(Answer.Kind.VALUE, flag(words, 2, 'O'), value, hit, flow);
+        return new Answer(Answer.Kind.VALUE, flag(words, 2, 'O'), value, hit, flow, reports.read(words));
     }
 
-    private static Answer plain(Answer.Kind kind) {
-        return new Answer(kind, "", Answer.NO_BODY, Answer.Hit.UNTOLD, 0);
+    private Answer plain(Answer.Kind kind, String[] words) {
+        return new Answer(kind, "", Answer.NO_BODY, Answer.Hit.UNTOLD, 0, reports.read(words));
     }
 
     private static String flag(String[] words, int from, char letter) {
--- a/router/src/main/java/stagepier/memcache/Command.java
+++ b/router/src/main/java/stagepier/memcache/Command.java
@@ -12,7 +12,15 @@
  */
 public record Command(Kind kind, List<String> words, byte[] value) {
     /** What commands there are. */
-    public enum Kind { GET, SET, ALIVE, STATS, QUIT, UNKNOWN, BAD }
+    public enum Kind {
+        GET,
+        SET,
+        ALIVE,
+        STATS,
+        QUIT,
+        UNKNOWN,
+        BAD
+    }
 
     static final byte[] NO_VALUE = {};
 
--- a/router/src/main/java/stagepier/memcache/CommandParser.java
+++ b/router/src/main/java/stagepier/memcache/CommandParser.java
@@ -5,8 +5,7 @@
 
 /** Takes whole commands off a client's bytes. */
 public final class CommandParser {
-    private CommandParser() {
-    }
+    private CommandParser() {}
 
     /**
      * The next command, or null until it has come whole.
@@ -30,8 +29,8 @@
                 return new Command(Command.Kind.ALIVE, List.of(), Command.NO_VALUE);
             case "stats":
                 in.skip(line);
-                return new Command(words.length == 1 ? Command.Kind.STATS : Command.Kind.UNKNOWN, List.of(),
-                        Command.NO_VALUE);
+                return new Command(
+                        words.length == 1 ? Command.Kind.STATS : Command.Kind.UNKNOWN, List.of(), Command.NO_VALUE);
             case "quit":
                 in.skip(line);
                 return new Command(Command.Kind.QUIT, List.of(), Command.NO_VALUE);
--- a/router/src/main/java/stagepier/memcache/Protocol.java
+++ b/router/src/main/java/stagepier/memcache/Protocol.java
@@ -15,8 +15,7 @@
 
     private static final Pattern SPACES = Pattern.compile(" +");
 
-    private Protocol() {
-    }
+    private Protocol() {}
 
     /** A line with its end, as it goes onto a socket. */
     public static byte[] line(String text) {
--- a/router/src/main/java/stagepier/memcache/RingBuffer.java
+++ b/router/src/main/java/stagepier/memcache/RingBuffer.java
@@ -12,6 +12,7 @@
     private static final int AT_FIRST = 512;
     /** An empty buffer larger than this is given back. Guards against one large message on each of many connections. */
     private static final int KEPT = 4096;
+
     private static final byte[] NONE = {};
 
     private byte[] bytes = NONE;
@@ -69,7 +70,7 @@
     /** Takes the first bytes of another, at most so many, as far as there is room; returns how many. */
     public int take(RingBuffer from, int most) {
         int n = Math.min(Math.min(most, from.size), free());
-        for (int left = n; left > 0;) {
+        for (int left = n; left > 0; ) {
             ByteBuffer piece = from.front();
             piece.limit(piece.position() + Math.min(left, piece.remaining()));
             int moved = piece.remaining();
--- a/router/src/main/java/stagepier/overload/LinkShare.java
+++ b/router/src/main/java/stagepier/overload/LinkShare.java
@@ -13,8 +13,7 @@
     /** Silent links, which only wait for late answers, may come on top of the usual ones. */
     public static final int SILENT_MORE = 2;
 
-    private LinkShare() {
-    }
+    private LinkShare() {}
 
     /**
      * @param linksMost links to all servers together that the descriptors allow
--- a/router/src/main/java/stagepier/overload/LoopDelay.java
+++ b/router/src/main/java/stagepier/overload/LoopDelay.java
@@ -12,17 +12,21 @@
     private static final double WAITED = 0.0005;
     /** A turn that took longer was a stall; after it, a look that took less than this part of it is no proof. */
     private static final double STALL = 0.05;
+
     private static final double WAITED_PART = 0.1;
     /** A heartbeat is late from here on: timers are only so exact. */
     private static final double INEXACT = 0.003;
     /**
-     * A loop that was not seen for so long stood still, whatever the cause. What was told meanwhile is at most that old:
-     * half of the second that one has to act on it.
+     * A loop that was not seen for this part of the drain grace stood still, whatever the cause: what was told meanwhile is at
+     * most that old, and the other half of the grace is left to act on it.
      */
-    private static final double STOOD_STILL = 0.5;
+    private static final double STOOD_STILL_PART = 0.5;
+    /** And never longer than this, in seconds, however long the grace is. */
+    private static final double STOOD_STILL_MOST = 0.5;
     /** Weight of one heartbeat in the running mean. */
     private static final double GAIN = 0.1;
 
+    private final double stoodStillAfter;
     private double lookBegan = Double.NaN;
     private double sawAt = Double.NaN;
     private double sawBefore = Double.NaN;
@@ -31,9 +35,21 @@
     private boolean stoodStill;
     private double mean;
     private double worst;
+    private long turns;
+
+    /** For a loop on which nothing depends on the drain grace. */
+    public LoopDelay() {
+        this(Double.POSITIVE_INFINITY);
+    }
+
+    /** @param drainGrace seconds that sends to a drained server may go on after it was told; 0 where settings name none */
+    public LoopDelay(double drainGrace) {
+        stoodStillAfter = drainGrace > 0 ? Math.min(STOOD_STILL_MOST, STOOD_STILL_PART * drainGrace) : STOOD_STILL_MOST;
+    }
 
     /** The loop begins to look for input. */
     public void looks(double now) {
+        turns++;
         seen(now);
         // A turn in which nothing was read tells no more than that it looked.
         sawBefore = Double.isNaN(sawAt) ? lookBegan : sawAt;
@@ -58,13 +74,13 @@
     }
 
     private void seen(double now) {
-        stoodStill |= now - seenAt > STOOD_STILL;
+        stoodStill |= now - seenAt > stoodStillAfter;
         seenAt = now;
     }
 
     /** Whether the loop stood still since this was asked last. In the middle of a turn this sees it as well. */
     public boolean stoodStill(double now) {
-        boolean stood = stoodStill || now - seenAt > STOOD_STILL;
+        boolean stood = stoodStill || now - seenAt > stoodStillAfter;
         stoodStill = false;
         if (stood) {
             seenAt = now;
@@ -85,6 +101,11 @@
         return Math.max(0, now - sawAt) + (frozen > INEXACT ? frozen : 0);
     }
 
+    /** How often the loop has looked for input. */
+    public long turns() {
+        return turns;
+    }
+
     /** Seconds by which heartbeats come late: a running mean over the last ten or so. */
     public double mean() {
         return mean;
--- a/router/src/main/java/stagepier/overload/Pressure.java
+++ b/router/src/main/java/stagepier/overload/Pressure.java
@@ -6,7 +6,11 @@
  */
 public final class Pressure {
     /** States, the calm one first. */
-    public enum State { NORMAL, PRESSED, OVERLOADED }
+    public enum State {
+        NORMAL,
+        PRESSED,
+        OVERLOADED
+    }
 
     /** Connections that are accepted in a row while nothing presses. */
     public static final int ACCEPTED_USUALLY = 16;
@@ -14,6 +18,7 @@
     private static final double[] FROM = {0, 0.01, 0.05};
     /** Part of that lateness under which it has to be, and for how long, to leave the state again. */
     private static final double LEAVES_UNDER = 0.5;
+
     private static final double LEAVES_AFTER = 1;
     /** Connections that are accepted in a row in each state: those who are here come first. */
     private static final int[] ACCEPTED = {ACCEPTED_USUALLY, 8, 2};
--- a/router/src/main/java/stagepier/overload/Silence.java
+++ b/router/src/main/java/stagepier/overload/Silence.java
@@ -18,6 +18,7 @@
     private static final double DEAD_TIMES = 1.5;
     /** The same in parts of the shortest deadline: not sooner than the least, not later than the most. */
     private static final double QUIET_LEAST = 0.06;
+
     private static final double DEAD_LEAST = 0.2;
     private static final double MOST = 0.66;
     /** Answers to what was sent later, on other connections, that it takes: one may be luck. */
--- a/router/src/main/java/stagepier/peers/PeerSocket.java
+++ b/router/src/main/java/stagepier/peers/PeerSocket.java
@@ -20,7 +20,6 @@
 import java.util.function.ObjLongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import stagepier.Api;
 import stagepier.link.PatientBind;
 
 /**
@@ -30,11 +29,19 @@
 public final class PeerSocket {
     private static final Logger LOG = LoggerFactory.getLogger(PeerSocket.class);
 
-    /** Takes what another router told. */
+    /**
+     * Routers from which on messages are read in batches. So many send some 25 to 65 messages a second to each, and to wake the event
+     * loop for every single one takes more processor time than to read it.
+     */
+    static final int BATCHED_FROM = 50;
+
+    private static final int BATCH_MOST = 64;
+
+    /** Takes what another router reports. */
     @FunctionalInterface
     public interface Listener {
-        /** @param peer the number of the router that told it */
-        void heard(int peer, List<Api.News> news);
+        /** @param peer the number of the router that reports it */
+        void reported(int peer, PeerReport report);
     }
 
     /**
@@ -45,24 +52,29 @@
      * @param routers one address for each, in the order of their numbers; others have to send from these
      * @param own    this router's number
      */
-    public record Addresses(InetSocketAddress listen, InetSocketAddress all, List<InetSocketAddress> routers, int own) {
-    }
+    public record Addresses(
+            InetSocketAddress listen, InetSocketAddress all, List<InetSocketAddress> routers, int own) {}
 
     private final EventLoop loop;
     private final Addresses addresses;
     private final Listener listener;
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private final PatientBind bind;
+    private final boolean batched;
     private long sent;
     private long heard;
     private long strange;
     private long malformed;
+    private long bytesSent;
+    private long bytesHeard;
 
     public PeerSocket(EventLoop loop, Addresses addresses, Listener listener) {
         this.loop = loop;
         this.addresses = addresses;
         this.listener = listener;
-        bind = new PatientBind(loop, this::bind, why -> LOG.warn("no word from other routers yet: {}", why.getMessage()));
+        batched = addresses.routers().size() >= BATCHED_FROM;
+        bind = new PatientBind(
+                loop, this::bind, why -> LOG.warn("no word from other routers yet: {}", why.getMessage()));
         for (int i = 0; i < addresses.routers().size(); i++) {
             numbers.put(addresses.routers().get(i), i);
         }
@@ -74,43 +86,69 @@
     }
 
     private ChannelFuture bind() {
-        return new Bootstrap().group(loop).channelFactory(() -> new NioDatagramChannel(SocketProtocolFamily.INET))
+        return new Bootstrap()
+                .group(loop)
+                .channelFactory(() -> new NioDatagramChannel(SocketProtocolFamily.INET))
                 // A byte more than the most: what fills it was longer, and is no message.
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(NewsCodec.BYTES_MOST + 1))
-                .handler(new Inbound()).bind(addresses.listen());
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(NewsCodec.BYTES_MOST + 1)
+                                .maxMessagesPerRead(batched ? BATCH_MOST : 1))
+                .option(ChannelOption.AUTO_READ, !batched)
+                .handler(new Inbound())
+                .bind(addresses.listen());
     }
 
     public void stop() {
         bind.stop();
     }
 
-    /** Tells all other routers; may be lost. */
-    public void tell(List<Api.News> news) {
+    /** Reads the messages that have come since the last call, where they are read in batches. To be called at each heartbeat. */
+    public void readBatch() {
+        Channel channel = bind.channel();
+        if (batched && channel != null && channel.isActive()) {
+            // A channel that does not read by itself reads one message at a time: it may until all that have come are
+            // read.
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    /** Sends a message to all other routers; may be lost. */
+    public void send(byte[] message) {
         Channel channel = bind.channel();
         if (channel != null && channel.isActive()) {
             sent++;
-            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(NewsCodec.encode(news)), addresses.all()),
-                    channel.voidPromise());
+            bytesSent += message.length + ReportSchedule.DATAGRAM_HEADERS;
+            channel.writeAndFlush(
+                    new DatagramPacket(Unpooled.wrappedBuffer(message), addresses.all()), channel.voidPromise());
         }
     }
 
     private final class Inbound extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            bytesHeard += packet.content().readableBytes() + ReportSchedule.DATAGRAM_HEADERS;
             Integer peer = numbers.get(packet.sender());
             if (peer == null || peer == addresses.own()) {
                 strange += peer == null ? 1 : 0;
                 return;
             }
-            List<Api.News> news;
+            PeerReport report;
             try {
-                news = NewsCodec.decode(ByteBufUtil.getBytes(packet.content()));
+                report = NewsCodec.decode(ByteBufUtil.getBytes(packet.content()));
             } catch (IllegalArgumentException e) {
                 malformed++;
                 return;
             }
             heard++;
-            listener.heard(peer, news);
+            listener.reported(peer, report);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (batched) {
+                ctx.channel().config().setAutoRead(false);
+            }
         }
 
         /** A send that failed is a message lost. */
@@ -125,5 +163,7 @@
         to.accept("peer_messages_heard", heard);
         to.accept("peer_messages_strange", strange);
         to.accept("peer_messages_malformed", malformed);
+        to.accept("peer_bytes_sent", bytesSent);
+        to.accept("peer_bytes_heard", bytesHeard);
     }
 }
--- /dev/null
+++ b/router/src/main/java/stagepier/peers/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between routers about requests in flight and open circuits: encoding, sum, and UDP socket. */
+package stagepier.peers;
--- a/router/src/main/java/stagepier/server/Execution.java
+++ b/router/src/main/java/stagepier/server/Execution.java
@@ -3,8 +3,9 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import stagepier.Api;
-import stagepier.exchange.Carrier;
 import stagepier.exchange.Exchange;
+import stagepier.exchange.ResponseInfo;
+import stagepier.exchange.ServerTransport;
 import stagepier.exchange.ValueFlow;
 import stagepier.memcache.Answer;
 
@@ -12,7 +13,7 @@
  * One attempt of an exchange at one cache server, or a probe. Owns its timer; ends exactly once, here. What a
  * link still expects for it after that is discarded there.
  */
-final class Execution implements Carrier.Sending {
+final class Execution implements ServerTransport.Transmission {
     /** Seconds by which a timer is late only if the router itself is. */
     private static final double LATE = 0.01;
 
@@ -32,6 +33,7 @@
     private long endsAt;
     /** When it was handed to the socket. */
     private double sentAt;
+
     private boolean alone;
 
     /**
@@ -136,24 +138,29 @@
         return switch (answer.kind()) {
             case BUSY, FAILED -> true;
             case ALIVE -> isProbe();
-            case VALUE -> !isProbe() && !exchange.command().isWrite() && answer.id().equals(exchange.command().id());
-            case RECEIPT -> !isProbe() && exchange.command().isWrite()
-                    && answer.id().equals(exchange.command().id());
+            case VALUE ->
+                !isProbe()
+                        && !exchange.command().isWrite()
+                        && answer.id().equals(exchange.command().id());
+            case RECEIPT ->
+                !isProbe()
+                        && exchange.command().isWrite()
+                        && answer.id().equals(exchange.command().id());
         };
     }
 
     void answered(Answer answer) {
         switch (answer.kind()) {
-            case BUSY -> end(Api.Outcome.FULL);
-            case FAILED -> end(Api.Outcome.ERROR);
-            default -> end(Api.Outcome.OK, lookup(answer.hit()), answer.body());
+            case BUSY -> end(Api.Outcome.FULL, info(answer), null);
+            case FAILED -> end(Api.Outcome.ERROR, info(answer), null);
+            default -> end(Api.Outcome.OK, info(answer), answer.body());
         }
     }
 
     /** The first bytes of a large value are there. */
     void begun(Answer head, ValueFlow flow) {
         if (endsNow()) {
-            pools.host().begun(exchange, attempt, server, startedAt, lookup(head.hit()), flow);
+            pools.host().begun(exchange, attempt, server, startedAt, info(head), flow);
         } else {
             flow.abandon();
         }
@@ -169,13 +176,14 @@
         return first;
     }
 
-    private static Api.Lookup lookup(Answer.Hit hit) {
-        return switch (hit) {
+    private static ResponseInfo info(Answer answer) {
+        Api.Lookup lookup = switch (answer.hit()) {
             case UNTOLD -> Api.Lookup.UNKNOWN;
             case HIT -> Api.Lookup.HIT;
             case MISS -> Api.Lookup.MISS;
             case MISS_FETCHING -> Api.Lookup.MISS_FETCHING;
         };
+        return new ResponseInfo(lookup, answer.report());
     }
 
     @Override
@@ -207,17 +215,17 @@
     }
 
     void end(Api.Outcome outcome) {
-        end(outcome, Api.Lookup.UNKNOWN, null);
+        end(outcome, ResponseInfo.NONE, null);
     }
 
-    private void end(Api.Outcome outcome, Api.Lookup lookup, byte[] body) {
+    private void end(Api.Outcome outcome, ResponseInfo info, byte[] body) {
         if (!endsNow()) {
             return;
         }
         if (isProbe()) {
             pools.host().probed(server, outcome, startedAt);
         } else {
-            pools.host().ended(exchange, attempt, server, outcome, startedAt, lookup, body);
+            pools.host().ended(exchange, attempt, server, outcome, startedAt, info, body);
         }
     }
 }
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -1,10 +1,8 @@
 package stagepier.server;
 
-import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import stagepier.Api;
 import stagepier.exchange.ValueFlow;
 import stagepier.link.Link;
@@ -17,42 +15,36 @@
 final class ServerLink extends Link {
     /** Bytes that are read at once while a large value comes. */
     private static final int LARGE_READ = 64 * 1024;
-    /** Seconds after an answer that names no request within which the next such one may be the same again. */
-    private static final double SECOND_WITHIN = 0.05;
-    /** Seconds of rest after which it is looked what has come before a link is used again. */
-    private static final double RESTED = 0.002;
 
     private final ServerPool pool;
     /** Not a byte of these has been handed to the socket. */
     private final ArrayDeque<Execution> waiting = new ArrayDeque<>();
     /** Handed to the socket, in order; those given up keep their place, for their answers still come. */
     private final ArrayDeque<Execution> sent = new ArrayDeque<>();
+
     private final double openedAt;
     private boolean up;
     private boolean awaitsList;
     /** Takes nothing new, and ends once nobody waits for an answer on it. */
     private boolean retired;
-    private double heardAt;
-    private double bytesAt;
-    /** When an answer came last that names no request. */
-    private double refusedAt = Double.NEGATIVE_INFINITY;
-    private Future<?> stallTimer;
-    /** Answers that came on other links, since this one was last heard, to what was sent later. */
-    private int passedBy;
+
+    private final LinkActivity activity;
+    private final StallTimer stallTimer;
+
     private final AnswerParser parser;
     /** The large value that is being moved on, or null. */
     private ValueFlow flow;
     /** The link's count of bytes at which the message that was queued last begins. */
     private long beganAt;
+
     private boolean goingOn;
-    /** The longest rest between two pieces of the value that flows, in seconds. */
-    private double longestRest;
 
     ServerLink(ServerPool pool) {
         this.pool = pool;
-        parser = new AnswerParser(pool.pools().room());
+        parser = new AnswerParser(pool.pools().room(), pool.pools().reports());
         openedAt = pool.pools().now();
-        heardAt = openedAt;
+        activity = new LinkActivity(pool.silence(), openedAt);
+        stallTimer = new StallTimer(pool.pools().loop(), pool.pools().stallMost(), new PartialAnswer());
     }
 
     void take(Execution execution) {
@@ -80,31 +72,28 @@
         if (load() != other.load()) {
             return load() < other.load();
         }
-        return up != other.up ? up : heardAt < other.heardAt;
+        return up != other.up ? up : heardAt() < other.heardAt();
     }
 
     /** Since when an answer has been due with nothing heard, in seconds; 0 with none due. */
     private double wait(double now) {
-        return sent.isEmpty() || isHeldUp() ? 0 : now - Math.max(heardAt, bytesAt);
+        return sent.isEmpty() || isHeldUp() ? 0 : activity.silentFor(now);
     }
 
     boolean isQuiet(double now) {
-        return pool.silence().isQuiet(wait(now));
+        return activity.isQuiet(wait(now));
     }
 
     /** Another link has answered what was sent at that time; returns whether that speaks against this one. */
     boolean passedBy(double sentAt) {
-        if (sent.isEmpty() || sentAt <= Math.max(heardAt, bytesAt)) {
-            return false;
-        }
-        passedBy++;
-        return true;
+        return !sent.isEmpty() && activity.passedBy(sentAt);
     }
 
     /** Seconds until it counts as fallen silent while the server answers elsewhere; infinite where it does not. */
     double deadIn(double now) {
-        return sent.isEmpty() || parser.isBlocked() || isFlowing() ? Double.POSITIVE_INFINITY
-                : pool.silence().deadIn(wait(now), passedBy);
+        return sent.isEmpty() || parser.isBlocked() || isFlowing()
+                ? Double.POSITIVE_INFINITY
+                : activity.deadIn(wait(now));
     }
 
     boolean isIdle() {
@@ -116,7 +105,7 @@
     }
 
     double heardAt() {
-        return heardAt;
+        return activity.heardAt();
     }
 
     /**
@@ -125,7 +114,7 @@
      */
     boolean isSilent(double now) {
         Execution first = sent.peek();
-        return first != null && !isFlowing() && (first.timedOut() || pool.silence().isSilent(now - heardAt));
+        return first != null && !isFlowing() && (first.timedOut() || activity.isSilent(now));
     }
 
     /** The server's address or process has changed: what is out here may still be answered, the rest goes elsewhere. */
@@ -203,7 +192,7 @@
 
     /** Nothing is awaited on it and it has rested so long that its server may close it before anything else arrives there. */
     boolean isRestedOut(double now) {
-        return up && sent.isEmpty() && now - heardAt >= pool.pools().idleMost();
+        return up && sent.isEmpty() && now - activity.heardAt() >= pool.pools().idleMost();
     }
 
     /**
@@ -217,7 +206,7 @@
         }
         if (isRestedOut(now)) {
             close();
-        } else if (now - heardAt > RESTED) {
+        } else if (activity.hasRested(now)) {
             readNow();
         }
     }
@@ -225,7 +214,7 @@
     @Override
     protected void onUp() {
         up = true;
-        heardAt = pool.pools().now();
+        activity.begins(pool.pools().now());
         pump();
     }
 
@@ -240,7 +229,9 @@
         }
         dropBelated();
         // Whoever is not wanted any more goes first; to ask may close this link, or withdraw others that wait here.
-        for (Execution first = waiting.peek(); first != null && nothingQueued() && !first.isWanted(); first = waiting.peek()) {
+        for (Execution first = waiting.peek();
+                first != null && nothingQueued() && !first.isWanted();
+                first = waiting.peek()) {
             waiting.remove(first);
             first.cancel();
         }
@@ -250,11 +241,9 @@
         }
         // One at a time: what waits here can still be withdrawn, what is in the ring, or waits at the server, can not.
         if (nothingQueued() && !waiting.isEmpty() && sent.size() < pool.pools().streams()) {
-            if (sent.isEmpty()) {
-                heardAt = pool.pools().now();
-            }
             Execution next = waiting.remove();
             if (sent.isEmpty()) {
+                activity.begins(pool.pools().now());
                 next.alone();
             }
             next.sentAt(pool.pools().now());
@@ -277,8 +266,7 @@
     }
 
     @Override
-    protected void onWritten() {
-    }
+    protected void onWritten() {}
 
     @Override
     protected boolean wantsInput() {
@@ -318,12 +306,14 @@
 
     @Override
     protected int readMost() {
-        return isFlowing() ? Math.max(1, pool.pools().window() - unread()) : parser.isInside() ? LARGE_READ : super.readMost();
+        return isFlowing()
+                ? Math.max(1, pool.pools().window() - unread())
+                : parser.isInside() ? LARGE_READ : super.readMost();
     }
 
     /** There may be room for the large value that waits for it. */
     private void unblock() {
-        bytesAt = pool.pools().now();
+        activity.resumed(pool.pools().now());
         workOn();
         readOn();
     }
@@ -360,7 +350,7 @@
                 goOn();
             }
         });
-        longestRest = 0;
+        activity.valueBegins();
         pool.pools().flowBegins();
         first.begun(head, flow);
     }
@@ -415,11 +405,7 @@
      */
     private boolean endsOrder() {
         sent.remove();
-        if (stallTimer != null) {
-            // The next answer has a time of its own.
-            stallTimer.cancel(false);
-            stallTimer = null;
-        }
+        stallTimer.cancel();
         boolean tail = sent.isEmpty() && unread() > 0;
         retired |= tail;
         return tail;
@@ -433,21 +419,17 @@
 
     @Override
     protected void onInput(RingBuffer bytes) throws MalformedException {
-        longestRest = Math.max(longestRest, isFlowing() && !isHeldUp() ? pool.pools().now() - bytesAt : 0);
-        bytesAt = pool.pools().now();
-        passedBy = 0;
-        heardAt = isFlowing() ? bytesAt : heardAt;
+        activity.received(pool.pools().now(), isFlowing(), !isHeldUp());
         while (true) {
             if (isFlowing() && !flowsOn(bytes)) {
-                awaitRestOnce();
+                awaitRest();
                 return;
             }
             Answer answer = next(bytes);
             if (answer == null) {
                 break;
             }
-            double wait = bytesAt - heardAt;
-            heardAt = bytesAt;
+            double wait = activity.answered();
             Execution first = sent.peek();
             if (first == null || !first.accepts(answer)) {
                 throw new MalformedException("an answer to nothing that was asked");
@@ -480,24 +462,21 @@
         if (retired && !hasLive()) {
             close();
         } else if (isInside()) {
-            awaitRestOnce();
+            awaitRest();
         }
     }
 
-    /**
-     * Guards against a refusal that comes twice: it names no request, and the second one would tell of another, which runs,
-     * that it never ran. Whoever may run twice is told what came.
-     */
+    /** Whether a refusal may be the one before, come twice. Whoever may run twice is told what came. */
     private boolean isDoubtful(Answer answer, Execution first) {
         boolean busy = answer.kind() == Answer.Kind.BUSY;
-        boolean soon = bytesAt - refusedAt < SECOND_WITHIN;
-        refusedAt = busy || answer.kind() == Answer.Kind.FAILED ? bytesAt : refusedAt;
-        return busy && soon && !first.mayRunTwice();
+        boolean namesNone = busy || answer.kind() == Answer.Kind.FAILED;
+        boolean again = namesNone && activity.refusedAgain();
+        return busy && again && !first.mayRunTwice();
     }
 
-    private void awaitRestOnce() {
-        if (stallTimer == null && !isClosed()) {
-            awaitRest();
+    private void awaitRest() {
+        if (!isClosed()) {
+            stallTimer.start();
         }
     }
 
@@ -510,28 +489,32 @@
     private double stopsAt() {
         double usual = pool.pools().stallMost();
         Execution first = sent.peek();
+        double bytesAt = activity.bytesAt();
         if (!isFlowing() || first == null) {
             return bytesAt + usual;
         }
-        double rested = bytesAt + Math.max(usual, ServerPools.FLOW_RESTS * longestRest);
-        return Math.min(bytesAt + ServerPools.FLOW_STALL_MOST, Math.max(rested, first.timeIsUpAt() + ServerPools.FLOW_LATE_MOST));
+        double rested = bytesAt + Math.max(usual, ServerPools.FLOW_RESTS * activity.longestRest());
+        return Math.min(
+                bytesAt + ServerPools.FLOW_STALL_MOST,
+                Math.max(rested, first.timeIsUpAt() + ServerPools.FLOW_LATE_MOST));
     }
 
     /** Guards against an answer that never becomes whole: all behind it would wait until their time is up. */
-    private void awaitRest() {
-        double now = pool.pools().now();
-        double wait = isWaitedFor() ? stopsAt() - now : pool.pools().stallMost();
-        stallTimer = pool.pools().loop().schedule(() -> {
-            stallTimer = null;
-            if (isClosed() || !isInside()) {
-                return;
-            }
-            if (isWaitedFor() && pool.pools().now() >= stopsAt()) {
-                onMalformed(new MalformedException("an answer that stopped in the middle"));
-            } else {
-                awaitRest();
-            }
-        }, Math.max(1, (long) Math.ceil(wait * 1e6)), TimeUnit.MICROSECONDS);
+    private final class PartialAnswer implements StallTimer.PartialAnswer {
+        @Override
+        public boolean isInside() {
+            return !isClosed() && ServerLink.this.isInside();
+        }
+
+        @Override
+        public double stopsIn() {
+            return isWaitedFor() ? stopsAt() - pool.pools().now() : Double.POSITIVE_INFINITY;
+        }
+
+        @Override
+        public void stopped() {
+            onMalformed(new MalformedException("an answer that stopped in the middle"));
+        }
     }
 
     /** It is the server that the rest of an answer is waited for from: it has not given all, and this side reads on. */
@@ -570,9 +553,7 @@
         pool.closed(this);
         parser.drop();
         endFlow(false);
-        if (stallTimer != null) {
-            stallTimer.cancel(false);
-        }
+        stallTimer.cancel();
         List<Execution> lost = new ArrayList<>(sent);
         sent.clear();
         for (Execution e : lost) {
--- a/router/src/main/java/stagepier/server/ServerPool.java
+++ b/router/src/main/java/stagepier/server/ServerPool.java
@@ -15,6 +15,7 @@
 final class ServerPool {
     /** Links to one server given up for their silence alone: a new one costs it a handshake. */
     private static final double GIVEN_UP_A_SECOND = 2;
+
     private static final double GIVEN_UP_AT_ONCE = 4;
     /** Seconds after which it is tried again where no more may be given up now. */
     private static final double AGAIN_IN = 0.02;
@@ -27,6 +28,7 @@
     private boolean retired;
     /** The next look for silent links, and when it is; null for none. */
     private Future<?> looking;
+
     private double lookAt;
 
     ServerPool(ServerPools pools) {
@@ -59,8 +61,8 @@
         }
         lookAt = at;
         // By way of a timer even if it is now: what has come must be read first, for its answer may be among that.
-        looking = pools.loop().schedule(this::giveUpSilent, (long) (Math.max(0, seconds) * 1e6) + 1,
-                TimeUnit.MICROSECONDS);
+        looking = pools.loop()
+                .schedule(this::giveUpSilent, (long) (Math.max(0, seconds) * 1e6) + 1, TimeUnit.MICROSECONDS);
     }
 
     /**
@@ -173,8 +175,7 @@
     void sweep(double now) {
         for (ServerLink link : new ArrayList<>(links)) {
             boolean idleLong = link.isIdle() && (retired || link.isRestedOut(now));
-            boolean deadLong = !link.hasLive() && link.isSilent(now)
-                    && now - link.heardAt() > ServerPools.DEAD_AFTER;
+            boolean deadLong = !link.hasLive() && link.isSilent(now) && now - link.heardAt() > ServerPools.DEAD_AFTER;
             if (idleLong || deadLong || link.isRetired() && !link.hasLive()) {
                 link.drop();
             }
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -17,10 +18,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.Api;
-import stagepier.exchange.Carrier;
 import stagepier.exchange.Clock;
 import stagepier.exchange.Exchange;
 import stagepier.exchange.ModuleHost;
+import stagepier.exchange.ServerTransport;
+import stagepier.memcache.LoadReportFormat;
 import stagepier.memcache.MalformedException;
 import stagepier.memcache.Protocol;
 import stagepier.overload.LinkShare;
@@ -28,7 +30,7 @@
 import stagepier.overload.SharedRoom;
 
 /** The server side: a pool of links for each cache server of the list. */
-public final class ServerPools implements Carrier {
+public final class ServerPools implements ServerTransport {
     private static final Logger LOG = LoggerFactory.getLogger(ServerPools.class);
     /** An answer of which nothing more comes for so long is spoilt; in parts of the shortest deadline. */
     private static final double STALL_MOST = 0.15;
@@ -42,19 +44,23 @@
     static final double FLOW_RESTS = 4;
     /** Bytes of values that flow which links may hold together, and what each may hold at the least and at the most. */
     private static final int FLOWS_MOST = 6 << 20;
+
     private static final int WINDOW_LEAST = 4 * 1024;
     private static final int WINDOW_MOST = 64 * 1024;
     /** Part of the time after which servers close idle links: closed here first, no request meets a close. */
     private static final double IDLE_PART = 0.8;
+
     private static final double WARN_EVERY = 10;
     /** Of the descriptors for links, how many are kept for those that are closed to make room: a closed one lingers. */
     private static final int TURNOVER = 8;
     /** Until then the event loop has looked for input, and only that gives the descriptor of a closed link back. */
     private static final int LINGERS_MS = 1;
+
     private static final int CONNECT_TIMEOUT_MS = 1000;
     private static final double PROBE_TIMEOUT = 0.3;
     /** Bytes of large values that may be on their way from cache servers at a time. Guards the heap, which is small. */
     private static final long LARGE_VALUES_MOST = 8 << 20;
+
     static final byte[] PROBE = Protocol.line("mn");
 
     private final EventLoop loop;
@@ -69,6 +75,7 @@
     private final int streams;
     /** Links closed so short ago that their descriptors may still be held. */
     private int closing;
+
     private final double shortestDeadline;
     private long opened;
     private long failedOpens;
@@ -80,19 +87,32 @@
     private long flowsBegun;
     private long flowsBroken;
     private final SharedRoom room = new SharedRoom(LARGE_VALUES_MOST);
+    private LoadReportFormat reports = new LoadReportFormat(List.of());
 
     /**
      * @param linksMost   links to all servers together from which on each server gets one at the most
      * @param descriptors that all links may hold together, whatever waits for one
      * @param streams     requests that a server has in work at a time for one connection
      */
-    public ServerPools(EventLoop loop, Clock clock, LoopDelay delay, ModuleHost host, Connector connector, int linksMost,
-            int descriptors, Api.Settings settings, double idleClose, int streams) {
+    public ServerPools(
+            EventLoop loop,
+            Clock clock,
+            LoopDelay delay,
+            ModuleHost host,
+            Connector connector,
+            int linksMost,
+            int descriptors,
+            Api.Settings settings,
+            double idleClose,
+            int streams) {
         this.streams = Math.max(1, streams);
         this.connector = connector;
         this.linksMost = linksMost;
         this.descriptors = descriptors;
-        shortestDeadline = settings.classes().stream().mapToDouble(Api.RequestClass::deadline).min().orElseThrow();
+        shortestDeadline = settings.classes().stream()
+                .mapToDouble(Api.RequestClass::deadline)
+                .min()
+                .orElseThrow();
         this.loop = loop;
         this.clock = clock;
         this.delay = delay;
@@ -121,6 +141,15 @@
         return delay;
     }
 
+    /** Names of the values in the load reports of cache servers. Before the first link is opened. */
+    public void readReports(List<String> fields) {
+        reports = new LoadReportFormat(fields);
+    }
+
+    LoadReportFormat reports() {
+        return reports;
+    }
+
     SharedRoom room() {
         return room;
     }
@@ -162,12 +191,12 @@
     }
 
     @Override
-    public Sending send(Exchange exchange, int attempt, long server, double timeout) {
+    public Transmission send(Exchange exchange, int attempt, long server, double timeout) {
         return send(exchange, attempt, server, timeout, Double.POSITIVE_INFINITY);
     }
 
     @Override
-    public Sending send(Exchange exchange, int attempt, long server, double timeout, double latestStart) {
+    public Transmission send(Exchange exchange, int attempt, long server, double timeout, double latestStart) {
         Execution execution = new Execution(this, exchange, attempt, server, timeout, latestStart);
         start(execution, server);
         return execution;
@@ -199,25 +228,34 @@
     /** Connects a new link; what it was given waits until it is up, and ends where it never comes up. */
     void open(ServerLink link, InetSocketAddress address) {
         opened++;
-        connector.connect(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                link.attach(channel);
-            }
-        }, address).addListener(done -> {
-            if (!done.isSuccess()) {
-                failedOpens++;
-                link.drop();
-            }
-        });
+        connector
+                .connect(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                link.attach(channel);
+                            }
+                        },
+                        address)
+                .addListener(done -> {
+                    if (!done.isSuccess()) {
+                        failedOpens++;
+                        link.drop();
+                    }
+                });
     }
 
     /** The connector for sockets. */
     public static Connector sockets(EventLoop loop, double timeout) {
         int timeoutMs = timeout > 0 ? (int) Math.ceil(timeout * 1e3) : CONNECT_TIMEOUT_MS;
-        return (setUp, address) -> new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.AUTO_READ, false)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs).handler(setUp).connect(address);
+        return (setUp, address) -> new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+                .handler(setUp)
+                .connect(address);
     }
 
     /** Stops looking after links; for pools whose links have all ended. */
@@ -272,8 +310,8 @@
         if (links() < descriptors - TURNOVER) {
             return true;
         }
-        Optional<ServerLink> oldest = pools.values().stream().flatMap(ServerPool::idle)
-                .min(Comparator.comparingDouble(ServerLink::heardAt));
+        Optional<ServerLink> oldest =
+                pools.values().stream().flatMap(ServerPool::idle).min(Comparator.comparingDouble(ServerLink::heardAt));
         oldest.ifPresent(ServerLink::drop);
         return oldest.isPresent();
     }
@@ -297,6 +335,8 @@
         to.accept("server_links_opened", opened);
         to.accept("server_links_failed", failedOpens);
         to.accept("server_input_malformed", malformed);
+        to.accept("server_reports", reports.received());
+        to.accept("server_reports_malformed", reports.malformed());
         to.accept("server_links_silent", silenced);
         to.accept("server_large_values_waited", room.waits());
         to.accept("server_flows", flows);
--- a/router/src/main/java/stagepier/settings/SettingsParser.java
+++ b/router/src/main/java/stagepier/settings/SettingsParser.java
@@ -18,21 +18,25 @@
      * What a host needs besides the module's settings.
      *
      * @param reportFields values in a load report
+     * @param answerReport names of these values where answers hold the report, in their order; none elsewhere
      * @param names        the words by which sockets name what the module knows by index
      * @param idleClose    a server closes a connection that was idle for so many seconds; 0 for never
      * @param slot         this balancer's number among all, from 0
      * @param streams      requests that a server has in work at a time for one connection; what is beyond waits there
      */
-    public record Parsed(Api.Settings settings, int reportFields, Names names, double idleClose, int slot,
-            int streams) {
-    }
+    public record Parsed(
+            Api.Settings settings,
+            int reportFields,
+            List<String> answerReport,
+            Names names,
+            double idleClose,
+            int slot,
+            int streams) {}
 
     /** The names in the settings, each at its index. */
-    public record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds) {
-    }
+    public record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds) {}
 
-    private SettingsParser() {
-    }
+    private SettingsParser() {}
 
     public static Parsed parse(String text) {
         try {
@@ -41,8 +45,7 @@
                 throw new SettingsException("settings: not a JSON object");
             }
             return read(root.getAsJsonObject());
-        } catch (JsonParseException | IllegalStateException | UnsupportedOperationException
-                | NumberFormatException e) {
+        } catch (JsonParseException | IllegalStateException | UnsupportedOperationException | NumberFormatException e) {
             String detail = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
             throw new SettingsException("settings: not valid JSON of the expected shape: " + detail);
         }
@@ -53,18 +56,33 @@
         JsonObject family = object(o, "FamilyInfo");
         JsonObject report = object(o, "Report");
         List<String> fields = strings(report, "Fields");
-        boolean reported = !text(report, "How", "silent").equals("silent");
+        String how = text(report, "How", "silent");
+        boolean reported = !how.equals("silent");
         Api.Settings settings = new Api.Settings(
-                (int) number(o, "Siblings", 1), (int) number(o, "Zone", 0), classes, tenants(o),
-                weights(text(o, "WeightKind", "silent")), fetching(text(family, "Mode", "through")),
-                (int) number(family, "OriginKind", -1), number(o, "Period", 0), number(o, "OverShareWorth", 1),
-                limits(object(o, "Limits")), protection(object(o, "Obligations")), prices(object(o, "Prices")),
+                (int) number(o, "Siblings", 1),
+                (int) number(o, "Zone", 0),
+                classes,
+                tenants(o),
+                weights(text(o, "WeightKind", "silent")),
+                fetching(text(family, "Mode", "through")),
+                (int) number(family, "OriginKind", -1),
+                number(o, "Period", 0),
+                number(o, "OverShareWorth", 1),
+                limits(object(o, "Limits")),
+                protection(object(o, "Obligations")),
+                prices(object(o, "Prices")),
                 reported ? layout(fields) : Api.ReportLayout.NONE,
                 text(o, "Discovery", "push").equals("ask"));
-        Names names = new Names(named(array(o, "Classes")), named(array(o, "Realms")), strings(o, "Areas"),
-                strings(o, "Flavors"));
-        return new Parsed(settings, fields.size(), names, number(object(o, "Limits"), "IdleClose", 0),
-                (int) number(o, "SlotNo", 0), (int) number(object(o, "Limits"), "StreamsPerConn", Integer.MAX_VALUE));
+        Names names = new Names(
+                named(array(o, "Classes")), named(array(o, "Realms")), strings(o, "Areas"), strings(o, "Flavors"));
+        return new Parsed(
+                settings,
+                fields.size(),
+                how.equals("piggyback") ? List.copyOf(fields) : List.of(),
+                names,
+                number(object(o, "Limits"), "IdleClose", 0),
+                (int) number(o, "SlotNo", 0),
+                (int) number(object(o, "Limits"), "StreamsPerConn", Integer.MAX_VALUE));
     }
 
     private static List<Api.RequestClass> classes(JsonObject o) {
@@ -75,9 +93,15 @@
             if (!(deadline > 0)) {
                 throw new SettingsException("settings: Classes[].Deadline must be above 0");
             }
-            classes.add(new Api.RequestClass(repeat(text(c, "Repeat", "")), scope(text(c, "Group", "cell")),
-                    number(c, "DedupWindow", 0), Math.min(deadline, number(c, "GoalTime", deadline)), deadline,
-                    number(c, "Worth", 1), number(c, "LateWorth", 0), bool(c, "Stream", false)));
+            classes.add(new Api.RequestClass(
+                    repeat(text(c, "Repeat", "")),
+                    scope(text(c, "Group", "cell")),
+                    number(c, "DedupWindow", 0),
+                    Math.min(deadline, number(c, "GoalTime", deadline)),
+                    deadline,
+                    number(c, "Worth", 1),
+                    number(c, "LateWorth", 0),
+                    bool(c, "Stream", false)));
         }
         if (classes.isEmpty()) {
             throw new SettingsException("settings: Classes is missing or empty");
@@ -102,14 +126,23 @@
 
     private static Api.Limits limits(JsonObject o) {
         double retryAfter = bool(o, "RetryAfter", true) ? number(o, "MaxRetryAfter", 0) : 0;
-        return new Api.Limits((int) number(o, "MaxAttempts", 1), bool(o, "MayDuplicate", false),
-                bool(o, "Cancel", false), bool(o, "Probes", false), retryAfter, number(o, "DialTimeout", 0),
+        return new Api.Limits(
+                (int) number(o, "MaxAttempts", 1),
+                bool(o, "MayDuplicate", false),
+                bool(o, "Cancel", false),
+                bool(o, "Probes", false),
+                retryAfter,
+                number(o, "DialTimeout", 0),
                 bool(o, "Peers", false));
     }
 
     private static Api.Protection protection(JsonObject o) {
-        return new Api.Protection(number(o, "DrainGrace", 0), number(o, "ColdFrom", 1), number(o, "Cold", 0),
-                number(o, "FallMultiple", 1), number(o, "TipAfter", 1));
+        return new Api.Protection(
+                number(o, "DrainGrace", 0),
+                number(o, "ColdFrom", 1),
+                number(o, "Cold", 0),
+                number(o, "FallMultiple", 1),
+                number(o, "TipAfter", 1));
     }
 
     private static Api.Prices prices(JsonObject o) {
--- a/router/src/main/java/stagepier/shadow/Agreement.java
+++ b/router/src/main/java/stagepier/shadow/Agreement.java
@@ -6,8 +6,7 @@
 /** What a majority of the configured routers agrees on, by topic: each topic is a sequence of texts, the same at all routers. */
 public interface Agreement {
     /** @param version grows by one or more with each text of the topic */
-    record Accepted(long version, String text) {
-    }
+    record Accepted(long version, String text) {}
 
     /**
      * Has a text accepted as the next one of its topic.
--- a/router/src/main/java/stagepier/shadow/CandidateFile.java
+++ b/router/src/main/java/stagepier/shadow/CandidateFile.java
@@ -15,22 +15,26 @@
 public final class CandidateFile {
     /** Servers, and characters of the canonical text: a map has to fit into one message between routers. */
     static final int SERVERS_MOST = 512;
+
     static final int TEXT_MOST = 32_000;
 
     private static final String NAME = "[A-Za-z0-9._:-]{1,64}";
     private static final String NAME_SAID = "1 to 64 letters, digits, dots, colons, dashes";
     private static final String PREFIX = "[!#-\\[\\]-~]{1,250}";
-    private static final String PREFIX_SAID = "beginnings of keys: 1 to 250 visible characters without quote and backslash";
+    private static final String PREFIX_SAID =
+            "beginnings of keys: 1 to 250 visible characters without quote and backslash";
 
     /** What staff want done with the candidate. */
-    public enum Wish { TRY, PROMOTE, BACK }
+    public enum Wish {
+        TRY,
+        PROMOTE,
+        BACK
+    }
 
     /** A file: the wish is no part of the map, so that it does not make another candidate of it. */
-    public record Read(CandidateMap map, Wish wish) {
-    }
+    public record Read(CandidateMap map, Wish wish) {}
 
-    private CandidateFile() {
-    }
+    private CandidateFile() {}
 
     public static Read read(Path file) throws IOException, CandidateException {
         return parse(file.toString(), Files.readString(file));
@@ -40,7 +44,8 @@
     public static Read parse(String file, String text) throws CandidateException {
         TomlParseResult toml = Toml.parse(text);
         if (toml.hasErrors()) {
-            throw new CandidateException(toml.errors().stream().map(e -> syntax(file, e)).toList());
+            throw new CandidateException(
+                    toml.errors().stream().map(e -> syntax(file, e)).toList());
         }
         List<String> errors = new ArrayList<>();
         Read read = read(new CandidateTable(file, "", 1, toml, errors));
@@ -54,7 +59,8 @@
     }
 
     private static String syntax(String file, TomlParseError e) {
-        return file + ": line " + e.position().line() + ": key (none): " + e.getMessage().lines().findFirst().orElse("no TOML");
+        return file + ": line " + e.position().line() + ": key (none): "
+                + e.getMessage().lines().findFirst().orElse("no TOML");
     }
 
     private static Read read(CandidateTable root) {
@@ -79,8 +85,20 @@
         promotion.end();
         TreeMap<String, Double> servers = servers(root);
         root.end();
-        CandidateMap map = new CandidateMap(version, salt, nodes, servers, classes, prefixes, slice, copies, fetches, margin,
-                steps, stepSeconds, backSeconds);
+        CandidateMap map = new CandidateMap(
+                version,
+                salt,
+                nodes,
+                servers,
+                classes,
+                prefixes,
+                slice,
+                copies,
+                fetches,
+                margin,
+                steps,
+                stepSeconds,
+                backSeconds);
         return new Read(map, wish.isEmpty() ? Wish.TRY : Wish.valueOf(wish.toUpperCase(Locale.ROOT)));
     }
 
--- a/router/src/main/java/stagepier/shadow/CandidateMap.java
+++ b/router/src/main/java/stagepier/shadow/CandidateMap.java
@@ -27,8 +27,19 @@
  * @param stepSeconds  seconds between two steps
  * @param backSeconds  seconds between two steps of a rollback; 0 for all at once
  */
-public record CandidateMap(long version, String salt, int virtualNodes, SortedMap<String, Double> servers, List<String> classes,
-        List<String> prefixes, int slice, double copies, double fetches, double margin, List<Integer> steps, double stepSeconds,
+public record CandidateMap(
+        long version,
+        String salt,
+        int virtualNodes,
+        SortedMap<String, Double> servers,
+        List<String> classes,
+        List<String> prefixes,
+        int slice,
+        double copies,
+        double fetches,
+        double margin,
+        List<Integer> steps,
+        double stepSeconds,
         double backSeconds) {
     public CandidateMap {
         servers = Collections.unmodifiableSortedMap(new TreeMap<>(servers));
@@ -40,14 +51,36 @@
     /** The canonical text, which {@link CandidateFile#parse} reads. */
     public String text() {
         StringBuilder text = new StringBuilder();
-        text.append("version = ").append(version).append("\nsalt = \"").append(salt).append("\"\nvirtual_nodes = ")
-                .append(virtualNodes).append("\nslice = ").append(slice).append("\nclasses = ").append(words(classes))
-                .append("\nprefixes = ").append(words(prefixes)).append("\n[budget]\ncopies_per_second = ").append(number(copies))
-                .append("\nfetches_per_second = ").append(number(fetches)).append("\n[verdict]\nmargin = ").append(number(margin))
-                .append("\n[promotion]\nsteps = ").append(steps).append("\nstep_s = ").append(number(stepSeconds))
-                .append("\nback_step_s = ").append(number(backSeconds)).append('\n');
-        servers.forEach((name, weight) -> text.append("[[servers]]\nname = \"").append(name).append("\"\nweight = ")
-                .append(number(weight)).append('\n'));
+        text.append("version = ")
+                .append(version)
+                .append("\nsalt = \"")
+                .append(salt)
+                .append("\"\nvirtual_nodes = ")
+                .append(virtualNodes)
+                .append("\nslice = ")
+                .append(slice)
+                .append("\nclasses = ")
+                .append(words(classes))
+                .append("\nprefixes = ")
+                .append(words(prefixes))
+                .append("\n[budget]\ncopies_per_second = ")
+                .append(number(copies))
+                .append("\nfetches_per_second = ")
+                .append(number(fetches))
+                .append("\n[verdict]\nmargin = ")
+                .append(number(margin))
+                .append("\n[promotion]\nsteps = ")
+                .append(steps)
+                .append("\nstep_s = ")
+                .append(number(stepSeconds))
+                .append("\nback_step_s = ")
+                .append(number(backSeconds))
+                .append('\n');
+        servers.forEach((name, weight) -> text.append("[[servers]]\nname = \"")
+                .append(name)
+                .append("\"\nweight = ")
+                .append(number(weight))
+                .append('\n'));
         return text.toString();
     }
 
@@ -60,12 +93,15 @@
 
     /** Whether this one counts rather than that one; the same at all routers, also where staff gave one version to two maps. */
     public boolean replaces(CandidateMap other) {
-        return other == null || version > other.version || version == other.version && text().compareTo(other.text()) > 0;
+        return other == null
+                || version > other.version
+                || version == other.version && text().compareTo(other.text()) > 0;
     }
 
     /** Whether a request of this class for this key is one that the map is tried with. */
     public boolean covers(String className, String key) {
-        return classes.contains(className) && (prefixes.isEmpty() || prefixes.stream().anyMatch(key::startsWith));
+        return classes.contains(className)
+                && (prefixes.isEmpty() || prefixes.stream().anyMatch(key::startsWith));
     }
 
     private static String words(List<String> words) {
--- a/router/src/main/java/stagepier/shadow/CandidateTable.java
+++ b/router/src/main/java/stagepier/shadow/CandidateTable.java
@@ -57,7 +57,11 @@
         List<CandidateTable> all = new ArrayList<>();
         if (value instanceof TomlArray array && array.toList().stream().allMatch(TomlTable.class::isInstance)) {
             for (int i = 0; i < array.size(); i++) {
-                all.add(new CandidateTable(file, path + key + "[" + i + "].", array.inputPositionOf(i).line(), array.getTable(i),
+                all.add(new CandidateTable(
+                        file,
+                        path + key + "[" + i + "].",
+                        array.inputPositionOf(i).line(),
+                        array.getTable(i),
                         errors));
             }
         } else if (value != null) {
--- a/router/src/main/java/stagepier/shadow/Comparison.java
+++ b/router/src/main/java/stagepier/shadow/Comparison.java
@@ -12,8 +12,7 @@
      */
     static final double FLOOR = 0.001;
 
-    private Comparison() {
-    }
+    private Comparison() {}
 
     /**
      * @param first  no copy of this key has been answered there of late
@@ -50,7 +49,8 @@
         if (!realAgain.hasValue() || !copyAgain.hasValue()) {
             return Result.IN_DOUBT;
         }
-        if (realAgain.value() == copy.value() || copyAgain.value() == realAgain.value() && realAgain.value() != real.value()) {
+        if (realAgain.value() == copy.value()
+                || copyAgain.value() == realAgain.value() && realAgain.value() != real.value()) {
             return Result.NEWER;
         }
         if (copyAgain.value() == real.value()) {
@@ -70,8 +70,8 @@
         return switch (result) {
             case ERROR, TIMEOUT, TURNED_AWAY -> RATIO_MOST;
             case REAL_FAILED -> real.outcome() == Api.Outcome.CANCELLED ? Double.NaN : -RATIO_MOST;
-            case SAME, OLDER, NEWER -> real.alone() && copy.alone() && steady ? ratio(copy.elapsed(), real.elapsed())
-                    : Double.NaN;
+            case SAME, OLDER, NEWER ->
+                real.alone() && copy.alone() && steady ? ratio(copy.elapsed(), real.elapsed()) : Double.NaN;
             default -> Double.NaN;
         };
     }
--- a/router/src/main/java/stagepier/shadow/Counts.java
+++ b/router/src/main/java/stagepier/shadow/Counts.java
@@ -44,7 +44,9 @@
 
     /** Sums of scores, as {@link #score} names them. */
     static Verdict.Sums sums(String of, ToLongFunction<String> counter) {
-        return new Verdict.Sums(counter.applyAsLong(of), counter.applyAsLong(of + "_sum") / SCORE_UNIT,
+        return new Verdict.Sums(
+                counter.applyAsLong(of),
+                counter.applyAsLong(of + "_sum") / SCORE_UNIT,
                 counter.applyAsLong(of + "_squares") / SCORE_UNIT);
     }
 
@@ -68,8 +70,8 @@
     }
 
     /** All that was counted up to a moment. Nobody changes it any more. */
-    public record Snapshot(String map, long sequence, SortedMap<String, Long> counters,
-            SortedMap<String, IntCountsHistogram> times) {
+    public record Snapshot(
+            String map, long sequence, SortedMap<String, Long> counters, SortedMap<String, IntCountsHistogram> times) {
         long counter(String name) {
             return counters.getOrDefault(name, 0L);
         }
--- a/router/src/main/java/stagepier/shadow/Lease.java
+++ b/router/src/main/java/stagepier/shadow/Lease.java
@@ -69,7 +69,8 @@
         if (majority <= 1) {
             return now + length;
         }
-        long[] ends = knownAsOf.values().stream().mapToLong(Long::longValue).sorted().toArray();
+        long[] ends =
+                knownAsOf.values().stream().mapToLong(Long::longValue).sorted().toArray();
         // With this one itself a majority: the oldest of the freshest others decides.
         int needed = majority - 1;
         return ends.length < needed ? now - 1 : ends[ends.length - needed] + length;
--- a/router/src/main/java/stagepier/shadow/MergedCounts.java
+++ b/router/src/main/java/stagepier/shadow/MergedCounts.java
@@ -87,6 +87,8 @@
 
     /** Routers that have counted at least one comparison. */
     long routersWith(String counter) {
-        return entries.values().stream().filter(own -> own.values().stream().anyMatch(e -> e.counter(counter) > 0)).count();
+        return entries.values().stream()
+                .filter(own -> own.values().stream().anyMatch(e -> e.counter(counter) > 0))
+                .count();
     }
 }
--- a/router/src/main/java/stagepier/shadow/Promotion.java
+++ b/router/src/main/java/stagepier/shadow/Promotion.java
@@ -29,7 +29,12 @@
     private int told;
 
     /** @param lead from the agreement to the first step: the time in which all hear of it, with what clocks may differ by */
-    Promotion(Tasks tasks, Agreement agreement, Supplier<Calendar> calendar, Supplier<FleetView> view, Duration lead,
+    Promotion(
+            Tasks tasks,
+            Agreement agreement,
+            Supplier<Calendar> calendar,
+            Supplier<FleetView> view,
+            Duration lead,
             History history) {
         this.tasks = tasks;
         this.agreement = agreement;
@@ -56,7 +61,8 @@
         }
         PromotionPlan now = plan();
         if (now != null && (!now.isBack() || share() > 0)) {
-            // Guards against a file that is read again for another reason, and against keys that fall back to the real map at once.
+            // Guards against a file that is read again for another reason, and against keys that fall back to the real
+            // map at once.
             return "not promoted: candidate " + map().id() + " is promoted or being rolled back; roll it back first";
         }
         PromotionPlan wanted = PromotionPlan.of(candidate, tasks.wall().millis() + lead.toMillis());
@@ -76,7 +82,9 @@
             return "nothing to roll back";
         }
         String text = now.back(map(), tasks.wall().millis() + lead.toMillis()).text();
-        return agreement.propose(TOPIC, text, AGREED_WITHIN) ? "rollback agreed" : "rollback not agreed in time; it may yet be";
+        return agreement.propose(TOPIC, text, AGREED_WITHIN)
+                ? "rollback agreed"
+                : "rollback not agreed in time; it may yet be";
     }
 
     /** Why the calendar does not let the plan run, asked for now and for the moment of each step; null where it does. */
@@ -89,7 +97,8 @@
         for (long moment : wanted.moments()) {
             Calendar.Answer then = calendar.get().ask(PROMOTE, Instant.ofEpochMilli(moment), nano);
             if (then.permit() != Calendar.Permit.OPEN) {
-                return "a step at " + Instant.ofEpochMilli(moment) + " would be " + then.permit() + ": " + then.reason();
+                return "a step at " + Instant.ofEpochMilli(moment) + " would be " + then.permit() + ": "
+                        + then.reason();
             }
         }
         return null;
@@ -121,7 +130,15 @@
         int share = gate.look(plan(), calendar.get(), tasks.wall().instant(), tasks.nanoTime());
         if (share != told) {
             told = share;
-            history.write("shadow.promoted", "version", map.version(), "share", share, "rollback", String.valueOf(plan.isBack()), "calendar",
+            history.write(
+                    "shadow.promoted",
+                    "version",
+                    map.version(),
+                    "share",
+                    share,
+                    "rollback",
+                    String.valueOf(plan.isBack()),
+                    "calendar",
                     calendar.get().version());
         }
         return share;
@@ -132,8 +149,11 @@
         if (plan() == null) {
             return "promotion: none";
         }
-        String stragglers = view.get().members().stream().filter(m -> m.counts() && m.facts().candidate() != map.version())
-                .map(FleetView.Member::name).reduce((a, b) -> a + " " + b).orElse("none");
+        String stragglers = view.get().members().stream()
+                .filter(m -> m.counts() && m.facts().candidate() != map.version())
+                .map(FleetView.Member::name)
+                .reduce((a, b) -> a + " " + b)
+                .orElse("none");
         return "promotion: candidate " + map.id() + (plan.isBack() ? " rolled back" : "") + ", serves " + share()
                 + " of 10000, due " + plan.share(tasks.wall().millis()) + ", stragglers " + stragglers;
     }
--- a/router/src/main/java/stagepier/shadow/PromotionPlan.java
+++ b/router/src/main/java/stagepier/shadow/PromotionPlan.java
@@ -71,7 +71,11 @@
         } catch (JsonParseException e) {
             throw new IllegalArgumentException("not a promotion", e);
         }
-        if (plan == null || plan.map == null || plan.shares == null || plan.shares.isEmpty() || plan.apart < 0
+        if (plan == null
+                || plan.map == null
+                || plan.shares == null
+                || plan.shares.isEmpty()
+                || plan.apart < 0
                 || plan.shares.stream().anyMatch(s -> s == null || s < 0 || s > Slice.WHOLE)) {
             throw new IllegalArgumentException("not a promotion");
         }
--- a/router/src/main/java/stagepier/shadow/RouterCounts.java
+++ b/router/src/main/java/stagepier/shadow/RouterCounts.java
@@ -19,7 +19,13 @@
  * @param sequence    grows with each change
  * @param times       histograms in microseconds, as HdrHistogram writes them, in base 64, by class and side
  */
-record RouterCounts(String router, long incarnation, long epoch, String map, long sequence, SortedMap<String, Long> counters,
+record RouterCounts(
+        String router,
+        long incarnation,
+        long epoch,
+        String map,
+        long sequence,
+        SortedMap<String, Long> counters,
         SortedMap<String, String> times) {
     /** Guards against a histogram that would take the memory of a router. */
     private static final int TEXT_MOST = 16 * 1024;
@@ -40,21 +46,30 @@
     void addTimes(String which, Histogram to) throws DataFormatException {
         String text = times.get(which);
         if (text != null) {
-            to.add(Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(Base64.getDecoder().decode(text)), 0));
+            to.add(Histogram.decodeFromCompressedByteBuffer(
+                    ByteBuffer.wrap(Base64.getDecoder().decode(text)), 0));
         }
     }
 
     /** Whether what came over a wire is whole. */
     boolean isWhole() {
-        return router != null && map != null && counters != null && times != null && incarnation > 0 && sequence >= 0
+        return router != null
+                && map != null
+                && counters != null
+                && times != null
+                && incarnation > 0
+                && sequence >= 0
                 && counters.values().stream().allMatch(java.util.Objects::nonNull)
                 && times.values().stream().allMatch(t -> t != null && t.length() <= TEXT_MOST);
     }
 
     /** Characters that it takes in a message, roughly. */
     int length() {
-        return 200 + counters.keySet().stream().mapToInt(k -> k.length() + 24).sum()
-                + times.entrySet().stream().mapToInt(e -> e.getKey().length() + e.getValue().length() + 8).sum();
+        return 200
+                + counters.keySet().stream().mapToInt(k -> k.length() + 24).sum()
+                + times.entrySet().stream()
+                        .mapToInt(e -> e.getKey().length() + e.getValue().length() + 8)
+                        .sum();
     }
 
     long counter(String name) {
--- a/router/src/main/java/stagepier/shadow/ServerStates.java
+++ b/router/src/main/java/stagepier/shadow/ServerStates.java
@@ -15,6 +15,7 @@
     private static final double CROWDED = 1;
     /** Failures in a row that count as an open circuit, and seconds for which they do. */
     private static final int FAILURES = 3;
+
     private static final double OPEN = 5;
 
     /** What the module knows better: its own circuits and crowds. */
@@ -61,8 +62,10 @@
     }
 
     private void publish() {
-        members = servers.values().stream().map(s -> s.member)
-                .sorted(java.util.Comparator.comparingLong(Api.Member::id)).toList();
+        members = servers.values().stream()
+                .map(s -> s.member)
+                .sorted(java.util.Comparator.comparingLong(Api.Member::id))
+                .toList();
     }
 
     /** All on the list; from any thread. */
@@ -95,8 +98,7 @@
                 s.failures++;
                 s.failedAt = now;
             }
-            default -> {
-            }
+            default -> {}
         }
     }
 
--- a/router/src/main/java/stagepier/shadow/ShadowCopies.java
+++ b/router/src/main/java/stagepier/shadow/ShadowCopies.java
@@ -17,11 +17,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.Api;
-import stagepier.exchange.Carrier;
 import stagepier.exchange.Clock;
 import stagepier.exchange.Exchange;
 import stagepier.exchange.Ids;
 import stagepier.exchange.Reply;
+import stagepier.exchange.ServerTransport;
 import stagepier.exchange.ShadowTap;
 import stagepier.fleet.History;
 import stagepier.memcache.Command;
@@ -36,6 +36,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(ShadowCopies.class);
     /** Requests that are looked at at a time. Guards the heap. */
     private static final int PAIRS_MOST = 256;
+
     private static final int TICK_MS = 50;
     /**
      * The copy goes out when the real execution has ended, so that neither's time holds what the loop does for the other; at the latest
@@ -58,10 +59,21 @@
      * @param promoted   the ring that has part of the keys; null for none
      * @param promote    gives that to the module
      */
-    public record Parts(EventLoop loop, Clock clock, Connector connector, SettingsParser.Parsed settings, int linksMost,
-            String ids, RouterState router, ServerStates servers, LongSupplier nanoTime, Supplier<ShadowOrders> orders,
-            Predicate<Counts.Snapshot> tell, Supplier<Api.Promoted> promoted, Consumer<Api.Promoted> promote, History history) {
-    }
+    public record Parts(
+            EventLoop loop,
+            Clock clock,
+            Connector connector,
+            SettingsParser.Parsed settings,
+            int linksMost,
+            String ids,
+            RouterState router,
+            ServerStates servers,
+            LongSupplier nanoTime,
+            Supplier<ShadowOrders> orders,
+            Predicate<Counts.Snapshot> tell,
+            Supplier<Api.Promoted> promoted,
+            Consumer<Api.Promoted> promote,
+            History history) {}
 
     /** A real request in the slice, and its copy. */
     private static final class Pair {
@@ -75,11 +87,13 @@
         private boolean considered;
         /** The copy goes where the real one went: what is true of all copies shows there, too. */
         private boolean control;
+
         private long target;
         private Future<?> timer;
         private int attempts = 1;
         /** What the client got, for the history. */
         private String answer;
+
         private Seen seen;
         private Seen copy;
 
@@ -103,6 +117,7 @@
             return size() > PAIRS_MOST;
         }
     };
+
     private ShadowOrders orders;
     private ShadowRules rules;
     private KeyMemory memory;
@@ -116,13 +131,19 @@
     private long lastId;
     /** Since this process began, whatever the map. */
     private long compared;
+
     private long toldSequence;
     private int ticks;
 
     public ShadowCopies(Parts parts) {
         this.parts = parts;
         random = new SplittableRandom(parts.ids().hashCode());
-        links = new ShadowLinks(parts.loop(), parts.clock(), parts.connector(), parts.linksMost(), parts.settings().idleClose());
+        links = new ShadowLinks(
+                parts.loop(),
+                parts.clock(),
+                parts.connector(),
+                parts.linksMost(),
+                parts.settings().idleClose());
     }
 
     /** From here on it looks after its links and tells its counts. */
@@ -148,14 +169,21 @@
     }
 
     @Override
-    public void ended(Exchange x, int attempt, long server, Api.Outcome outcome, Api.Lookup lookup, Reply served, double elapsed,
+    public void ended(
+            Exchange x,
+            int attempt,
+            long server,
+            Api.Outcome outcome,
+            Api.Lookup lookup,
+            Reply served,
+            double elapsed,
             double now) {
         if (!broken) {
             guarded(() -> {
                 parts.servers().ended(now, server, outcome);
                 Pair p = attempt == 0 ? pairs.get(x.id()) : null;
                 if (p != null) {
-                    Carrier.Sending sending = x.sending(0);
+                    ServerTransport.Transmission sending = x.sending(0);
                     long value = served == null || served.flow() != null ? 0 : Seen.checksum(served.body());
                     p.seen = new Seen(outcome, lookup, value, elapsed, sending == null || sending.isAlone());
                     complete(p);
@@ -187,9 +215,17 @@
     }
 
     private void writeReal(Pair p) {
-        parts.history().write("shadow.real", "id", p.real.command().id(), "server", Long.toString(p.server), "attempts",
-                p.attempts,
-                "answer", p.answer);
+        parts.history()
+                .write(
+                        "shadow.real",
+                        "id",
+                        p.real.command().id(),
+                        "server",
+                        Long.toString(p.server),
+                        "attempts",
+                        p.attempts,
+                        "answer",
+                        p.answer);
     }
 
     /** Guards the real requests, in the middle of which this runs. */
@@ -274,15 +310,26 @@
         p.candidate = orders.ring().owner(p.key);
         p.first = memory.isFirst(now, p.key);
         int index = parts.settings().names().classes().indexOf(p.className);
-        boolean repeatable = index >= 0 && parts.settings().settings().classes().get(index).repeat() == Api.Repeat.SAFE;
+        boolean repeatable =
+                index >= 0 && parts.settings().settings().classes().get(index).repeat() == Api.Repeat.SAFE;
         long present = orders.present().owner(p.key);
         load(present, "now");
         load(p.candidate, "then");
-        Carrier.Sending sending = p.real.sending(0);
+        ServerTransport.Transmission sending = p.real.sending(0);
         double left = p.real.deadlineAt() - now;
-        Ruling ruling = rules.rule(now, new ShadowRules.Asked(repeatable, p.real.command().isWrite(), 0,
-                sending != null && sending.isOut(), p.real.deadlineAt() - p.real.takenAt(), left, p.first),
-                new ShadowRules.Owners(p.server, present, p.candidate), isOrdered(), parts.router(),
+        Ruling ruling = rules.rule(
+                now,
+                new ShadowRules.Asked(
+                        repeatable,
+                        p.real.command().isWrite(),
+                        0,
+                        sending != null && sending.isOut(),
+                        p.real.deadlineAt() - p.real.takenAt(),
+                        left,
+                        p.first),
+                new ShadowRules.Owners(p.server, present, p.candidate),
+                isOrdered(),
+                parts.router(),
                 parts.servers().of(now, p.candidate));
         if (ruling != Ruling.COPY) {
             return ruling;
@@ -301,8 +348,17 @@
         if (ruling == Ruling.COPY) {
             p.copied = true;
             String real = p.real.command().id();
-            parts.history().write("shadow.copy", "map", id, "id", p.control ? "" : real, "key", p.real.command().key(), "server",
-                    Long.toString(p.target));
+            parts.history()
+                    .write(
+                            "shadow.copy",
+                            "map",
+                            id,
+                            "id",
+                            p.control ? "" : real,
+                            "key",
+                            p.real.command().key(),
+                            "server",
+                            Long.toString(p.target));
             if (p.control) {
                 counts.add("controls", 1);
             } else if (p.answer == null) {
@@ -338,7 +394,7 @@
     private void send(ShadowLink link, Command command, double left, Consumer<Seen> done) {
         String copyId = parts.ids() + Long.toHexString(++lastId);
         counts.add("copies", 1);
-        links.ask(link, new ShadowAsk(copyId, command, left, seen -> guarded(() -> done.accept(seen))));
+        links.ask(link, new ShadowRequest(copyId, command, left, seen -> guarded(() -> done.accept(seen))));
     }
 
     /** Both have ended, or it is waited for the other. */
@@ -382,7 +438,13 @@
         }
         if (result == Result.IN_DOUBT && look == null) {
             Command command = p.real.command();
-            look = new SecondLook((server, done) -> askAgain(server, command, done), p.server, p.candidate, p.seen, p.copy, now,
+            look = new SecondLook(
+                    (server, done) -> askAgain(server, command, done),
+                    p.server,
+                    p.candidate,
+                    p.seen,
+                    p.copy,
+                    now,
                     this::judged);
         }
     }
@@ -398,7 +460,8 @@
             return false;
         }
         int index = parts.settings().names().classes().indexOf(command.attribute("c"));
-        parts.history().write("shadow.copy", "map", id, "id", "", "key", command.key(), "server", Long.toString(server));
+        parts.history()
+                .write("shadow.copy", "map", id, "id", "", "key", command.key(), "server", Long.toString(server));
         send(link, command, parts.settings().settings().classes().get(index).deadline(), done);
         return true;
     }
--- a/router/src/main/java/stagepier/shadow/ShadowLink.java
+++ b/router/src/main/java/stagepier/shadow/ShadowLink.java
@@ -24,7 +24,7 @@
     private final Owner owner;
     private final long server;
     private final AnswerParser parser;
-    private ShadowAsk out;
+    private ShadowRequest out;
     private boolean up;
     private boolean steady;
     private double usedAt;
@@ -59,7 +59,7 @@
         return usedAt;
     }
 
-    void ask(ShadowAsk ask) {
+    void ask(ShadowRequest ask) {
         out = ask;
         usedAt = owner.now();
         queue(ask.message());
@@ -68,7 +68,7 @@
 
     /** Gives up whatever is out: that says nothing against its server. */
     void drop() {
-        ShadowAsk ended = out;
+        ShadowRequest ended = out;
         out = null;
         close();
         if (ended != null) {
@@ -105,7 +105,7 @@
         if (!out.accepts(answer)) {
             throw new MalformedException("an answer to nothing that was asked");
         }
-        ShadowAsk ended = out;
+        ShadowRequest ended = out;
         out = null;
         steady = true;
         usedAt = owner.now();
@@ -118,7 +118,7 @@
 
     @Override
     protected void onMalformed(MalformedException e) {
-        ShadowAsk ended = out;
+        ShadowRequest ended = out;
         out = null;
         close();
         if (ended != null) {
@@ -132,18 +132,16 @@
     }
 
     @Override
-    protected void fill() {
-    }
+    protected void fill() {}
 
     @Override
-    protected void onWritten() {
-    }
+    protected void onWritten() {}
 
     @Override
     protected void onClosed() {
         parser.drop();
         owner.closed(this);
-        ShadowAsk lost = out;
+        ShadowRequest lost = out;
         out = null;
         if (lost != null) {
             lost.end(Api.Outcome.RESET, owner.now());
--- a/router/src/main/java/stagepier/shadow/ShadowLinks.java
+++ b/router/src/main/java/stagepier/shadow/ShadowLinks.java
@@ -20,6 +20,7 @@
     private static final long ROOM = 512 * 1024;
     /** Seconds after which one that is of no use is given back, before its server closes it. */
     private static final double IDLE_MOST = 10;
+
     private static final double IDLE_PART = 0.5;
 
     private final EventLoop loop;
@@ -69,25 +70,35 @@
     private void open(long server, InetSocketAddress address) {
         ShadowLink link = new ShadowLink(this, server, room);
         links.add(link);
-        connector.connect(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                link.attach(channel);
-            }
-        }, address).addListener(done -> {
-            if (!done.isSuccess()) {
-                link.drop();
-            }
-        });
+        connector
+                .connect(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                link.attach(channel);
+                            }
+                        },
+                        address)
+                .addListener(done -> {
+                    if (!done.isSuccess()) {
+                        link.drop();
+                    }
+                });
     }
 
     /** Sends a copy; when its time is up, its connection goes with it. */
-    void ask(ShadowLink link, ShadowAsk ask) {
+    void ask(ShadowLink link, ShadowRequest ask) {
         double now = now();
-        ask.sent(now, link.isSteady(), loop.schedule(() -> {
-            ask.end(Api.Outcome.TIMEOUT, now());
-            link.drop();
-        }, (long) (ask.timeout() * 1e6), TimeUnit.MICROSECONDS));
+        ask.sent(
+                now,
+                link.isSteady(),
+                loop.schedule(
+                        () -> {
+                            ask.end(Api.Outcome.TIMEOUT, now());
+                            link.drop();
+                        },
+                        (long) (ask.timeout() * 1e6),
+                        TimeUnit.MICROSECONDS));
         link.ask(ask);
     }
 
--- a/router/src/main/java/stagepier/shadow/ShadowOrders.java
+++ b/router/src/main/java/stagepier/shadow/ShadowOrders.java
@@ -14,7 +14,8 @@
  *                could not hear that the shadow was stopped
  * @param on      copies may be sent: in a majority, and nobody known has stopped the candidate
  */
-public record ShadowOrders(CandidateMap map, Slice slice, ShardRing ring, ShardRing present, int fleet, long until, boolean on) {
+public record ShadowOrders(
+        CandidateMap map, Slice slice, ShardRing ring, ShardRing present, int fleet, long until, boolean on) {
     public boolean holdAt(long nanoTime) {
         return on && nanoTime - until < 0;
     }
--- a/router/src/main/java/stagepier/shadow/ShadowPart.java
+++ b/router/src/main/java/stagepier/shadow/ShadowPart.java
@@ -34,6 +34,7 @@
     private static final Duration CALL_MOST = Duration.ofMillis(500);
     /** Members that are told of a stop at once, by each router that hears of it first. */
     private static final int STOP_TOLD = 16;
+
     private static final int STOP_TRIES = 3;
     private static final int BOX = 4;
     /** Turns after which the lines for staff are put together anew. */
@@ -51,10 +52,19 @@
      * @param zones       their names, by index
      * @param kinds       their names, by index
      */
-    public record Parts(Tasks tasks, Calls calls, FleetConfig config, long incarnation, Supplier<FleetView> view,
-            Supplier<Calendar> calendar, Agreement agreement, Supplier<List<Api.Member>> members, boolean sizes,
-            List<String> zones, List<String> kinds, History history) {
-    }
+    public record Parts(
+            Tasks tasks,
+            Calls calls,
+            FleetConfig config,
+            long incarnation,
+            Supplier<FleetView> view,
+            Supplier<Calendar> calendar,
+            Agreement agreement,
+            Supplier<List<Api.Member>> members,
+            boolean sizes,
+            List<String> zones,
+            List<String> kinds,
+            History history) {}
 
     private final Parts parts;
     private final Tasks tasks;
@@ -73,12 +83,16 @@
     public ShadowPart(Parts parts) {
         this.parts = parts;
         tasks = parts.tasks();
-        state = new ShadowState(parts.config().self(), parts.incarnation(), parts.config().members().size(),
+        state = new ShadowState(
+                parts.config().self(),
+                parts.incarnation(),
+                parts.config().members().size(),
                 parts.config().lease().toNanos());
         counted = tasks.box(BOX);
         random = new Random(parts.config().self().hashCode() * 31L + parts.incarnation());
         Duration lead = parts.config().lease().plus(parts.config().skew()).plus(Duration.ofSeconds(1));
-        promotion = parts.agreement() == null ? null
+        promotion = parts.agreement() == null
+                ? null
                 : new Promotion(tasks, parts.agreement(), parts.calendar(), parts.view(), lead, parts.history());
     }
 
@@ -121,7 +135,7 @@
 
     /** Looks for the next step of a promotion. */
     private void step() throws InterruptedException {
-        for (;;) {
+        for (; ; ) {
             tasks.sleep(STEP_LOOK);
             int now = promotion.share();
             if (now != share) {
@@ -151,7 +165,8 @@
             e.lines().forEach(line -> LOG.error("{}", line));
             return;
         } catch (IOException e) {
-            LOG.error("{}: line 0: key (none): cannot be read: {}", parts.config().candidate(), e.getMessage());
+            LOG.error(
+                    "{}: line 0: key (none): cannot be read: {}", parts.config().candidate(), e.getMessage());
             return;
         }
         try {
@@ -162,7 +177,8 @@
         }
         if (wishes && promotion != null && read.wish() != CandidateFile.Wish.TRY) {
             wish = read.wish() == CandidateFile.Wish.PROMOTE
-                    ? promotion.promote(read.map(), state.verdict(parts.view().get().majority()), state.stopped())
+                    ? promotion.promote(
+                            read.map(), state.verdict(parts.view().get().majority()), state.stopped())
                     : promotion.back();
             LOG.info("{}", wish);
             parts.history().write("promotion.asked", "wish", read.wish().name(), "what", wish);
@@ -187,7 +203,7 @@
 
     // ---- talk ---------------------------------------------------------------------------------------------
     private void talk() throws InterruptedException {
-        for (int turn = 0;; turn++) {
+        for (int turn = 0; ; turn++) {
             tasks.sleep(PAUSE);
             String member = other(turn);
             if (member != null) {
@@ -210,8 +226,17 @@
             total += c.counter("copies");
         }
         if (!counts.isEmpty()) {
-            parts.history().write("shadow.counters", "map", state.id(), "epoch", parts.view().get().epoch(), "counts", counts,
-                    "total", total);
+            parts.history()
+                    .write(
+                            "shadow.counters",
+                            "map",
+                            state.id(),
+                            "epoch",
+                            parts.view().get().epoch(),
+                            "counts",
+                            counts,
+                            "total",
+                            total);
         }
     }
 
@@ -219,7 +244,9 @@
         List<String> others = others();
         if (turn % ANYONE != 0) {
             FleetView view = parts.view().get();
-            List<String> there = others.stream().filter(o -> view.member(o).map(FleetView.Member::counts).orElse(true)).toList();
+            List<String> there = others.stream()
+                    .filter(o -> view.member(o).map(FleetView.Member::counts).orElse(true))
+                    .toList();
             others = there.isEmpty() ? others : there;
         }
         return others.isEmpty() ? null : others.get(draw(others.size()));
@@ -239,12 +266,14 @@
         try {
             String before = state.id();
             long began = tasks.nanoTime();
-            Talk.Known known = parts.calls().call(member, Message.of(Talk.ASK, state.ask()), CALL_MOST).read(Talk.Known.class);
+            ShadowMessages.SyncResponse known = parts.calls()
+                    .call(member, Message.of(ShadowMessages.SYNC_REQUEST, state.ask()), CALL_MOST)
+                    .read(ShadowMessages.SyncResponse.class);
             boolean stop = state.heard(member, began, known);
             news(before, stop);
-            Talk.Tell lacked = state.lackedBy(known);
+            ShadowMessages.Update lacked = state.lackedBy(known);
             if (lacked != null) {
-                parts.calls().call(member, Message.of(Talk.TELL, lacked), CALL_MOST);
+                parts.calls().call(member, Message.of(ShadowMessages.UPDATE, lacked), CALL_MOST);
             }
         } catch (Calls.SilentException e) {
             // Another one next time.
@@ -268,11 +297,13 @@
     private Message answer(String from, Message call) throws Message.MalformedException {
         String before = state.id();
         switch (call.kind()) {
-            case Talk.ASK:
-                return Message.of(Talk.KNOWN, state.answer(call.read(Talk.Ask.class), tasks.nanoTime()));
-            case Talk.TELL, Talk.STOP:
-                news(before, state.told(call.read(Talk.Tell.class)));
-                return Message.of(Talk.HEARD, new Talk.Heard(state.id()));
+            case ShadowMessages.SYNC_REQUEST:
+                return Message.of(
+                        ShadowMessages.SYNC_RESPONSE,
+                        state.answer(call.read(ShadowMessages.SyncRequest.class), tasks.nanoTime()));
+            case ShadowMessages.UPDATE, ShadowMessages.STOP:
+                news(before, state.told(call.read(ShadowMessages.Update.class)));
+                return Message.of(ShadowMessages.ACKNOWLEDGEMENT, new ShadowMessages.Acknowledgement(state.id()));
             default:
                 throw new Message.MalformedException("no word of the shadow: " + call.kind());
         }
@@ -283,7 +314,7 @@
         order();
         LOG.warn("candidate {} is stopped: {}", state.id(), state.stopped());
         parts.history().write("shadow.stopped", "map", state.id(), "why", state.stopped());
-        Message word = Message.of(Talk.STOP, state.stopWord());
+        Message word = Message.of(ShadowMessages.STOP, state.stopWord());
         List<String> others = others();
         synchronized (this) {
             Collections.shuffle(others, random);
@@ -304,13 +335,25 @@
 
     // ---- counts and orders --------------------------------------------------------------------------------
     private void count() throws InterruptedException {
-        for (;;) {
+        for (; ; ) {
             Counts.Snapshot snapshot = counted.take(Duration.ofSeconds(1));
             if (snapshot != null) {
                 boolean stop = state.counted(parts.view().get().epoch(), snapshot);
-                parts.history().write("shadow.counts", "map", snapshot.map(), "sequence", snapshot.sequence(), "copies",
-                        snapshot.counter("copies"), "scores", snapshot.counter(Counts.SCORES), "wrong",
-                        snapshot.counter(Result.WRONG.counter()), "epoch", parts.view().get().epoch());
+                parts.history()
+                        .write(
+                                "shadow.counts",
+                                "map",
+                                snapshot.map(),
+                                "sequence",
+                                snapshot.sequence(),
+                                "copies",
+                                snapshot.counter("copies"),
+                                "scores",
+                                snapshot.counter(Counts.SCORES),
+                                "wrong",
+                                snapshot.counter(Result.WRONG.counter()),
+                                "epoch",
+                                parts.view().get().epoch());
                 if (stop) {
                     stopped();
                 }
@@ -329,7 +372,8 @@
         boolean sameMap = had != null && had.map().equals(map);
         Slice slice = sameMap ? had.slice() : new Slice(map.salt());
         ShardRing ring = sameMap ? had.ring() : ShardRing.of(map);
-        ShardRing present = had != null && members == ringMembers ? had.present() : ShardRing.of(members, parts.sizes());
+        ShardRing present =
+                had != null && members == ringMembers ? had.present() : ShardRing.of(members, parts.sizes());
         if (had == null || had.ring() != ring || had.present() != present) {
             foretold = Spread.of(present, ring).words(members, parts.zones(), parts.kinds());
         }
@@ -339,7 +383,14 @@
         if (had != null && had.on() != on) {
             parts.history().write("shadow.on", "map", map.id(), "on", on ? 1 : 0);
         }
-        orders = new ShadowOrders(sameMap ? had.map() : map, slice, ring, present, parts.config().members().size(), until, on);
+        orders = new ShadowOrders(
+                sameMap ? had.map() : map,
+                slice,
+                ring,
+                present,
+                parts.config().members().size(),
+                until,
+                on);
     }
 
     // ---- for staff ----------------------------------------------------------------------------------------
@@ -357,14 +408,19 @@
         List<String> all = new ArrayList<>();
         ShadowOrders now = orders;
         FleetView view = parts.view().get();
-        String how = !state.stopped().isEmpty() ? "stopped: " + state.stopped()
-                : !view.majority() ? "waits: in no majority"
-                : now == null || !now.holdAt(tasks.nanoTime()) ? "waits: not enough routers heard of late" : "on";
+        String how = !state.stopped().isEmpty()
+                ? "stopped: " + state.stopped()
+                : !view.majority()
+                        ? "waits: in no majority"
+                        : now == null || !now.holdAt(tasks.nanoTime())
+                                ? "waits: not enough routers heard of late"
+                                : "on";
         all.add("shadow: candidate " + state.id() + " " + how + ", slice " + map.slice() + " of 10000, heard of "
                 + state.routersHeard() + " of " + parts.config().members().size() + " routers, epoch " + view.epoch());
         all.add("shadow verdict: " + state.verdict(view.majority()).words());
         StringBuilder sums = new StringBuilder("shadow counts:");
-        state.sums().forEach((name, n) -> sums.append(' ').append(name).append('=').append(n));
+        state.sums()
+                .forEach((name, n) -> sums.append(' ').append(name).append('=').append(n));
         all.add(sums.toString());
         all.addAll(times());
         if (!foretold.isEmpty()) {
@@ -379,18 +435,22 @@
     private List<String> times() {
         List<String> words = new ArrayList<>();
         List<RouterCounts> all = state.counts();
-        all.stream().flatMap(c -> c.times().keySet().stream()).distinct().sorted().forEach(which -> {
-            Histogram h = new Histogram(2);
-            for (RouterCounts c : all) {
-                try {
-                    c.addTimes(which, h);
-                } catch (DataFormatException | IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
-                    LOG.warn("times of {} cannot be read: {}", c.router(), e.getMessage());
-                }
-            }
-            words.add("shadow times of " + which + ": n " + h.getTotalCount() + ", p50 " + h.getValueAtPercentile(50)
-                    + " us, p99 " + h.getValueAtPercentile(99) + " us");
-        });
+        all.stream()
+                .flatMap(c -> c.times().keySet().stream())
+                .distinct()
+                .sorted()
+                .forEach(which -> {
+                    Histogram h = new Histogram(2);
+                    for (RouterCounts c : all) {
+                        try {
+                            c.addTimes(which, h);
+                        } catch (DataFormatException | IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
+                            LOG.warn("times of {} cannot be read: {}", c.router(), e.getMessage());
+                        }
+                    }
+                    words.add("shadow times of " + which + ": n " + h.getTotalCount() + ", p50 "
+                            + h.getValueAtPercentile(50) + " us, p99 " + h.getValueAtPercentile(99) + " us");
+                });
         return words;
     }
 
--- a/router/src/main/java/stagepier/shadow/ShadowAsk.java
+++ b/router/src/main/java/stagepier/shadow/ShadowRequest.java
@@ -9,7 +9,7 @@
 import stagepier.memcache.Command;
 
 /** One copy at one cache server. Owns its timer; ends exactly once, here. On the event loop. */
-final class ShadowAsk {
+final class ShadowRequest {
     private final String id;
     private final Command command;
     private final double timeout;
@@ -24,7 +24,7 @@
      * @param command the real one
      * @param timeout the time that the real one has left, in seconds
      */
-    ShadowAsk(String id, Command command, double timeout, Consumer<Seen> done) {
+    ShadowRequest(String id, Command command, double timeout, Consumer<Seen> done) {
         this.id = id;
         this.command = command;
         this.timeout = timeout;
@@ -41,7 +41,8 @@
         words.replaceAll(w -> w.charAt(0) == 'O' ? "O" + id : w);
         // The key is the first word, whatever it begins with.
         words.set(0, command.key());
-        return new Command(command.kind(), List.copyOf(words), command.value()).forward(Math.max(1, Math.round(timeout * 1e3)));
+        return new Command(command.kind(), List.copyOf(words), command.value())
+                .forward(Math.max(1, Math.round(timeout * 1e3)));
     }
 
     /** @param steadyLink its connection has served before */
@@ -63,8 +64,13 @@
         switch (answer.kind()) {
             case BUSY -> end(Api.Outcome.FULL, now);
             case FAILED -> end(Api.Outcome.ERROR, now);
-            default -> end(new Seen(Api.Outcome.OK, lookup(answer.hit()),
-                    answer.flow() > 0 ? 0 : Seen.checksum(answer.body()), now - sentAt, steady));
+            default ->
+                end(new Seen(
+                        Api.Outcome.OK,
+                        lookup(answer.hit()),
+                        answer.flow() > 0 ? 0 : Seen.checksum(answer.body()),
+                        now - sentAt,
+                        steady));
         }
     }
 
--- a/router/src/main/java/stagepier/shadow/ShadowRules.java
+++ b/router/src/main/java/stagepier/shadow/ShadowRules.java
@@ -19,8 +19,8 @@
      * @param left       the time that it has
      * @param first      no copy of the key was answered by the candidate's owner of late: it is likely to fetch
      */
-    public record Asked(boolean repeatable, boolean write, int attempt, boolean sent, double whole, double left, boolean first) {
-    }
+    public record Asked(
+            boolean repeatable, boolean write, int attempt, boolean sent, double whole, double left, boolean first) {}
 
     /**
      * Where the key belongs.
--- a/router/src/main/java/stagepier/shadow/ShadowState.java
+++ b/router/src/main/java/stagepier/shadow/ShadowState.java
@@ -61,8 +61,9 @@
     }
 
     private boolean take(RouterCounts heard) {
-        return merged.take(heard) && heard.counter(Result.WRONG.counter()) > 0 && stop("wrong answers, seen by "
-                + heard.router());
+        return merged.take(heard)
+                && heard.counter(Result.WRONG.counter()) > 0
+                && stop("wrong answers, seen by " + heard.router());
     }
 
     private boolean stop(String why) {
@@ -71,27 +72,37 @@
         return news;
     }
 
-    synchronized Talk.Ask ask() {
-        return new Talk.Ask(id, map == null ? 0 : map.version(), merged.known());
+    synchronized ShadowMessages.SyncRequest ask() {
+        return new ShadowMessages.SyncRequest(id, map == null ? 0 : map.version(), merged.known());
     }
 
-    synchronized Talk.Known answer(Talk.Ask ask, long now) throws Message.MalformedException {
+    synchronized ShadowMessages.SyncResponse answer(ShadowMessages.SyncRequest ask, long now)
+            throws Message.MalformedException {
         if (ask.map() == null || ask.knows() == null || ask.knows().values().contains(null)) {
             throw new Message.MalformedException("an ask without a map or what is known");
         }
         boolean same = ask.map().equals(id);
         boolean knowsMap = same || map == null || ask.version() > map.version();
-        return new Talk.Known(id, map == null ? 0 : map.version(), knowsMap ? "" : map.text(), stopped,
-                lease.hasCaughtUp(), lease.ages(now), merged.known(), same ? merged.lackedBy(ask.knows(), Talk.COUNTS_MOST)
-                : List.of());
+        return new ShadowMessages.SyncResponse(
+                id,
+                map == null ? 0 : map.version(),
+                knowsMap ? "" : map.text(),
+                stopped,
+                lease.hasCaughtUp(),
+                lease.ages(now),
+                merged.known(),
+                same ? merged.lackedBy(ask.knows(), ShadowMessages.COUNTS_MOST) : List.of());
     }
 
     /** Takes the reply of a member; returns whether that has stopped the candidate just now. */
-    synchronized boolean heard(String member, long callBegan, Talk.Known known) throws Message.MalformedException {
-        if (known.knows() == null || known.ages() == null || known.knows().values().contains(null)) {
+    synchronized boolean heard(String member, long callBegan, ShadowMessages.SyncResponse known)
+            throws Message.MalformedException {
+        if (known.knows() == null
+                || known.ages() == null
+                || known.knows().values().contains(null)) {
             throw new Message.MalformedException("a reply without what is known");
         }
-        boolean news = told(new Talk.Tell(known.map(), known.text(), known.stopped(), known.counts()));
+        boolean news = told(new ShadowMessages.Update(known.map(), known.text(), known.stopped(), known.counts()));
         // Of whoever tries another map it is not known whether it was told of a stop of this one.
         if (known.map().equals(id)) {
             lease.heard(member, callBegan, known.caughtUp(), known.ages());
@@ -100,19 +111,21 @@
     }
 
     /** What the member that replied lacks; null for nothing. */
-    synchronized Talk.Tell lackedBy(Talk.Known known) {
+    synchronized ShadowMessages.Update lackedBy(ShadowMessages.SyncResponse known) {
         if (map == null) {
             return null;
         }
         boolean same = known.map().equals(id);
-        List<RouterCounts> counts = same ? merged.lackedBy(known.knows(), Talk.COUNTS_MOST) : List.of();
+        List<RouterCounts> counts = same ? merged.lackedBy(known.knows(), ShadowMessages.COUNTS_MOST) : List.of();
         boolean older = !same && known.version() <= map.version();
         boolean unaware = same && !stopped.isEmpty() && known.stopped().isEmpty();
-        return counts.isEmpty() && !older && !unaware ? null : new Talk.Tell(id, older ? map.text() : "", stopped, counts);
+        return counts.isEmpty() && !older && !unaware
+                ? null
+                : new ShadowMessages.Update(id, older ? map.text() : "", stopped, counts);
     }
 
     /** Returns whether that has stopped the candidate just now. */
-    synchronized boolean told(Talk.Tell tell) throws Message.MalformedException {
+    synchronized boolean told(ShadowMessages.Update tell) throws Message.MalformedException {
         if (tell.map() == null || tell.text() == null || tell.stopped() == null || tell.counts() == null) {
             throw new Message.MalformedException("something is missing in what was told");
         }
@@ -138,8 +151,8 @@
         return news;
     }
 
-    synchronized Talk.Tell stopWord() {
-        return new Talk.Tell(id, "", stopped, List.of());
+    synchronized ShadowMessages.Update stopWord() {
+        return new ShadowMessages.Update(id, "", stopped, List.of());
     }
 
     /** Until when copies may be sent, in nanoseconds of {@code Tasks}. */
@@ -162,8 +175,11 @@
     /** @param majority this router and those that it hears are more than half of the configured ones */
     synchronized Verdict verdict(boolean majority) {
         boolean heard = map != null && majority && merged.routersWith(Counts.SCORES) > fleet / 2;
-        return Verdict.of(Counts.sums(Counts.SCORES, merged::sum), Counts.sums(Counts.CONTROLS, merged::sum),
-                map == null ? 0 : Math.log1p(map.margin()), heard);
+        return Verdict.of(
+                Counts.sums(Counts.SCORES, merged::sum),
+                Counts.sums(Counts.CONTROLS, merged::sum),
+                map == null ? 0 : Math.log1p(map.margin()),
+                heard);
     }
 
     synchronized long routersHeard() {
--- a/router/src/main/java/stagepier/shadow/ShardRing.java
+++ b/router/src/main/java/stagepier/shadow/ShardRing.java
@@ -39,7 +39,8 @@
      * @param sizes whether weights stand for sizes
      */
     public static ShardRing of(List<Api.Member> members, boolean sizes) {
-        List<Api.Member> ready = members.stream().filter(m -> m.state() == Api.MemberState.READY).toList();
+        List<Api.Member> ready =
+                members.stream().filter(m -> m.state() == Api.MemberState.READY).toList();
         double mean = ready.stream().mapToDouble(Api.Member::weight).average().orElse(1);
         // A power of two near the mean, as the module has it.
         double usual = mean > 0 ? Math.pow(2, Math.rint(Math.log(mean) / Math.log(2))) : 1;
--- a/router/src/main/java/stagepier/shadow/Spread.java
+++ b/router/src/main/java/stagepier/shadow/Spread.java
@@ -44,7 +44,8 @@
     }
 
     /** Parts by what servers have in common. */
-    static Map<String, Double> by(Map<Long, Double> parts, List<Api.Member> members, Function<Api.Member, String> what) {
+    static Map<String, Double> by(
+            Map<Long, Double> parts, List<Api.Member> members, Function<Api.Member, String> what) {
         Map<Long, String> names = new HashMap<>();
         members.forEach(m -> names.put(m.id(), what.apply(m)));
         Map<String, Double> sums = new TreeMap<>();
@@ -54,9 +55,13 @@
 
     /** For staff. */
     public String words(List<Api.Member> members, List<String> zones, List<String> kinds) {
-        return String.format(Locale.ROOT, "keys moved %.1f%%, largest server %.2f -> %.2f of the mean, zones %s, kinds %s",
+        return String.format(
+                Locale.ROOT,
+                "keys moved %.1f%%, largest server %.2f -> %.2f of the mean, zones %s, kinds %s",
                 100 * moved,
-                largest(present), largest(foretold), change(members, m -> name(zones, m.zone())),
+                largest(present),
+                largest(foretold),
+                change(members, m -> name(zones, m.zone())),
                 change(members, m -> name(kinds, m.kind())));
     }
 
@@ -67,7 +72,13 @@
     private String change(List<Api.Member> members, Function<Api.Member, String> what) {
         Map<String, Double> before = by(present, members, what);
         Map<String, Double> after = by(foretold, members, what);
-        return after.entrySet().stream().map(e -> String.format(Locale.ROOT, "%s %.1f%%->%.1f%%", e.getKey(),
-                100 * before.getOrDefault(e.getKey(), 0.0), 100 * e.getValue())).collect(Collectors.joining(" "));
+        return after.entrySet().stream()
+                .map(e -> String.format(
+                        Locale.ROOT,
+                        "%s %.1f%%->%.1f%%",
+                        e.getKey(),
+                        100 * before.getOrDefault(e.getKey(), 0.0),
+                        100 * e.getValue()))
+                .collect(Collectors.joining(" "));
     }
 }
--- a/router/src/main/java/stagepier/shadow/Verdict.java
+++ b/router/src/main/java/stagepier/shadow/Verdict.java
@@ -21,7 +21,10 @@
 public record Verdict(Kind kind, long copies, double mean, double low, double high) {
     /** What may be said. */
     public enum Kind {
-        BETTER, WORSE, NO_DIFFERENCE, NOT_ENOUGH;
+        BETTER,
+        WORSE,
+        NO_DIFFERENCE,
+        NOT_ENOUGH;
 
         /** In words, as staff read it. */
         public String words() {
@@ -37,7 +40,9 @@
     public static final long LEAST = 200;
     /** Scores for which the interval is about as narrow as one can be that is good at all times. */
     private static final double BEST_AT = 2000;
-    private static final double RHO_SQUARED = (-2 * Math.log(MADE_FOR) + Math.log(-2 * Math.log(MADE_FOR) + 1)) / BEST_AT;
+
+    private static final double RHO_SQUARED =
+            (-2 * Math.log(MADE_FOR) + Math.log(-2 * Math.log(MADE_FOR) + 1)) / BEST_AT;
 
     /** Scores, added up: how many, their sum and that of their squares. */
     public record Sums(long n, double sum, double squares) {
@@ -64,8 +69,12 @@
         }
         double mean = candidate.mean() - control.mean();
         double grown = pairs * RHO_SQUARED + 1;
-        double half = Math.sqrt(2 * (candidate.variance() + control.variance()) * grown / RHO_SQUARED
-                * Math.log(Math.sqrt(grown) / MADE_FOR)) / pairs;
+        double half = Math.sqrt(2
+                        * (candidate.variance() + control.variance())
+                        * grown
+                        / RHO_SQUARED
+                        * Math.log(Math.sqrt(grown) / MADE_FOR))
+                / pairs;
         Kind kind = heard && pairs >= LEAST ? kind(mean - half, mean + half, margin) : Kind.NOT_ENOUGH;
         return new Verdict(kind, copies, mean, mean - half, mean + half);
     }
@@ -82,8 +91,14 @@
         if (Double.isInfinite(low)) {
             return kind.words() + " (" + copies + " copies compared)";
         }
-        return String.format(Locale.ROOT, "%s (%d copies, time %+.1f%%, between %+.1f%% and %+.1f%%)", kind.words(), copies,
-                percent(mean), percent(low), percent(high));
+        return String.format(
+                Locale.ROOT,
+                "%s (%d copies, time %+.1f%%, between %+.1f%% and %+.1f%%)",
+                kind.words(),
+                copies,
+                percent(mean),
+                percent(low),
+                percent(high));
     }
 
     private static double percent(double score) {
--- a/router/src/main/java/stagepier/tasks/LiveBox.java
+++ b/router/src/main/java/stagepier/tasks/LiveBox.java
@@ -15,6 +15,7 @@
     private final Queue<T> things = new ConcurrentLinkedQueue<>();
     /** Places taken: taken before a thing is put in, given back after it was taken out, so never too few. */
     private final AtomicInteger held = new AtomicInteger();
+
     private final AtomicLong dropped = new AtomicLong();
     private volatile Thread taker;
 
@@ -43,7 +44,7 @@
         // Named before the queue is looked at: whoever puts after that look finds whom to wake.
         taker = Thread.currentThread();
         try {
-            for (;;) {
+            for (; ; ) {
                 if (Thread.interrupted()) {
                     throw new InterruptedException();
                 }
