--- a/router/src/test/java/stagepier/fleet/MemberTableTest.java
+++ b/router/src/test/java/stagepier/fleet/MemberTableTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Timeout;
 import stagepier.fleet.FleetView.Facts;
 import stagepier.fleet.FleetView.State;
-import stagepier.fleet.ViewWords.News;
+import stagepier.fleet.MembershipMessages.News;
 
 @Timeout(20)
 class MemberTableTest {
@@ -27,13 +27,22 @@
         for (String name : List.of("a", "b", "c", "d")) {
             members.put(name, new InetSocketAddress("127.0.0.1", name.charAt(0)));
         }
-        FleetConfig config = new FleetConfig(Path.of("fleet.toml"), "hash", "a", members.get("a"), members, null,
-                Duration.ofSeconds(3), Duration.ofSeconds(2), null);
+        FleetConfig config = new FleetConfig(
+                Path.of("fleet.toml"),
+                "hash",
+                "a",
+                members.get("a"),
+                members,
+                null,
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(2),
+                null);
         return new MemberTable(config, incarnation, NOW, new Random(1));
     }
 
     private static News news(String name, long incarnation, State state) {
-        return new News(name, incarnation, state.ordinal(), List.of(), incarnation, new Facts("1", "hash", incarnation, 0, 0));
+        return new News(
+                name, incarnation, state.ordinal(), List.of(), incarnation, new Facts("1", "hash", incarnation, 0, 0));
     }
 
     /** News may come twice, late and in any order: all routers come to hold the same. */
@@ -55,8 +64,12 @@
             table.answered("c", NOW + 1);
             table.tick(0, NOW + 2);
             FleetView view = table.changedView();
-            assertEquals(new FleetView.Member("b", 3, State.LEFT, new Facts("1", "hash", 3, 0, 0)), view.member("b").orElseThrow());
-            assertEquals(new FleetView.Member("c", 6, State.ALIVE, new Facts("1", "hash", 6, 0, 0)), view.member("c").orElseThrow());
+            assertEquals(
+                    new FleetView.Member("b", 3, State.LEFT, new Facts("1", "hash", 3, 0, 0)),
+                    view.member("b").orElseThrow());
+            assertEquals(
+                    new FleetView.Member("c", 6, State.ALIVE, new Facts("1", "hash", 6, 0, 0)),
+                    view.member("c").orElseThrow());
         }
     }
 
@@ -65,11 +78,16 @@
         MemberTable table = table(100);
         table.apply("b", news("b", 5, State.ALIVE), NOW);
         table.answered("b", NOW);
-        table.apply("c", news("b", 5, State.GONE), NOW + MemberTable.ms(100));
+        table.apply("c", news("b", 5, State.GONE), NOW + Peers.ms(100));
         assertEquals(State.ALIVE, table.changedView().member("b").orElseThrow().state());
-        assertTrue(table.news().stream().anyMatch(n -> n.n().equals("b") && n.s() == State.GONE.ordinal()), "it is told on");
-        table.apply("b", news("b", 6, State.ALIVE), NOW + MemberTable.ms(200));
-        assertTrue(table.news().stream().noneMatch(n -> n.n().equals("b") && n.s() == State.GONE.ordinal()), "it was contradicted");
+        assertTrue(
+                table.told().news().stream().anyMatch(n -> n.member().equals("b") && n.state() == State.GONE.ordinal()),
+                "it is told on");
+        table.apply("b", news("b", 6, State.ALIVE), NOW + Peers.ms(200));
+        assertTrue(
+                table.told().news().stream()
+                        .noneMatch(n -> n.member().equals("b") && n.state() == State.GONE.ordinal()),
+                "it was contradicted");
     }
 
     /**
@@ -83,14 +101,18 @@
         table.apply("c", news("c", 5, State.ALIVE), NOW);
         table.answered("b", NOW);
         table.answered("c", NOW);
-        table.tick(0, NOW + MemberTable.ms(1));
-        table.apply("c", news("b", 5, State.GONE), NOW + MemberTable.ms(5_000));
-        table.apply("b", news("b", 6, State.ALIVE), NOW + MemberTable.ms(5_100));
-        table.tick(0, NOW + MemberTable.ms(5_200));
+        table.tick(0, NOW + Peers.ms(1));
+        table.apply("c", news("b", 5, State.GONE), NOW + Peers.ms(5_000));
+        table.apply("b", news("b", 6, State.ALIVE), NOW + Peers.ms(5_100));
+        table.tick(0, NOW + Peers.ms(5_200));
         assertEquals(State.GONE, table.changedView().member("b").orElseThrow().state());
-        assertTrue(table.news().stream().anyMatch(n -> n.n().equals("b") && n.i() == 6 && n.s() == State.ALIVE.ordinal()), "it is told on");
-        table.answered("b", NOW + MemberTable.ms(5_300));
-        table.tick(0, NOW + MemberTable.ms(5_400));
+        assertTrue(
+                table.told().news().stream()
+                        .anyMatch(n ->
+                                n.member().equals("b") && n.incarnation() == 6 && n.state() == State.ALIVE.ordinal()),
+                "it is told on");
+        table.answered("b", NOW + Peers.ms(5_300));
+        table.tick(0, NOW + Peers.ms(5_400));
         assertEquals(State.ALIVE, table.changedView().member("b").orElseThrow().state());
     }
 
@@ -99,9 +121,10 @@
     void whoContradictsDoesSoABoundedNumberOfTimes() {
         MemberTable table = table(100);
         for (int ms = 0; ms < 1_000; ms++) {
-            table.apply("b", news("a", table.incarnation() + 1, State.ALIVE), NOW + MemberTable.ms(ms));
+            table.apply("b", news("a", table.incarnation() + 1, State.ALIVE), NOW + Peers.ms(ms));
         }
-        assertTrue(table.incarnation() > 100 && table.incarnation() <= 100 + 2 * 10, "incarnation " + table.incarnation());
+        assertTrue(
+                table.incarnation() > 100 && table.incarnation() <= 100 + 2 * 10, "incarnation " + table.incarnation());
     }
 
     @Test
--- a/router/src/test/java/stagepier/fleet/MemoryNet.java
+++ b/router/src/test/java/stagepier/fleet/MemoryNet.java
@@ -118,7 +118,8 @@
         }
 
         @Override
-        public Message call(String member, Message message, Duration most) throws SilentException, InterruptedException {
+        public Message call(String member, Message message, Duration most)
+                throws SilentException, InterruptedException {
             String text = written(message);
             Box<String> reply = node.box(1);
             Door door = doors.get(member);
--- a/router/src/test/java/stagepier/fleet/TcpCallsTest.java
+++ b/router/src/test/java/stagepier/fleet/TcpCallsTest.java
@@ -42,8 +42,19 @@
         private final CountDownLatch held = new CountDownLatch(1);
 
         Process(String name) {
-            calls = new TcpCalls(tasks, new FleetConfig(Path.of("fleet.toml"), "hash", name, members.get(name), members, null,
-                    Duration.ofSeconds(3), Duration.ofSeconds(2), null), 1);
+            calls = new TcpCalls(
+                    tasks,
+                    new FleetConfig(
+                            Path.of("fleet.toml"),
+                            "hash",
+                            name,
+                            members.get(name),
+                            members,
+                            null,
+                            Duration.ofSeconds(3),
+                            Duration.ofSeconds(2),
+                            null),
+                    1);
             calls.answer("test", (from, call) -> {
                 if (call.kind().equals("test.bad")) {
                     throw new Message.MalformedException("bad");
@@ -128,7 +139,9 @@
                 for (int i = 0; i < 500; i++) {
                     try {
                         String text = task + "-" + i;
-                        String said = a.calls.call("b", Message.of("test.say", text), MOST).read(String.class);
+                        String said = a.calls
+                                .call("b", Message.of("test.say", text), MOST)
+                                .read(String.class);
                         if (!said.equals("a>b:" + text)) {
                             wrong.add(said);
                         }
@@ -144,11 +157,22 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"nonsense\n", "\n", "[]\n", "{\"name\":\"b\",\"target\":\"a\"\n", "{name:'b'}\n", "{\"name\":{}}\n",
-        "\u0000\n", "LONG", "{\"name\":\"b\",\"target\":\"a\"}\nnonsense\n", "{\"name\":\"b\",\"target\":\"a\"}\n{\"id\":1}\n",
-        "{\"name\":\"b\",\"target\":\"a\"}\n{\"id\":1,\"kind\":\"test.bad\",\"body\":1}\n",
-        "{\"name\":\"b\",\"target\":\"a\"}\n{\"id\":1,\"kind\":\"test.say\",\"body\":{}}\n",
-        "{\"name\":\"b\",\"target\":\"a\"}\n{\"id\":\"x\",\"kind\":\"test.say\",\"body\":1}\n"})
+    @ValueSource(
+            strings = {
+                "nonsense\n",
+                "\n",
+                "[]\n",
+                "{\"name\":\"b\",\"target\":\"a\"\n",
+                "{name:'b'}\n",
+                "{\"name\":{}}\n",
+                "\u0000\n",
+                "LONG",
+                "{\"name\":\"b\",\"target\":\"a\"}\nnonsense\n",
+                "{\"name\":\"b\",\"target\":\"a\"}\n{\"id\":1}\n",
+                "{\"name\":\"b\",\"target\":\"a\"}\n{\"id\":1,\"kind\":\"test.bad\",\"body\":1}\n",
+                "{\"name\":\"b\",\"target\":\"a\"}\n{\"id\":1,\"kind\":\"test.say\",\"body\":{}}\n",
+                "{\"name\":\"b\",\"target\":\"a\"}\n{\"id\":\"x\",\"kind\":\"test.say\",\"body\":1}\n"
+            })
     void garbageClosesThatLinkAndIsCounted(String said) throws Exception {
         Process a = new Process("a");
         assertShutOut(said.equals("LONG") ? "x".repeat(Calls.LONGEST + 100) : said);
@@ -158,8 +182,14 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"{}\n", "{\"name\":\"d\",\"target\":\"a\"}\n", "{\"name\":\"a\",\"target\":\"a\"}\n",
-        "{\"name\":\"b\",\"target\":\"c\"}\n", "{\"name\":\"b\"}\n"})
+    @ValueSource(
+            strings = {
+                "{}\n",
+                "{\"name\":\"d\",\"target\":\"a\"}\n",
+                "{\"name\":\"a\",\"target\":\"a\"}\n",
+                "{\"name\":\"b\",\"target\":\"c\"}\n",
+                "{\"name\":\"b\"}\n"
+            })
     void aStrangerIsShutOutAndCounted(String said) throws Exception {
         Process a = new Process("a");
         assertShutOut(said);
@@ -172,7 +202,8 @@
         Socket[] up = new Socket[1];
         until(() -> {
             try {
-                up[0] = new Socket(members.get("a").getAddress(), members.get("a").getPort());
+                up[0] = new Socket(
+                        members.get("a").getAddress(), members.get("a").getPort());
                 return true;
             } catch (IOException e) {
                 return false;
@@ -201,7 +232,9 @@
         Process b = new Process("b");
         Process a = new Process("a");
         assertEquals("a>b:x", a.sayUntilHeard("b", "x"));
-        assertThrows(Calls.SilentException.class, () -> a.calls.call("c", Message.of("test.say", "x"), Duration.ofMillis(300)));
+        assertThrows(
+                Calls.SilentException.class,
+                () -> a.calls.call("c", Message.of("test.say", "x"), Duration.ofMillis(300)));
         until(() -> b.calls.strangers() > 0);
     }
 
@@ -211,7 +244,9 @@
         Process before = new Process("b");
         a.sayUntilHeard("b", "x");
         before.tasks.stop();
-        assertThrows(Calls.SilentException.class, () -> a.calls.call("b", Message.of("test.say", "x"), Duration.ofMillis(300)));
+        assertThrows(
+                Calls.SilentException.class,
+                () -> a.calls.call("b", Message.of("test.say", "x"), Duration.ofMillis(300)));
         new Process("b");
         assertEquals("a>b:y", a.sayUntilHeard("b", "y"));
     }
@@ -224,7 +259,9 @@
         a.sayUntilHeard("b", "x");
         a.sayUntilHeard("c", "x");
         long began = System.nanoTime();
-        assertThrows(Calls.SilentException.class, () -> a.calls.call("b", Message.of("test.hold", "x"), Duration.ofMillis(100)));
+        assertThrows(
+                Calls.SilentException.class,
+                () -> a.calls.call("b", Message.of("test.hold", "x"), Duration.ofMillis(100)));
         assertTrue(System.nanoTime() - began < 3_000_000_000L);
         assertEquals("a>c:x", a.say("c", "x"));
     }
@@ -239,7 +276,8 @@
             String large = "z".repeat(Calls.LONGEST - 100);
             long began = System.nanoTime();
             for (int i = 0; i < 200; i++) {
-                assertThrows(Calls.SilentException.class,
+                assertThrows(
+                        Calls.SilentException.class,
                         () -> a.calls.call("b", Message.of("test.say", large), Duration.ofMillis(1)));
             }
             assertTrue(System.nanoTime() - began < 10_000_000_000L);
--- a/router/src/test/java/stagepier/fleet/ViewFaults.java
+++ b/router/src/test/java/stagepier/fleet/ViewFaults.java
@@ -15,8 +15,26 @@
 final class ViewFaults {
     /** Named, so that a table can be made of them; each leaves the fleet in a state that lasts. */
     enum Fault {
-        KILL_ONE, KILL_TEN_OF_FOURTEEN, RESTART, RESTART_OF_TEN, HALVES, HALVES_HEALED, ONE_ALONE, ONE_ALONE_HEALED, ONE_WAY_PAIR,
-        MUTE, MUTE_HEALED, DEAF, DEAF_HEALED, ONE_WAY_HALVES, ONE_WAY_HALVES_HEALED, BRIDGE, BRIDGE_HEALED, FLAP, STANDS_STILL, LEAVES
+        KILL_ONE,
+        KILL_TEN_OF_FOURTEEN,
+        RESTART,
+        RESTART_OF_TEN,
+        HALVES,
+        HALVES_HEALED,
+        ONE_ALONE,
+        ONE_ALONE_HEALED,
+        ONE_WAY_PAIR,
+        MUTE,
+        MUTE_HEALED,
+        DEAF,
+        DEAF_HEALED,
+        ONE_WAY_HALVES,
+        ONE_WAY_HALVES_HEALED,
+        BRIDGE,
+        BRIDGE_HEALED,
+        FLAP,
+        STANDS_STILL,
+        LEAVES
     }
 
     private final ViewFleet fleet;
@@ -160,7 +178,10 @@
     private void reach(String name, Set<String> side) {
         if (side.add(name)) {
             for (String other : fleet.names) {
-                if (fleet.isUp(other) && !left.contains(other) && !cuts.contains(name + ">" + other) && !cuts.contains(other + ">" + name)) {
+                if (fleet.isUp(other)
+                        && !left.contains(other)
+                        && !cuts.contains(name + ">" + other)
+                        && !cuts.contains(other + ">" + name)) {
                     reach(other, side);
                 }
             }
--- a/router/src/test/java/stagepier/fleet/ViewFleet.java
+++ b/router/src/test/java/stagepier/fleet/ViewFleet.java
@@ -34,6 +34,7 @@
     final List<String> wronged = new ArrayList<>();
     /** How many views were taken up, and when the last one. */
     int taken;
+
     double lastTaken;
 
     final class Process {
@@ -45,7 +46,12 @@
         Process(String name, Duration wallOff) {
             node = world.node(name, wallOff);
             Calls calls = net.calls(node);
-            membership = new Membership(node, calls, config(name), (event, values) -> tell(name, event, values), world.random().nextLong());
+            membership = new Membership(
+                    node,
+                    calls,
+                    config(name),
+                    (event, values) -> tell(name, event, values),
+                    world.random().nextLong());
             membership.facts(new FleetView.Facts("1", config(name).hash(), 1, 0, 0));
             membership.start();
             calls.start();
@@ -73,7 +79,8 @@
                 }
             }
             if (lines.size() < 20_000) {
-                lines.add(String.format(Locale.ROOT, "%.2f %s %s", world.seconds(), name, changes((List<?>) values[5])));
+                lines.add(
+                        String.format(Locale.ROOT, "%.2f %s %s", world.seconds(), name, changes((List<?>) values[5])));
             }
         }
     }
@@ -93,15 +100,24 @@
         ViewFleet fleet = new ViewFleet(size, seed);
         fleet.names.forEach(n -> fleet.start(n, Duration.ZERO));
         if (fleet.settleTime(10, Set.of(fleet.names)) < 0) {
-            throw new AssertionError("the fleet did not settle at its start: " + fleet.disagreement(Set.of(fleet.names)));
+            throw new AssertionError(
+                    "the fleet did not settle at its start: " + fleet.disagreement(Set.of(fleet.names)));
         }
         fleet.wronged.clear();
         return fleet;
     }
 
     private FleetConfig config(String name) {
-        return new FleetConfig(Path.of("fleet.toml"), "hash", name, addresses.get(name), addresses, null, Duration.ofSeconds(3),
-                Duration.ofSeconds(2), null);
+        return new FleetConfig(
+                Path.of("fleet.toml"),
+                "hash",
+                name,
+                addresses.get(name),
+                addresses,
+                null,
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(2),
+                null);
     }
 
     void start(String name, Duration wallOff) {
@@ -159,7 +175,9 @@
         List<Member> different = new ArrayList<>(held);
         different.removeAll(other);
         return name + " holds " + different.size() + " otherwise, such as " + different.get(0) + " and another "
-                + other.stream().filter(m -> m.name().equals(different.get(0).name())).findFirst();
+                + other.stream()
+                        .filter(m -> m.name().equals(different.get(0).name()))
+                        .findFirst();
     }
 
     /** Seconds until the sides agree, each by itself; -1 where they don't in so many. */
@@ -178,8 +196,10 @@
     String changesWithin(double seconds, Collection<? extends Collection<String>> sides) {
         int before = taken;
         run(seconds);
-        return taken == before ? disagreement(sides)
-                : (taken - before) + " views taken up, such as " + lines.subList(Math.max(0, lines.size() - 6), lines.size());
+        return taken == before
+                ? disagreement(sides)
+                : (taken - before) + " views taken up, such as "
+                        + lines.subList(Math.max(0, lines.size() - 6), lines.size());
     }
 
     @Override
--- a/router/src/test/java/stagepier/fleet/ViewHistoriesTest.java
+++ b/router/src/test/java/stagepier/fleet/ViewHistoriesTest.java
@@ -25,6 +25,7 @@
 class ViewHistoriesTest {
     /** How many of each kind; more by {@code -Dview.histories}, to search. */
     private static final int HISTORIES = Integer.getInteger("view.histories", 60);
+
     private static final long FIRST_SEED = Long.getLong("view.seed", 1);
     private static final int AT_A_TIME = 4;
     private static final double SETTLES = 3;
@@ -82,7 +83,8 @@
     void theTrafficOfARouterDoesNotGrowWithTheFleet() {
         double small = messagesASecond(7);
         double large = messagesASecond(42);
-        assertTrue(small < 32 && large < 32, "a router of 7 is sent " + small + " messages a second, one of 42 " + large);
+        assertTrue(
+                small < 32 && large < 32, "a router of 7 is sent " + small + " messages a second, one of 42 " + large);
     }
 
     private static double messagesASecond(int size) {
@@ -109,13 +111,15 @@
         ConcurrentLinkedQueue<String> failed = new ConcurrentLinkedQueue<>();
         ExecutorService pool = Executors.newFixedThreadPool(AT_A_TIME);
         try {
-            List<Future<?>> all = LongStream.range(FIRST_SEED, FIRST_SEED + many).<Future<?>>mapToObj(seed -> pool.submit(() -> {
-                try {
-                    history.accept(seed);
-                } catch (AssertionError e) {
-                    failed.add(e.getMessage() + (e.getCause() == null ? "" : " by " + e.getCause()));
-                }
-            })).toList();
+            List<Future<?>> all = LongStream.range(FIRST_SEED, FIRST_SEED + many)
+                    .<Future<?>>mapToObj(seed -> pool.submit(() -> {
+                        try {
+                            history.accept(seed);
+                        } catch (AssertionError e) {
+                            failed.add(e.getMessage() + (e.getCause() == null ? "" : " by " + e.getCause()));
+                        }
+                    }))
+                    .toList();
             for (Future<?> one : all) {
                 one.get();
             }
--- a/router/src/test/java/stagepier/fleet/ViewScheduleTest.java
+++ b/router/src/test/java/stagepier/fleet/ViewScheduleTest.java
@@ -53,7 +53,8 @@
             fleet.run(3);
             assertFalse(fleet.view(mute).majority());
             assertTrue(fleet.process(mute).membership.status().get(0).contains("majority=no"));
-            assertEquals(State.GONE, fleet.view("r000").member(mute).orElseThrow().state());
+            assertEquals(
+                    State.GONE, fleet.view("r000").member(mute).orElseThrow().state());
         }
     }
 
@@ -64,9 +65,15 @@
             String still = fleet.names.get(3);
             fleet.process(still).node.standStill(Duration.ofSeconds(4));
             fleet.run(20);
-            assertEquals(List.of(), fleet.wronged.stream().filter(w -> w.contains(" " + still + " calls")).toList());
-            assertTrue(fleet.wronged.stream().anyMatch(w -> w.endsWith(still + " gone")), "the others have to see it go");
-            assertEquals(State.ALIVE, fleet.view("r000").member(still).orElseThrow().state());
+            assertEquals(
+                    List.of(),
+                    fleet.wronged.stream()
+                            .filter(w -> w.contains(" " + still + " calls"))
+                            .toList());
+            assertTrue(
+                    fleet.wronged.stream().anyMatch(w -> w.endsWith(still + " gone")), "the others have to see it go");
+            assertEquals(
+                    State.ALIVE, fleet.view("r000").member(still).orElseThrow().state());
         }
     }
 
@@ -98,8 +105,12 @@
             fleet.run(0.3);
             faults.heal();
             faults.check("left", 3, 5);
-            fleet.names.stream().filter(fleet::isUp).forEach(n ->
-                    assertEquals(State.LEFT, fleet.view(n).member(leaver.get(0)).orElseThrow().state(), n));
+            fleet.names.stream()
+                    .filter(fleet::isUp)
+                    .forEach(n -> assertEquals(
+                            State.LEFT,
+                            fleet.view(n).member(leaver.get(0)).orElseThrow().state(),
+                            n));
         }
     }
 }
--- a/router/src/test/java/stagepier/fleet/VirtualWorld.java
+++ b/router/src/test/java/stagepier/fleet/VirtualWorld.java
@@ -139,7 +139,8 @@
             go.release();
             try {
                 if (!baton.tryAcquire(20, TimeUnit.SECONDS)) {
-                    AssertionError stuck = new AssertionError("a task waits by other means than Tasks, or for a lock that one holds");
+                    AssertionError stuck =
+                            new AssertionError("a task waits by other means than Tasks, or for a lock that one holds");
                     stuck.setStackTrace(thread.getStackTrace());
                     throw stuck;
                 }
@@ -157,7 +158,7 @@
 
         private void run() {
             try {
-                for (;;) {
+                for (; ; ) {
                     go.acquire();
                     try {
                         body.run();
--- a/router/src/test/java/stagepier/fleet/VirtualWorldTest.java
+++ b/router/src/test/java/stagepier/fleet/VirtualWorldTest.java
@@ -34,7 +34,9 @@
                         for (String other : List.of("a", "b", "c")) {
                             String said;
                             try {
-                                said = calls.call(other, Message.of("test.say", i), ms(50)).body().toString();
+                                said = calls.call(other, Message.of("test.say", i), ms(50))
+                                        .body()
+                                        .toString();
                             } catch (Calls.SilentException e) {
                                 said = "silent";
                             }
@@ -64,9 +66,12 @@
     void aCutIsOneWayADeadOneIsSilentAndOneThatStandsStillGoesOn() {
         List<String> lines = history(7);
         assertTrue(lines.stream().noneMatch(l -> time(l) > 1.1 && l.contains(" a b \"b")), "a's calls do not reach b");
-        assertTrue(lines.stream().noneMatch(l -> time(l) > 1.1 && l.contains(" b a \"a")), "a's replies do not reach b");
-        assertTrue(lines.stream().noneMatch(l -> time(l) > 2 && l.contains(" c ") && !l.contains("silent")), "c is dead");
-        assertTrue(lines.stream().noneMatch(l -> time(l) > 3.01 && time(l) < 7 && l.contains(" a c ")), "a stands still");
+        assertTrue(
+                lines.stream().noneMatch(l -> time(l) > 1.1 && l.contains(" b a \"a")), "a's replies do not reach b");
+        assertTrue(
+                lines.stream().noneMatch(l -> time(l) > 2 && l.contains(" c ") && !l.contains("silent")), "c is dead");
+        assertTrue(
+                lines.stream().noneMatch(l -> time(l) > 3.01 && time(l) < 7 && l.contains(" a c ")), "a stands still");
         assertTrue(lines.stream().anyMatch(l -> time(l) > 7 && l.contains(" a c ")), "a goes on");
     }
 
--- a/router/src/test/java/stagepier/freeze/AgreedTextsTest.java
+++ b/router/src/test/java/stagepier/freeze/AgreedTextsTest.java
@@ -34,11 +34,12 @@
     private void start(String name) {
         TreeMap<String, InetSocketAddress> members = new TreeMap<>();
         NAMES.forEach(n -> members.put(n, new InetSocketAddress("127.0.0.1", 1)));
-        FleetConfig config = new FleetConfig(null, "", name, members.get(name), members, null, Duration.ofSeconds(3),
-                Duration.ofSeconds(2), null);
+        FleetConfig config = new FleetConfig(
+                null, "", name, members.get(name), members, null, Duration.ofSeconds(3), Duration.ofSeconds(2), null);
         VirtualWorld.Node node = world.node(name, Duration.ZERO);
         Calls calls = net.calls(node);
-        AgreedTexts agreed = new AgreedTexts("promotion", node, calls, config, (event, values) -> events.add(event), ++seed);
+        AgreedTexts agreed =
+                new AgreedTexts("promotion", node, calls, config, (event, values) -> events.add(event), ++seed);
         agreed.start();
         calls.start();
         nodes.put(name, node);
@@ -58,7 +59,8 @@
     }
 
     private boolean all(String text) {
-        return texts.values().stream().allMatch(t -> t.last() != null && t.last().text().equals(text));
+        return texts.values().stream()
+                .allMatch(t -> t.last() != null && t.last().text().equals(text));
     }
 
     @Test
--- a/router/src/test/java/stagepier/freeze/AgreementTest.java
+++ b/router/src/test/java/stagepier/freeze/AgreementTest.java
@@ -32,10 +32,11 @@
             List<Boolean> whole = new ArrayList<>();
             other.start("asks", () -> {
                 for (String hash : List.of("other", Windows.hash("r000\nr001\nr002"))) {
-                    Ask ask = new Ask(hash, "r002", 1, 0, 0, null, null, null, null);
+                    RegisterRequest ask = new RegisterRequest(hash, "r002", 1, 0, 0, null, null, null, null);
                     try {
-                        Message said = fleet.net.calls(other).call("r000", Message.of(Ask.CONFIRM, ask), ms(500));
-                        whole.add(said.read(Reply.class).whole());
+                        Message said =
+                                fleet.net.calls(other).call("r000", Message.of(RegisterRequest.CONFIRM, ask), ms(500));
+                        whole.add(said.read(RegisterResponse.class).whole());
                     } catch (Calls.SilentException | Message.MalformedException e) {
                         throw new IllegalStateException(e);
                     }
@@ -55,11 +56,12 @@
             assertTrue(fleet.world.runUntil(fleet::agree, ms(5000)), fleet::story);
             fleet.routers.get(5).propose(FROZEN);
 
-            assertTrue(fleet.world.runUntil(() -> fleet.routers.stream().allMatch(r -> r.permit() == Calendar.Permit.FROZEN),
-                    ms(3000)), fleet::story);
+            assertTrue(
+                    fleet.world.runUntil(
+                            () -> fleet.routers.stream().allMatch(r -> r.permit() == Calendar.Permit.FROZEN), ms(3000)),
+                    fleet::story);
             fleet.world.run(ms(5000));
             assertEquals(List.of(), Judge.breaches(fleet));
-
         }
     }
 }
--- a/router/src/test/java/stagepier/freeze/CalendarFileTest.java
+++ b/router/src/test/java/stagepier/freeze/CalendarFileTest.java
@@ -40,12 +40,14 @@
 
     private static List<String> spans(String text, String from, String to) {
         return CalendarFile.parse("c", text).spans(Instant.parse(from), Instant.parse(to)).stream()
-                .map(s -> Instant.ofEpochMilli(s.startMs()) + " " + Instant.ofEpochMilli(s.endMs())).toList();
+                .map(s -> Instant.ofEpochMilli(s.startMs()) + " " + Instant.ofEpochMilli(s.endMs()))
+                .toList();
     }
 
     @Test
     void aWindowIsOfItsZone() {
-        assertEquals(List.of("2026-12-05T16:00:00Z 2026-12-05T21:30:00Z"),
+        assertEquals(
+                List.of("2026-12-05T16:00:00Z 2026-12-05T21:30:00Z"),
                 spans(GOOD, "2026-12-01T00:00:00Z", "2026-12-31T00:00:00Z"));
         assertEquals(List.of(), spans(GOOD, "2026-12-06T00:00:00Z", "2026-12-31T00:00:00Z"));
         assertEquals(List.of(), CalendarFile.parse("c", "").windows());
@@ -53,38 +55,52 @@
 
     @Test
     void aRuleComesAgainInLocalTimesOverTheChangeOfClocks() {
-        // Egypt is at +02:00 in winter and +03:00 in summer, from the last Friday in April to the last Thursday in October.
-        assertEquals(List.of("2026-04-17T17:00:00Z 2026-04-17T21:00:00Z", "2026-04-24T16:00:00Z 2026-04-24T20:00:00Z"),
+        // Egypt is at +02:00 in winter and +03:00 in summer, from the last Friday in April to the last Thursday in
+        // October.
+        assertEquals(
+                List.of("2026-04-17T17:00:00Z 2026-04-17T21:00:00Z", "2026-04-24T16:00:00Z 2026-04-24T20:00:00Z"),
                 spans(AGAIN, "2026-04-12T00:00:00Z", "2026-04-30T00:00:00Z"));
-        assertEquals(List.of("2036-12-05T17:00:00Z 2036-12-05T21:00:00Z"),
+        assertEquals(
+                List.of("2036-12-05T17:00:00Z 2036-12-05T21:00:00Z"),
                 spans(AGAIN, "2036-12-05T00:00:00Z", "2036-12-06T00:00:00Z"));
-        assertEquals(List.of("2026-01-02T17:00:00Z 2026-01-02T21:00:00Z"),
+        assertEquals(
+                List.of("2026-01-02T17:00:00Z 2026-01-02T21:00:00Z"),
                 spans(AGAIN, "2025-01-01T00:00:00Z", "2026-01-03T00:00:00Z"));
     }
 
     /** On 29 October 2026 the hour from 23:00 comes twice in Cairo: to +03:00 first, then to +02:00. */
     @Test
     void anHourThatComesTwiceBeginsAtTheEarlierAndEndsAtTheLater() {
-        String starts = GOOD.replace("2026-12-05T18:00", "2026-10-29T23:15").replace("2026-12-05T23:30", "2026-10-30T02:00");
-        assertEquals(List.of("2026-10-29T20:15:00Z 2026-10-30T00:00:00Z"),
+        String starts =
+                GOOD.replace("2026-12-05T18:00", "2026-10-29T23:15").replace("2026-12-05T23:30", "2026-10-30T02:00");
+        assertEquals(
+                List.of("2026-10-29T20:15:00Z 2026-10-30T00:00:00Z"),
                 spans(starts, "2026-10-01T00:00:00Z", "2026-11-30T00:00:00Z"));
-        String ends = GOOD.replace("2026-12-05T18:00", "2026-10-29T22:00").replace("2026-12-05T23:30", "2026-10-29T23:30");
-        assertEquals(List.of("2026-10-29T19:00:00Z 2026-10-29T21:30:00Z"),
+        String ends =
+                GOOD.replace("2026-12-05T18:00", "2026-10-29T22:00").replace("2026-12-05T23:30", "2026-10-29T23:30");
+        assertEquals(
+                List.of("2026-10-29T19:00:00Z 2026-10-29T21:30:00Z"),
                 spans(ends, "2026-10-01T00:00:00Z", "2026-11-30T00:00:00Z"));
-        String whole = GOOD.replace("2026-12-05T18:00", "2026-10-29T23:30").replace("2026-12-05T23:30", "2026-10-29T23:30");
-        assertEquals(List.of("2026-10-29T20:30:00Z 2026-10-29T21:30:00Z"),
+        String whole =
+                GOOD.replace("2026-12-05T18:00", "2026-10-29T23:30").replace("2026-12-05T23:30", "2026-10-29T23:30");
+        assertEquals(
+                List.of("2026-10-29T20:30:00Z 2026-10-29T21:30:00Z"),
                 spans(whole, "2026-10-01T00:00:00Z", "2026-11-30T00:00:00Z"));
     }
 
     /** On 24 April 2026 the hour from 00:00 never comes in Cairo. */
     @Test
     void anHourThatNeverComesBeginsAtTheEarlierAndEndsAtTheLater() {
-        String both = GOOD.replace("2026-12-05T18:00", "2026-04-24T00:30").replace("2026-12-05T23:30", "2026-04-24T00:45");
-        assertEquals(List.of("2026-04-23T21:30:00Z 2026-04-23T22:45:00Z"),
+        String both =
+                GOOD.replace("2026-12-05T18:00", "2026-04-24T00:30").replace("2026-12-05T23:30", "2026-04-24T00:45");
+        assertEquals(
+                List.of("2026-04-23T21:30:00Z 2026-04-23T22:45:00Z"),
                 spans(both, "2026-04-01T00:00:00Z", "2026-04-30T00:00:00Z"));
         String over = AGAIN.replace("2026-01-02T19", "2026-01-01T22").replace("=FR", "=TH");
-        assertEquals(List.of("2026-04-23T20:00:00Z 2026-04-24T00:00:00Z"),
-                spans(over, "2026-04-20T00:00:00Z", "2026-04-26T00:00:00Z"), "four hours, though by the clock it is until 02:00");
+        assertEquals(
+                List.of("2026-04-23T20:00:00Z 2026-04-24T00:00:00Z"),
+                spans(over, "2026-04-20T00:00:00Z", "2026-04-26T00:00:00Z"),
+                "four hours, though by the clock it is until 02:00");
     }
 
     @Test
@@ -111,17 +127,32 @@
                 bad(GOOD.replace("\"final\"", "\"\""), "line 3: key window[0].name: has to be letters"),
                 bad(GOOD.replace("\"final\"", "\"a b\""), "line 3: key window[0].name: has to be letters"),
                 bad(GOOD.replace("\"final\"", "7"), "line 3: key window[0].name: has to be a text"),
-                bad(GOOD + GOOD.substring(GOOD.indexOf('[')), "line 9: key window[1].name: 'final' is the name of another"),
+                bad(
+                        GOOD + GOOD.substring(GOOD.indexOf('[')),
+                        "line 9: key window[1].name: 'final' is the name of another"),
                 bad(GOOD.substring(GOOD.indexOf('[')), "line 2: key window[0].zone: is missing"),
-                bad(GOOD.replace("2026-12-05T18:00:00", "\"18:00\""), "line 4: key window[0].start: has to be a local date"),
-                bad(GOOD.replace("2026-12-05T18:00:00", "2026-12-05T18:00:00Z"),
+                bad(
+                        GOOD.replace("2026-12-05T18:00:00", "\"18:00\""),
+                        "line 4: key window[0].start: has to be a local date"),
+                bad(
+                        GOOD.replace("2026-12-05T18:00:00", "2026-12-05T18:00:00Z"),
+                        "line 4: key window[0].start: has to be a local"),
+                bad(
+                        GOOD.replace("2026-12-05T18:00:00", "2026-12-05"),
                         "line 4: key window[0].start: has to be a local"),
-                bad(GOOD.replace("2026-12-05T18:00:00", "2026-12-05"), "line 4: key window[0].start: has to be a local"),
                 bad(GOOD.replace("2026-12-05T18:00:00", "2026-13-05T18:00:00"), "line 4: key -:"),
-                bad(GOOD.replace("2026-12-05T18:00:00", "0026-12-05T18:00:00"), "line 4: key window[0].start: the year 26"),
-                bad(GOOD.replace("2026-12-05T23:30", "2026-12-05T18:00"), "line 5: key window[0].end: is not after start"),
-                bad(GOOD.replace("2026-12-05T23:30", "2026-12-04T23:30"), "line 5: key window[0].end: is not after start"),
-                bad(GOOD.replace("2026-12-05T23:30", "2036-12-05T23:30"), "line 5: key window[0].end: is more than 31 days"),
+                bad(
+                        GOOD.replace("2026-12-05T18:00:00", "0026-12-05T18:00:00"),
+                        "line 4: key window[0].start: the year 26"),
+                bad(
+                        GOOD.replace("2026-12-05T23:30", "2026-12-05T18:00"),
+                        "line 5: key window[0].end: is not after start"),
+                bad(
+                        GOOD.replace("2026-12-05T23:30", "2026-12-04T23:30"),
+                        "line 5: key window[0].end: is not after start"),
+                bad(
+                        GOOD.replace("2026-12-05T23:30", "2036-12-05T23:30"),
+                        "line 5: key window[0].end: is more than 31 days"),
                 bad(GOOD.replace("end = 2026-12-05T23:30:00\n", ""), "line 3: key window[0].end: is missing"),
                 bad(GOOD.replace("\"all\"", "\"some\""), "line 6: key window[0].scope: 'some' is none of"),
                 bad(GOOD.replace("\"all\"", "\"zone:\""), "line 6: key window[0].scope: 'zone:' is none of"),
@@ -138,21 +169,27 @@
                 bad(AGAIN.replace("PT4H", "P400D"), "line 6: key window[0].duration: has to be from"),
                 bad(AGAIN.replace("duration = \"PT4H\"\n", ""), "line 3: key window[0].duration: is missing"),
                 bad(AGAIN.replace("FREQ=WEEKLY;BYDAY=FR", "weekly"), "line 5: key window[0].rule: no recurrence rule"),
-                bad(AGAIN.replace("WEEKLY;BYDAY=FR", "HOURLY"), "line 5: key window[0].rule: comes more often than daily"),
+                bad(
+                        AGAIN.replace("WEEKLY;BYDAY=FR", "HOURLY"),
+                        "line 5: key window[0].rule: comes more often than daily"),
                 bad(AGAIN.replace("BYDAY=FR", "BYDAY=MO"), "line 5: key window[0].rule: start is none of its times"),
                 bad(AGAIN.replace("BYDAY=FR", "BYHOUR=3"), "line 5: key window[0].rule: the time of day"),
                 bad(AGAIN.replace("BYDAY=FR", "UNTIL=20261231T000000Z"), "line 5: key window[0].rule: UNTIL has to be"),
-                bad(AGAIN.replace("WEEKLY;BYDAY=FR", "YEARLY;BYMONTH=2;BYMONTHDAY=30"),
+                bad(
+                        AGAIN.replace("WEEKLY;BYDAY=FR", "YEARLY;BYMONTH=2;BYMONTHDAY=30"),
                         "line 5: key window[0].rule: start is none"),
                 bad("zone = \"UTC\"\n" + many(65), "line 2: key window: 65 windows; at most 64"),
-                bad("zone = \"UTC\"\n" + many(64).replace("reason = \"r", "reason = \"" + "r".repeat(150)),
+                bad(
+                        "zone = \"UTC\"\n" + many(64).replace("reason = \"r", "reason = \"" + "r".repeat(150)),
                         "line 2: key window: more than 12 KB"));
     }
 
     private static String many(int count) {
         StringBuilder all = new StringBuilder();
         for (int i = 0; i < count; i++) {
-            all.append("[[window]]\nname = \"w").append(i).append("\"\nstart = 2026-12-05T18:00:00\nend = 2026-12-05T19:00:00\n")
+            all.append("[[window]]\nname = \"w")
+                    .append(i)
+                    .append("\"\nstart = 2026-12-05T18:00:00\nend = 2026-12-05T19:00:00\n")
                     .append("scope = \"all\"\nreason = \"r\"\n");
         }
         return all.toString();
@@ -165,14 +202,19 @@
     @ParameterizedTest
     @MethodSource("bad")
     void whatMakesNoSenseIsRefusedInOneLine(String text, String message) {
-        String said = assertThrows(SettingsException.class, () -> CalendarFile.parse("calendar.toml", text)).getMessage();
+        String said = assertThrows(SettingsException.class, () -> CalendarFile.parse("calendar.toml", text))
+                .getMessage();
         assertTrue(said.startsWith("calendar.toml: " + message), said);
         assertEquals(1, said.lines().count());
     }
 
     @Test
     void theFileThatIsDeliveredMakesSense() {
-        assertEquals(2, CalendarFile.read(Path.of("..", "deploy", "calendar.toml")).windows().size());
+        assertEquals(
+                2,
+                CalendarFile.read(Path.of("..", "deploy", "calendar.toml"))
+                        .windows()
+                        .size());
     }
 
     @Test
--- a/router/src/test/java/stagepier/freeze/Faults.java
+++ b/router/src/test/java/stagepier/freeze/Faults.java
@@ -47,13 +47,17 @@
     }
 
     private List<String> some(int count) {
-        List<String> names = new ArrayList<>(fleet.routers.stream().map(r -> r.name).toList());
+        List<String> names =
+                new ArrayList<>(fleet.routers.stream().map(r -> r.name).toList());
         Collections.shuffle(names, random);
         return names.subList(0, count);
     }
 
     private List<String> rest(List<String> names) {
-        return fleet.routers.stream().map(r -> r.name).filter(n -> !names.contains(n)).toList();
+        return fleet.routers.stream()
+                .map(r -> r.name)
+                .filter(n -> !names.contains(n))
+                .toList();
     }
 
     private void fault() {
@@ -82,7 +86,10 @@
     }
 
     void restart(String name, double later) {
-        VirtualFleet.Router router = fleet.routers.stream().filter(r -> r.name.equals(name)).findFirst().orElseThrow();
+        VirtualFleet.Router router = fleet.routers.stream()
+                .filter(r -> r.name.equals(name))
+                .findFirst()
+                .orElseThrow();
         if (!router.isUp()) {
             return;
         }
--- a/router/src/test/java/stagepier/freeze/HardCasesTest.java
+++ b/router/src/test/java/stagepier/freeze/HardCasesTest.java
@@ -44,7 +44,8 @@
     }
 
     private void all(Predicate<VirtualFleet.Router> holds, double within) {
-        assertTrue(fleet.world.runUntil(() -> fleet.routers.stream().allMatch(r -> r.isUp() && holds.test(r)), s(within)),
+        assertTrue(
+                fleet.world.runUntil(() -> fleet.routers.stream().allMatch(r -> r.isUp() && holds.test(r)), s(within)),
                 fleet::story);
     }
 
@@ -150,7 +151,10 @@
     void aRouterCutOffThroughTheWindowIsClosedAndLearnsWhenItIsBack() {
         agreed(14);
         VirtualFleet.Router one = fleet.routers.get(6);
-        List<String> rest = fleet.routers.stream().map(r -> r.name).filter(n -> !n.equals(one.name)).toList();
+        List<String> rest = fleet.routers.stream()
+                .map(r -> r.name)
+                .filter(n -> !n.equals(one.name))
+                .toList();
         fleet.net.partition(List.of(one.name), rest, true);
         fleet.routers.get(0).propose(FROZEN);
         fleet.world.run(s(10));
@@ -200,7 +204,9 @@
         fleet.askEach(s(0.02));
         fleet.startAll();
         all(HardCasesTest::open, 5);
-        fleet.routers.get(0).propose(fleet.known(Calendars.window("soon", START.plusSeconds(15), START.plusSeconds(20))));
+        fleet.routers
+                .get(0)
+                .propose(fleet.known(Calendars.window("soon", START.plusSeconds(15), START.plusSeconds(20))));
         fleet.world.run(s(30));
         all(HardCasesTest::open, 1);
         assertTrue(fleet.asked.stream().anyMatch(a -> a.permit() == Calendar.Permit.FROZEN));
--- a/router/src/test/java/stagepier/freeze/HeldChangesTest.java
+++ b/router/src/test/java/stagepier/freeze/HeldChangesTest.java
@@ -38,8 +38,8 @@
     };
 
     private HeldChanges<String> held() {
-        return new HeldChanges<>(() -> calendar, (event, values) -> told.add(event + " " + values[3] + " " + values[7]), 5,
-                INTERVAL);
+        return new HeldChanges<>(
+                () -> calendar, (event, values) -> told.add(event + " " + values[3] + " " + values[7]), 5, INTERVAL);
     }
 
     private static Change add(String server) {
@@ -90,7 +90,8 @@
         assertEquals(0, held.size());
         assertEquals(3, held.overtaken());
         assertEquals(3, held.released());
-        assertEquals(3, told.stream().filter(e -> e.startsWith("topology.overtaken")).count());
+        assertEquals(
+                3, told.stream().filter(e -> e.startsWith("topology.overtaken")).count());
         assertTrue(held.offer(add("s5"), "s5", at(40), nano(40)), "the line is empty again");
     }
 
@@ -147,7 +148,8 @@
         List<List<Double>> mine = new ArrayList<>();
         for (int r = 0; r < 14; r++) {
             HeldChanges<String> held = new HeldChanges<>(() -> calendar, History.NONE, 5, INTERVAL);
-            List<Integer> order = new ArrayList<>(java.util.stream.IntStream.range(0, 20).boxed().toList());
+            List<Integer> order = new ArrayList<>(
+                    java.util.stream.IntStream.range(0, 20).boxed().toList());
             Collections.shuffle(order, random);
             order.forEach(i -> held.offer(add("s-" + i), "s-" + i, at(0), nano(0)));
             routers.add(held);
--- a/router/src/test/java/stagepier/freeze/Judge.java
+++ b/router/src/test/java/stagepier/freeze/Judge.java
@@ -37,8 +37,8 @@
             if (e.what().equals("calendar.accepted") || e.what().equals("calendar.learned")) {
                 String before = hashes.putIfAbsent(e.version(), e.text("hash"));
                 if (before != null && !before.equals(e.text("hash"))) {
-                    breaches.add("P5: " + e.version() + " is " + before + " and at " + e.at() + " in " + e.router() + " "
-                            + e.text("hash"));
+                    breaches.add("P5: " + e.version() + " is " + before + " and at " + e.at() + " in " + e.router()
+                            + " " + e.text("hash"));
                 }
             }
         }
@@ -62,8 +62,8 @@
             double start = ((Long) e.values().get("start") - 1_000_000_000L) / 1e9;
             Map.Entry<Double, Version> before = latest.lowerEntry(start);
             if (before != null && before.getValue().compareTo(e.version()) > 0) {
-                breaches.add("P5: " + e.router() + " confirmed " + e.version() + " at " + start + ", but " + before.getValue()
-                        + " was accepted at " + before.getKey());
+                breaches.add("P5: " + e.router() + " confirmed " + e.version() + " at " + start + ", but "
+                        + before.getValue() + " was accepted at " + before.getKey());
             }
         }
     }
@@ -87,23 +87,29 @@
         Map<Version, String> hashes = new HashMap<>();
         Version last = null;
         for (VirtualFleet.Event e : fleet.events) {
-            boolean begins = e.what().equals("calendar.accepted") && e.version().number() <= 1 && last != null
-                    && last.generation() < e.version().generation() && !e.text("hash").isEmpty();
+            boolean begins = e.what().equals("calendar.accepted")
+                    && e.version().number() <= 1
+                    && last != null
+                    && last.generation() < e.version().generation()
+                    && !e.text("hash").isEmpty();
             if (begins) {
                 Version before = last;
-                boolean survived = hashes.entrySet().stream().anyMatch(h -> h.getKey().compareTo(before) >= 0
-                        && h.getValue().contains(e.text("hash")));
+                boolean survived = hashes.entrySet().stream()
+                        .anyMatch(h -> h.getKey().compareTo(before) >= 0
+                                && h.getValue().contains(e.text("hash")));
                 String lost = hashes.get(before);
                 boolean replaced = fleet.files.headMap(e.at(), true).tailMap(e.at() - 5).values().stream()
                         .anyMatch(f -> !f.contains(lost));
                 if (!survived && !replaced) {
-                    breaches.add("P6: " + e.version() + " begins with " + e.text("hash") + " in place of " + before + " " + lost);
+                    breaches.add("P6: " + e.version() + " begins with " + e.text("hash") + " in place of " + before
+                            + " " + lost);
                 }
             }
             if (e.what().equals("calendar.vote") && !e.text("hash").isEmpty()) {
                 hashes.merge(e.version(), e.text("hash"), (a, b) -> a.equals(b) ? a : a + " " + b);
             }
-            if (e.what().equals("calendar.accepted") && (last == null || e.version().compareTo(last) > 0)) {
+            if (e.what().equals("calendar.accepted")
+                    && (last == null || e.version().compareTo(last) > 0)) {
                 last = e.version();
                 hashes.put(last, e.text("hash"));
             }
@@ -123,13 +129,17 @@
                 continue;
             }
             double since = a.at() - fleet.lease.toNanos() / 1e9;
-            Optional<Version> last = Optional.ofNullable(latest.floorEntry(since)).map(Map.Entry::getValue);
+            Optional<Version> last =
+                    Optional.ofNullable(latest.floorEntry(since)).map(Map.Entry::getValue);
             boolean allowed = last.isEmpty() && isOpen(hashes, null, a)
                     || last.isPresent() && isOpen(hashes, last.get(), a)
-                    || hashes.keySet().stream().anyMatch(v -> (last.isEmpty() || v.compareTo(last.get()) > 0)
-                            && firstVote.getOrDefault(v, 1e9) <= a.at() && isOpen(hashes, v, a));
+                    || hashes.keySet().stream()
+                            .anyMatch(v -> (last.isEmpty() || v.compareTo(last.get()) > 0)
+                                    && firstVote.getOrDefault(v, 1e9) <= a.at()
+                                    && isOpen(hashes, v, a));
             if (!allowed) {
-                breaches.add("P6: " + a.router() + " was open at " + a.at() + " though " + last.orElse(null) + " forbids it");
+                breaches.add("P6: " + a.router() + " was open at " + a.at() + " though " + last.orElse(null)
+                        + " forbids it");
                 return;
             }
         }
@@ -139,6 +149,9 @@
         if (version == null || hashes.get(version).isEmpty()) {
             return false;
         }
-        return fleet.texts.get(hashes.get(version)).spans(a.trueTime(), a.trueTime().plusMillis(1)).isEmpty();
+        return fleet.texts
+                .get(hashes.get(version))
+                .spans(a.trueTime(), a.trueTime().plusMillis(1))
+                .isEmpty();
     }
 }
--- a/router/src/test/java/stagepier/freeze/LiveFleetTest.java
+++ b/router/src/test/java/stagepier/freeze/LiveFleetTest.java
@@ -40,8 +40,16 @@
 
     private void start(TreeMap<String, InetSocketAddress> members, String self, Path calendar) {
         LiveTasks mine = new LiveTasks(Clock.systemUTC());
-        FleetConfig config = new FleetConfig(Path.of("fleet.toml"), "hash", self, members.get(self), members, calendar,
-                Duration.ofSeconds(3), Duration.ofSeconds(2), null);
+        FleetConfig config = new FleetConfig(
+                Path.of("fleet.toml"),
+                "hash",
+                self,
+                members.get(self),
+                members,
+                calendar,
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(2),
+                null);
         TcpCalls calls = new TcpCalls(mine, config, 1);
         FreezePart part = new FreezePart(mine, calls, config, History.NONE, self.hashCode());
         part.start();
@@ -51,13 +59,18 @@
     }
 
     private void all(Calendar.Permit permit) throws InterruptedException {
-        BooleanSupplier holds = () -> parts.stream().allMatch(p ->
-                p.calendar().ask(CHANGE, Clock.systemUTC().instant(), System.nanoTime()).permit() == permit);
+        BooleanSupplier holds = () -> parts.stream()
+                .allMatch(p -> p.calendar()
+                                .ask(CHANGE, Clock.systemUTC().instant(), System.nanoTime())
+                                .permit()
+                        == permit);
         long until = System.nanoTime() + Duration.ofSeconds(30).toNanos();
         while (!holds.getAsBoolean() && System.nanoTime() < until) {
             Thread.sleep(20);
         }
-        assertTrue(holds.getAsBoolean(), () -> parts.stream().map(FreezePart::status).toList().toString());
+        assertTrue(
+                holds.getAsBoolean(),
+                () -> parts.stream().map(FreezePart::status).toList().toString());
     }
 
     @Test
--- a/router/src/test/java/stagepier/freeze/PlantedTest.java
+++ b/router/src/test/java/stagepier/freeze/PlantedTest.java
@@ -61,14 +61,17 @@
             fleet.net.delay(0.001, 0.05 + random.nextDouble() * 0.2);
             fleet.watch(() -> {
                 VirtualFleet.Event e = fleet.last();
-                boolean byAnother = e.what().equals("calendar.vote") && !e.text("by").equals(e.router());
+                boolean byAnother =
+                        e.what().equals("calendar.vote") && !e.text("by").equals(e.router());
                 if (byAnother && random.nextInt(5) == 0) {
                     fleet.world.after(Duration.ofMillis(1), () -> faults.restart(e.router(), 0.001));
                 }
             });
             for (int i = 1; i <= 25; i++) {
                 Windows windows = fleet.known(text(i));
-                fleet.world.after(Duration.ofMillis(300L * i + random.nextInt(300)), () -> fleet.any(random).propose(windows));
+                fleet.world.after(
+                        Duration.ofMillis(300L * i + random.nextInt(300)),
+                        () -> fleet.any(random).propose(windows));
             }
             fleet.world.run(Duration.ofSeconds(9));
             return Judge.breaches(fleet);
@@ -85,12 +88,15 @@
             Faults faults = new Faults(fleet, List.of());
             fleet.startAll();
             assertTrue(fleet.world.runUntil(fleet::agree, Duration.ofSeconds(10)));
-            List<String> names = new ArrayList<>(fleet.routers.stream().map(r -> r.name).toList());
+            List<String> names =
+                    new ArrayList<>(fleet.routers.stream().map(r -> r.name).toList());
             String proposer = names.remove(0);
             fleet.net.delay(0.02, 0.3);
             fleet.watch(() -> {
                 VirtualFleet.Event e = fleet.last();
-                boolean first = names.size() == 4 && e.what().equals("calendar.vote") && e.text("by").equals(proposer)
+                boolean first = names.size() == 4
+                        && e.what().equals("calendar.vote")
+                        && e.text("by").equals(proposer)
                         && !e.router().equals(proposer);
                 if (first) {
                     names.remove(e.router());
@@ -99,9 +105,13 @@
                     List<String> rest = List.of(e.router(), names.get(1), names.get(2));
                     rest.forEach(name -> fleet.net.cut(proposer, name, true));
                     fleet.world.after(Duration.ofMillis(1), () -> faults.restart(e.router(), 0.001));
-                    fleet.world.after(Duration.ofMillis(16), () -> fleet.net.partition(List.of(proposer, late), rest, true));
-                    fleet.world.after(Duration.ofMillis(800), () -> fleet.routers.stream().filter(r -> r.name.equals(rest.get(1)))
-                            .forEach(r -> r.propose(fleet.known(text(2)))));
+                    fleet.world.after(
+                            Duration.ofMillis(16), () -> fleet.net.partition(List.of(proposer, late), rest, true));
+                    fleet.world.after(
+                            Duration.ofMillis(800),
+                            () -> fleet.routers.stream()
+                                    .filter(r -> r.name.equals(rest.get(1)))
+                                    .forEach(r -> r.propose(fleet.known(text(2)))));
                 }
             });
             fleet.routers.get(0).propose(fleet.known(text(1)));
@@ -116,7 +126,10 @@
 
     /** How many of the histories break a promise. */
     private static long found(Play play, VirtualFleet.Memory memory, long seeds) {
-        return LongStream.range(0, seeds).parallel().filter(seed -> !play.breaches(seed, memory).isEmpty()).count();
+        return LongStream.range(0, seeds)
+                .parallel()
+                .filter(seed -> !play.breaches(seed, memory).isEmpty())
+                .count();
     }
 
     @Test
--- a/router/src/test/java/stagepier/freeze/VirtualFleet.java
+++ b/router/src/test/java/stagepier/freeze/VirtualFleet.java
@@ -40,8 +40,7 @@
     }
 
     /** Something that answers at one time whether a voluntary change may be taken up. */
-    record Asked(double at, Instant trueTime, String router, Calendar.Permit permit) {
-    }
+    record Asked(double at, Instant trueTime, String router, Calendar.Permit permit) {}
 
     /** One router and its processes, one after the other. */
     final class Router {
@@ -64,11 +63,29 @@
             var calls = net.calls(node);
             History history = (what, values) -> write(this, mine, what, values);
             VirtualWorld.Node at = node;
-            FleetConfig config = new FleetConfig(Path.of("fleet.toml"), "hash", name, addresses.get(name), addresses,
-                    Path.of("calendar.toml"), lease, SKEW, null);
+            FleetConfig config = new FleetConfig(
+                    Path.of("fleet.toml"),
+                    "hash",
+                    name,
+                    addresses.get(name),
+                    addresses,
+                    Path.of("calendar.toml"),
+                    lease,
+                    SKEW,
+                    null);
             long seed = world.random().nextLong();
-            part = new FreezePart(node, calls, config, history, seed, () -> file,
-                    memory.make(name, Incarnations.first(node.wall(), seed), () -> at.wall().millis(), history));
+            part = new FreezePart(
+                    node,
+                    calls,
+                    config,
+                    history,
+                    seed,
+                    () -> file,
+                    memory.make(
+                            name,
+                            Incarnations.first(node.wall(), seed),
+                            () -> at.wall().millis(),
+                            history));
             part.start();
             calls.start();
         }
@@ -91,7 +108,9 @@
         }
 
         Calendar.Permit permit() {
-            return part.calendar().ask(CHANGE, node.wall().instant(), node.nanoTime()).permit();
+            return part.calendar()
+                    .ask(CHANGE, node.wall().instant(), node.nanoTime())
+                    .permit();
         }
 
         Version learned() {
@@ -108,15 +127,17 @@
     final Map<String, Windows> texts = new LinkedHashMap<>();
     /** What the files of all routers said, each hash once, by the time. */
     final TreeMap<Double, List<String>> files = new TreeMap<>();
+
     private final TreeMap<String, InetSocketAddress> addresses = new TreeMap<>();
     private final Memory memory;
-    private Runnable watch = () -> { };
+    private Runnable watch = () -> {};
 
     VirtualFleet(long seed, int n, Windows file, Memory memory) {
         this.memory = memory;
         world = new VirtualWorld(seed);
         net = new MemoryNet(world);
-        IntStream.range(0, n).forEach(i -> addresses.put("r%03d".formatted(i), new InetSocketAddress("127.0.0.1", 1000 + i)));
+        IntStream.range(0, n)
+                .forEach(i -> addresses.put("r%03d".formatted(i), new InetSocketAddress("127.0.0.1", 1000 + i)));
         addresses.keySet().forEach(name -> routers.add(new Router(name, known(file))));
     }
 
@@ -153,7 +174,12 @@
             map.put((String) values[i], values[i + 1]);
         }
         events.add(new Event(world.seconds(), router.name, life, what, map));
-        files.put(world.seconds(), routers.stream().map(r -> Windows.hash(r.file.text())).distinct().toList());
+        files.put(
+                world.seconds(),
+                routers.stream()
+                        .map(r -> Windows.hash(r.file.text()))
+                        .distinct()
+                        .toList());
         watch.run();
     }
 
@@ -177,8 +203,12 @@
     /** What happened, a line each, and how it ended. */
     String story() {
         StringBuilder story = new StringBuilder();
-        events.forEach(e -> story.append("%.3f %s/%d %s %s%n".formatted(e.at(), e.router(), e.life(), e.what(), e.values())));
-        routers.stream().filter(Router::isUp).forEach(r -> story.append(r.name).append(' ').append(r.part.status()).append('\n'));
+        events.forEach(
+                e -> story.append("%.3f %s/%d %s %s%n".formatted(e.at(), e.router(), e.life(), e.what(), e.values())));
+        routers.stream()
+                .filter(Router::isUp)
+                .forEach(r ->
+                        story.append(r.name).append(' ').append(r.part.status()).append('\n'));
         return story.toString();
     }
 
--- a/router/src/test/java/stagepier/memcache/ParserTest.java
+++ b/router/src/test/java/stagepier/memcache/ParserTest.java
@@ -17,7 +17,8 @@
 /** Random cuts of valid messages and random garbage, from fixed seeds. */
 class ParserTest {
     private static final String READ = "mg 7f3a9c21e0b4d655 v O9b1f03aa5c7e2d41 Pc=read,t=acme,d=480";
-    private static final String WRITE = "ms 7f3a9c21e0b4d655 %d O9b1f03aa5c7e2d41 Pc=put,t=acme,d=480,k=5c0f6e1a2b3d4c59";
+    private static final String WRITE =
+            "ms 7f3a9c21e0b4d655 %d O9b1f03aa5c7e2d41 Pc=put,t=acme,d=480,k=5c0f6e1a2b3d4c59";
 
     private static byte[] value(int length) {
         byte[] value = new byte[length];
@@ -41,10 +42,12 @@
         byte[] write = Protocol.withValue(WRITE.formatted(length), value(length));
         byte[] all = join(Protocol.line(READ), write, Protocol.line("mn"), Protocol.line("mg k v"), Protocol.line("x"));
         List<Command> commands = Wire.parse(CommandParser::next, all, seed);
-        assertEquals(List.of(Command.Kind.GET, Command.Kind.SET, Command.Kind.ALIVE, Command.Kind.BAD,
-                Command.Kind.UNKNOWN), commands.stream().map(Command::kind).toList());
+        assertEquals(
+                List.of(Command.Kind.GET, Command.Kind.SET, Command.Kind.ALIVE, Command.Kind.BAD, Command.Kind.UNKNOWN),
+                commands.stream().map(Command::kind).toList());
         // Passed on without change but for the time.
-        assertArrayEquals(Protocol.line(READ.replace("480", "77")), commands.get(0).forward(77));
+        assertArrayEquals(
+                Protocol.line(READ.replace("480", "77")), commands.get(0).forward(77));
         assertArrayEquals(write, commands.get(1).forward(480));
         assertEquals("put", commands.get(1).attribute("c"));
     }
@@ -71,7 +74,7 @@
                 if (!parser.endsFlow(in)) {
                     return null;
                 }
-                Answer whole = new Answer(head.kind(), head.id(), body.toByteArray(), head.hit(), 0);
+                Answer whole = new Answer(head.kind(), head.id(), body.toByteArray(), head.hit(), 0, head.report());
                 body.reset();
                 head = null;
                 return whole;
@@ -82,11 +85,21 @@
     @Property(seed = "12", tries = 200)
     void answersSurviveAnyCuts(@ForAll long seed, @ForAll @IntRange(max = 400_000) int length)
             throws MalformedException {
-        byte[] all = join(Protocol.withValue("VA " + length + " Oab h0 Z", value(length)), Protocol.line("HD Oab cff"),
-                Protocol.line("SERVER_ERROR busy 12"), Protocol.line("SERVER_ERROR failed"), Protocol.line("MN"));
+        byte[] all = join(
+                Protocol.withValue("VA " + length + " Oab h0 Z", value(length)),
+                Protocol.line("HD Oab cff"),
+                Protocol.line("SERVER_ERROR busy 12"),
+                Protocol.line("SERVER_ERROR failed"),
+                Protocol.line("MN"));
         List<Answer> answers = Wire.parse(flowing(), all, seed);
-        assertEquals(List.of(Answer.Kind.VALUE, Answer.Kind.RECEIPT, Answer.Kind.BUSY, Answer.Kind.FAILED,
-                Answer.Kind.ALIVE), answers.stream().map(Answer::kind).toList());
+        assertEquals(
+                List.of(
+                        Answer.Kind.VALUE,
+                        Answer.Kind.RECEIPT,
+                        Answer.Kind.BUSY,
+                        Answer.Kind.FAILED,
+                        Answer.Kind.ALIVE),
+                answers.stream().map(Answer::kind).toList());
         assertArrayEquals(value(length), answers.get(0).body());
         assertEquals(Answer.Hit.MISS_FETCHING, answers.get(0).hit());
         assertEquals("ff", new String(answers.get(1).body(), StandardCharsets.ISO_8859_1));
@@ -110,22 +123,24 @@
             first.drop();
             assertEquals(0, room.taken());
         } else if (kind == 2) {
-            Answer passed = Wire.parse(in -> second.next(in, false), large, seed).get(0);
+            Answer passed =
+                    Wire.parse(in -> second.next(in, false), large, seed).get(0);
             assertEquals(0, passed.body().length);
             assertEquals(60_000, room.taken());
         } else {
             // One alone always gets what it asks for.
             first.drop();
             AnswerParser small = new AnswerParser(new SharedRoom(1000));
-            assertArrayEquals(value(60_000), Wire.parse(small::next, large, seed).get(0).body());
+            assertArrayEquals(
+                    value(60_000), Wire.parse(small::next, large, seed).get(0).body());
             assertEquals(0, room.taken());
         }
     }
 
     /** A malformed message ends a connection; anything else that is thrown would end the program. */
     @Property(seed = "13", tries = 2000)
-    void garbageIsRefusedAndNeverACrash(@ForAll long seed, @ForAll @Size(max = 300) byte[] garbage,
-            @ForAll @IntRange(max = 6) int start) {
+    void garbageIsRefusedAndNeverACrash(
+            @ForAll long seed, @ForAll @Size(max = 300) byte[] garbage, @ForAll @IntRange(max = 6) int start) {
         String[] starts = {"", "mg ", "ms k 5 ", "ms k ", "VA 3 ", "HD ", "SERVER_ERROR "};
         byte[] bytes = join(starts[start].getBytes(StandardCharsets.ISO_8859_1), garbage, Protocol.line(""));
         try {
@@ -138,17 +153,30 @@
         } catch (MalformedException e) {
             assertEquals(1, e.getMessage().lines().count());
         }
-        assertThrows(MalformedException.class,
+        assertThrows(
+                MalformedException.class,
                 () -> Wire.parse(new AnswerParser()::next, join(Protocol.line("?"), bytes), seed));
     }
 
     /** Guards against what a cache server closes on, and against flags that change which answers come. */
     @Property(seed = "15", tries = 1)
     void whatACacheServerCouldNotUseIsNotPassedOn() throws MalformedException {
-        for (String line : List.of("mg k\u0007 v Oa Pc=c", "mg k v Oa Pc=\u0000", "mg k v Oa Pc=c\u00e9", "mg k v q Oa",
-                "mg k v Oa Ob", "mg k v v Oa", "mg k v Oa Pc=c Pc=d", "mg k v O", "mg k v O" + "a".repeat(33),
-                "mg k 5 v Oa", "mg\tk v Oa", "mg " + "k".repeat(251) + " v Oa")) {
-            Command.Kind kind = Wire.parse(CommandParser::next, Protocol.line(line), 1).get(0).kind();
+        for (String line : List.of(
+                "mg k\u0007 v Oa Pc=c",
+                "mg k v Oa Pc=\u0000",
+                "mg k v Oa Pc=c\u00e9",
+                "mg k v q Oa",
+                "mg k v Oa Ob",
+                "mg k v v Oa",
+                "mg k v Oa Pc=c Pc=d",
+                "mg k v O",
+                "mg k v O" + "a".repeat(33),
+                "mg k 5 v Oa",
+                "mg\tk v Oa",
+                "mg " + "k".repeat(251) + " v Oa")) {
+            Command.Kind kind = Wire.parse(CommandParser::next, Protocol.line(line), 1)
+                    .get(0)
+                    .kind();
             assertTrue(kind == Command.Kind.BAD || kind == Command.Kind.UNKNOWN, line);
         }
         for (String length : List.of("-1", "x", "70000", "3000000000", "")) {
@@ -169,11 +197,15 @@
 
     @Property(seed = "14", tries = 1)
     void whatIsTooLargeIsRefused() {
-        assertThrows(MalformedException.class,
-                () -> Wire.parse(CommandParser::next, new byte[Protocol.LARGEST_LINE], 1));
-        assertThrows(MalformedException.class, () -> Wire.parse(CommandParser::next,
-                Protocol.line("ms k " + (Protocol.LARGEST_VALUE + 1) + " Oa"), 1));
-        assertThrows(MalformedException.class,
-                () -> Wire.parse(new AnswerParser()::next, Protocol.line("VA " + (AnswerParser.LARGEST_VALUE + 1) + " Oa"), 1));
+        assertThrows(
+                MalformedException.class, () -> Wire.parse(CommandParser::next, new byte[Protocol.LARGEST_LINE], 1));
+        assertThrows(
+                MalformedException.class,
+                () -> Wire.parse(
+                        CommandParser::next, Protocol.line("ms k " + (Protocol.LARGEST_VALUE + 1) + " Oa"), 1));
+        assertThrows(
+                MalformedException.class,
+                () -> Wire.parse(
+                        new AnswerParser()::next, Protocol.line("VA " + (AnswerParser.LARGEST_VALUE + 1) + " Oa"), 1));
     }
 }
--- a/router/src/test/java/stagepier/memcache/Wire.java
+++ b/router/src/test/java/stagepier/memcache/Wire.java
@@ -12,8 +12,7 @@
         T next(RingBuffer in) throws MalformedException;
     }
 
-    private Wire() {
-    }
+    private Wire() {}
 
     static RingBuffer ring(byte[] bytes) {
         RingBuffer ring = new RingBuffer();
--- /dev/null
+++ b/router/src/test/java/stagepier/overload/ConnectionSlotsTest.java
@@ -0,0 +1,96 @@
+package stagepier.overload;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import stagepier.overload.ConnectionSlots.Behaviour;
+import stagepier.overload.ConnectionSlots.Level;
+
+class ConnectionSlotsTest {
+    private static final int SLOTS = 200;
+
+    @Property(seed = "21", tries = 500)
+    void theShorterPlacesAreTheLessPatienceAndNeverWithOneThatIsOwedAnAnswer(
+            @ForAll @IntRange(max = 400) int links, @ForAll @IntRange(max = 2000) int held) {
+        ConnectionSlots slots = new ConnectionSlots(SLOTS, 1000);
+        Level less = slots.level(5, links, held);
+        Level more = slots.level(5, links + 1, held + 1);
+        assertTrue(more.ordinal() >= less.ordinal(), less + " then " + more);
+        for (Behaviour behaviour : Behaviour.values()) {
+            assertTrue(
+                    ConnectionSlots.patience(behaviour, more) <= ConnectionSlots.patience(behaviour, less),
+                    behaviour.name());
+        }
+        assertEquals(Double.POSITIVE_INFINITY, ConnectionSlots.patience(Behaviour.OWED, Level.FULL));
+        for (Level level : Level.values()) {
+            assertTrue(
+                    ConnectionSlots.patience(Behaviour.ONCE, level) >= 2,
+                    "idle links may be closed after 2 s, not sooner");
+            assertTrue(ConnectionSlots.patience(Behaviour.REGULAR, level)
+                    >= ConnectionSlots.patience(Behaviour.ONCE, level));
+            // An error or a close is owed within 3 s, whenever it is looked at.
+            assertTrue(ConnectionSlots.patience(Behaviour.PART, level) + ConnectionSlots.lookAgain(level) < 2.5);
+            assertTrue(ConnectionSlots.patience(Behaviour.SLOW, level) >= 2.2, "a client may take 2 s for a command");
+            assertTrue(ConnectionSlots.patience(Behaviour.SLOW, level) + ConnectionSlots.lookAgain(level) < 3);
+            assertTrue(ConnectionSlots.patience(Behaviour.SILENT, level) + ConnectionSlots.lookAgain(level) < 2.5);
+        }
+    }
+
+    @Property(seed = "22", tries = 1)
+    void theyStayScarceForAWhileAfterTheyWereFull() {
+        ConnectionSlots slots = new ConnectionSlots(SLOTS, 1000);
+        assertEquals(Level.FULL, slots.level(5, SLOTS, 0));
+        assertFalse(slots.hasSlot(SLOTS));
+        assertEquals(Level.SCARCE, slots.level(6.9, 3, 0));
+        assertEquals(Level.PLENTY, slots.level(7.1, 3, 0));
+        assertEquals(Level.TIGHT, slots.level(8, 3, 1000));
+        assertFalse(slots.hasMemory(1000));
+    }
+
+    /** One link of the model crowd: what it does, and since when. */
+    private record Held(Behaviour behaviour, double since) {}
+
+    /**
+     * Guards against those who hold slots crowding out those who ask. A crowd of any mix that connects at up to twice
+     * the slots a second, against a policy that is looked through as often as it says: the wait of one that asks.
+     */
+    @Property(seed = "23", tries = 20)
+    void whoAsksFindsAPlaceSoonWhateverTheOthersDo(
+            @ForAll @IntRange(max = 100) int partOfProbes,
+            @ForAll @IntRange(min = 50, max = 400) int perSecond,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        ConnectionSlots slots = new ConnectionSlots(SLOTS, 1000);
+        List<Held> held = new ArrayList<>();
+        double backlog = 0;
+        double worst = 0;
+        double look = 0;
+        Level level = Level.PLENTY;
+        for (double now = 0; now < 20; now += 0.01) {
+            backlog += perSecond * 0.01;
+            while (backlog >= 1 && slots.hasSlot(held.size())) {
+                backlog--;
+                int kind = random.nextInt(100);
+                held.add(new Held(
+                        kind < partOfProbes ? Behaviour.PROBE : kind % 2 == 0 ? Behaviour.SILENT : Behaviour.PART,
+                        now));
+            }
+            worst = Math.max(worst, backlog / perSecond);
+            if (now >= look || !slots.hasSlot(held.size())) {
+                level = slots.level(now, held.size(), 0);
+                Level at = level;
+                double when = now;
+                held.removeIf(h -> when - h.since() > ConnectionSlots.patience(h.behaviour(), at));
+                look = now + ConnectionSlots.lookAgain(level);
+            }
+        }
+        assertTrue(worst < 0.55, "waited " + worst + " s");
+    }
+}
--- a/router/src/test/java/stagepier/overload/LoopDelayTest.java
+++ b/router/src/test/java/stagepier/overload/LoopDelayTest.java
@@ -36,6 +36,18 @@
         assertFalse(delay.stoodStill(6.33));
     }
 
+    /** What was told while a loop stood still leaves it half of the grace of its own settings, not of a second. */
+    @Test
+    void aLoopStoodStillAfterHalfOfAShortDrainGrace() {
+        LoopDelay shortGrace = new LoopDelay(0.4);
+        shortGrace.looks(5);
+        assertFalse(shortGrace.stoodStill(5.19));
+        assertTrue(shortGrace.stoodStill(5.41));
+        LoopDelay longGrace = new LoopDelay(3);
+        longGrace.looks(5);
+        assertTrue(longGrace.stoodStill(5.51), "no later than after half a second");
+    }
+
     /** Guards against blaming a server for an answer that lay here while the loop was at work on something else. */
     @Test
     void whatIsFoundAtOnceMayHaveLainUnreadSinceTheLastLook() {
--- a/router/src/test/java/stagepier/peers/NewsCodecTest.java
+++ b/router/src/test/java/stagepier/peers/NewsCodecTest.java
@@ -5,12 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import stagepier.Api;
 
 class NewsCodecTest {
@@ -25,16 +29,87 @@
     @Property(seed = "17", tries = 200)
     void whatIsToldIsHeardAsFarAsAMessageHoldsIt(@ForAll long seed, @ForAll @IntRange(max = 90) int n) {
         List<Api.News> news = some(new SplittableRandom(seed), n);
-        byte[] message = NewsCodec.encode(news);
+        byte[] message = NewsCodec.encode(PeerReport.plain(news));
         assertTrue(message.length <= NewsCodec.BYTES_MOST, message.length + " bytes");
-        assertEquals(news.subList(0, Math.min(n, NewsCodec.ENTRIES_MOST)), NewsCodec.decode(message));
+        assertEquals(
+                news.subList(0, Math.min(n, NewsCodec.ENTRIES_MOST)),
+                NewsCodec.decode(message).entries());
+    }
+
+    /**
+     * Guards against a fleet in which a router of this version and one of the version before do not understand each
+     * other.
+     */
+    @Test
+    void aPlainReportHasTheBytesItAlwaysHad() {
+        byte[] message = NewsCodec.encode(PeerReport.plain(List.of(
+                new Api.News(0xfedcba98L, 2, true), new Api.News(7, 300, false), new Api.News(1L << 32, 1, true))));
+        assertEquals("0102fedcba9882000000077f", HexFormat.of().formatHex(message));
+        assertEquals(
+                PeerReport.plain(List.of(new Api.News(0xfedcba98L, 2, true), new Api.News(7, 127, false))),
+                NewsCodec.decode(message));
+    }
+
+    /** The table in docs/many-routers.md. */
+    @Test
+    void aWeightedReportHasTheBytesOfThePage() {
+        PeerReport report =
+                new PeerReport(5, 4, 19.5, 240, List.of(new Api.News(7, 3, true), new Api.News(9, 1, false)));
+        byte[] message = NewsCodec.encode(report);
+        assertEquals(
+                "0202" + "05" + "0fa0" + "419c0000" + "00f0" + "0000000783" + "0000000901",
+                HexFormat.of().formatHex(message));
+        assertEquals(report, NewsCodec.decode(message));
+        assertEquals(240, report.sampled(), "one server of 240 without an open circuit is named");
+    }
+
+    @Property(seed = "20", tries = 200)
+    void whatIsWeightedIsHeardAsFarAsAMessageHoldsIt(@ForAll long seed, @ForAll @IntRange(max = 90) int n) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Api.News> news = some(random, n);
+        PeerReport report = new PeerReport(
+                random.nextInt(256), random.nextInt(1000, 4001) / 1e3, (float) random.nextDouble(1, 200), 100, news);
+        byte[] message = NewsCodec.encode(report);
+        assertTrue(message.length <= NewsCodec.BYTES_MOST, message.length + " bytes");
+        assertEquals(
+                new PeerReport(
+                        report.zone(),
+                        report.window(),
+                        report.weight(),
+                        100,
+                        news.subList(0, Math.min(n, NewsCodec.ENTRIES_MOST_WEIGHTED))),
+                NewsCodec.decode(message));
+    }
+
+    /** A forged weight or window, and a server named twice in one message, make no report. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "0201" + "05" + "0fa0" + "7fc00000" + "0001" + "0000000783", // no number
+                "0201" + "05" + "0fa0" + "7f800000" + "0001" + "0000000783", // infinite
+                "0201" + "05" + "0fa0" + "c0000000" + "0001" + "0000000783", // negative
+                "0201" + "05" + "0fa0" + "3f7fffff" + "0001" + "0000000783", // below 1
+                "0201" + "05" + "0fa1" + "3f800000" + "0001" + "0000000783", // counts for more than 4 s
+                "0201" + "05" + "03e7" + "3f800000" + "0001" + "0000000783", // counts for less than 1 s
+                "0201" + "05" + "0fa0" + "3f800000" + "0000" + "0000000701", // names more than it has
+                "0202" + "05" + "0fa0" + "3f800000" + "0002" + "0000000783" + "0000000783", // one server twice
+                "0102" + "0000000783" + "0000000783",
+                "0301" + "05" + "0fa0" + "3f800000" + "0001" + "0000000783"
+            })
+    void whatCannotBeIsMalformed(String message) {
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> NewsCodec.decode(HexFormat.of().parseHex(message)));
     }
 
     /** Guards against a cut or strange datagram being taken in part. */
     @Property(seed = "18", tries = 300)
     void aCutMessageIsNone(@ForAll long seed, @ForAll @IntRange(min = 1, max = 50) int n) {
         SplittableRandom random = new SplittableRandom(seed);
-        byte[] whole = NewsCodec.encode(some(random, n));
+        byte[] whole = NewsCodec.encode(
+                random.nextBoolean()
+                        ? PeerReport.plain(some(random, n))
+                        : new PeerReport(3, 2, 1.5, 60, some(random, Math.min(n, NewsCodec.ENTRIES_MOST_WEIGHTED))));
         byte[] cut = java.util.Arrays.copyOf(whole, random.nextInt(whole.length));
         assertThrows(IllegalArgumentException.class, () -> NewsCodec.decode(cut));
     }
@@ -42,7 +117,7 @@
     @Property(seed = "19", tries = 500)
     void garbageIsRefusedOrIsAMessage(@ForAll @Size(max = 300) byte[] garbage) {
         try {
-            assertTrue(NewsCodec.decode(garbage).size() <= NewsCodec.ENTRIES_MOST);
+            assertTrue(NewsCodec.decode(garbage).entries().size() <= NewsCodec.ENTRIES_MOST);
         } catch (IllegalArgumentException expected) {
             assertTrue(expected.getMessage().contains("bytes"));
         }
--- a/router/src/test/java/stagepier/peers/PeerSocketTest.java
+++ b/router/src/test/java/stagepier/peers/PeerSocketTest.java
@@ -3,12 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,7 +23,7 @@
 /** One router's socket against a stand-in router and a stranger, over loopback. */
 class PeerSocketTest {
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
-    private static final List<Api.News> NEWS = List.of(new Api.News(7, 2, true));
+    private static final PeerReport REPORT = PeerReport.plain(List.of(new Api.News(7, 2, true)));
 
     private static void send(DatagramSocket from, byte[] bytes, InetSocketAddress to) throws Exception {
         from.send(new DatagramPacket(bytes, bytes.length, to));
@@ -31,6 +33,47 @@
         return new InetSocketAddress(LOOPBACK, socket.getLocalPort());
     }
 
+    /** Guards against an event loop that is woken for every message of a large fleet. */
+    @Test
+    void messagesOfManyRoutersAreReadInBatches() throws Exception {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        InetSocketAddress here;
+        try (DatagramSocket free = new DatagramSocket(0, LOOPBACK)) {
+            here = of(free);
+        }
+        try (DatagramSocket peer = new DatagramSocket(0, LOOPBACK)) {
+            peer.setSoTimeout(10_000);
+            List<InetSocketAddress> routers = new ArrayList<>(List.of(here, of(peer)));
+            while (routers.size() < PeerSocket.BATCHED_FROM) {
+                routers.add(new InetSocketAddress(LOOPBACK, routers.size()));
+            }
+            BlockingQueue<PeerReport> heard = new LinkedBlockingQueue<>();
+            PeerSocket socket = new PeerSocket(
+                    loop, new PeerSocket.Addresses(here, of(peer), routers, 0), (from, news) -> heard.add(news));
+            socket.start();
+            // Sent until one is received: the socket is bound in its own time.
+            loop.scheduleAtFixedRate(() -> socket.send(NewsCodec.encode(REPORT)), 1, 20, TimeUnit.MILLISECONDS);
+            peer.receive(new DatagramPacket(new byte[1], 1));
+            List<PeerReport> sent = new ArrayList<>();
+            for (int server = 1; server <= 10; server++) {
+                sent.add(PeerReport.plain(List.of(new Api.News(server, server, false))));
+                send(peer, NewsCodec.encode(sent.get(server - 1)), here);
+            }
+            // The loop looks for input at least once meanwhile.
+            loop.schedule(() -> {}, 5, TimeUnit.MILLISECONDS).get(10, TimeUnit.SECONDS);
+            assertTrue(heard.isEmpty(), "not before the next batch");
+            loop.execute(socket::readBatch);
+            for (PeerReport report : sent) {
+                assertEquals(report, heard.poll(10, TimeUnit.SECONDS));
+            }
+            assertTrue(heard.isEmpty());
+            loop.submit(socket::stop).get(10, TimeUnit.SECONDS);
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
     @Test
     void onlyWholeMessagesOfOtherRoutersAreHeard() throws Exception {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -38,33 +81,40 @@
         try (DatagramSocket free = new DatagramSocket(0, LOOPBACK)) {
             here = of(free);
         }
-        try (DatagramSocket peer = new DatagramSocket(0, LOOPBACK); DatagramSocket stranger = new DatagramSocket(0, LOOPBACK)) {
+        try (DatagramSocket peer = new DatagramSocket(0, LOOPBACK);
+                DatagramSocket stranger = new DatagramSocket(0, LOOPBACK)) {
             peer.setSoTimeout(10_000);
-            BlockingQueue<Map.Entry<Integer, List<Api.News>>> heard = new LinkedBlockingQueue<>();
-            PeerSocket socket = new PeerSocket(group.next(), new PeerSocket.Addresses(here, of(peer),
-                    List.of(here, of(peer)), 0), (from, news) -> heard.add(Map.entry(from, news)));
+            BlockingQueue<Map.Entry<Integer, PeerReport>> heard = new LinkedBlockingQueue<>();
+            PeerSocket socket = new PeerSocket(
+                    group.next(),
+                    new PeerSocket.Addresses(here, of(peer), List.of(here, of(peer)), 0),
+                    (from, news) -> heard.add(Map.entry(from, news)));
             socket.start();
             // Told until heard: the socket is bound in its own time, and a datagram may be lost.
             byte[] got = new byte[NewsCodec.BYTES_MOST + 1];
             DatagramPacket packet = new DatagramPacket(got, got.length);
-            group.next().scheduleAtFixedRate(() -> socket.tell(NEWS), 1, 20, TimeUnit.MILLISECONDS);
+            group.next().scheduleAtFixedRate(() -> socket.send(NewsCodec.encode(REPORT)), 1, 20, TimeUnit.MILLISECONDS);
             peer.receive(packet);
-            assertEquals(NEWS, NewsCodec.decode(java.util.Arrays.copyOf(got, packet.getLength())));
+            assertEquals(REPORT, NewsCodec.decode(java.util.Arrays.copyOf(got, packet.getLength())));
 
-            send(stranger, NewsCodec.encode(NEWS), here);
+            send(stranger, NewsCodec.encode(REPORT), here);
             send(peer, new byte[] {9, 9}, here);
             send(peer, new byte[NewsCodec.BYTES_MOST * 2], here);
-            send(peer, NewsCodec.encode(NEWS), here);
-            assertEquals(Map.entry(1, NEWS), heard.poll(10, TimeUnit.SECONDS));
-            Map<String, Long> counts = group.next().submit(() -> {
-                Map<String, Long> all = new HashMap<>();
-                socket.count(all::put);
-                socket.stop();
-                return all;
-            }).get(10, TimeUnit.SECONDS);
+            send(peer, NewsCodec.encode(REPORT), here);
+            assertEquals(Map.entry(1, REPORT), heard.poll(10, TimeUnit.SECONDS));
+            Map<String, Long> counts = group.next()
+                    .submit(() -> {
+                        Map<String, Long> all = new HashMap<>();
+                        socket.count(all::put);
+                        socket.stop();
+                        return all;
+                    })
+                    .get(10, TimeUnit.SECONDS);
             assertEquals(1, counts.get("peer_messages_strange"));
             assertEquals(2, counts.get("peer_messages_malformed"));
             assertEquals(1, counts.get("peer_messages_heard"));
+            assertEquals(35 * counts.get("peer_messages_sent"), counts.get("peer_bytes_sent"));
+            assertEquals(35 + 30 + 28 + NewsCodec.BYTES_MOST + 1 + 35, counts.get("peer_bytes_heard"));
             assertTrue(heard.isEmpty());
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
--- /dev/null
+++ b/router/src/test/java/stagepier/peers/ReportSamplerTest.java
@@ -0,0 +1,57 @@
+package stagepier.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import stagepier.Api;
+
+class ReportSamplerTest {
+    private final ReportSampler sampler = new ReportSampler(6);
+
+    private static List<Api.News> entries(int open, int all) {
+        return IntStream.range(0, all)
+                .mapToObj(server -> new Api.News(server, 1, server < open))
+                .toList();
+    }
+
+    @Test
+    void whatFitsGoesAsItIs() {
+        List<Api.News> entries = entries(3, 49);
+        assertSame(entries, sampler.choose(entries, 49));
+    }
+
+    /** Guards against a router with attempts at many servers that tells of the same ones always. */
+    @Test
+    void openCircuitsGoAlwaysAndAllOthersAlikeOften() {
+        Map<Long, Integer> told = new HashMap<>();
+        for (int i = 0; i < 4000; i++) {
+            List<Api.News> chosen = sampler.choose(entries(9, 209), 49);
+            assertEquals(49, new HashSet<>(chosen).size());
+            chosen.forEach(entry -> told.merge(entry.server(), 1, Integer::sum));
+        }
+        for (long server = 0; server < 9; server++) {
+            assertEquals(4000, told.get(server));
+        }
+        for (long server = 9; server < 209; server++) {
+            assertEquals(800, told.get(server), 120, "server " + server);
+        }
+    }
+
+    @Test
+    void moreOpenCircuitsThanFitTakeTurns() {
+        Map<Long, Integer> told = new HashMap<>();
+        for (int i = 0; i < 1000; i++) {
+            List<Api.News> chosen = sampler.choose(entries(98, 200), 49);
+            assertTrue(chosen.stream().allMatch(Api.News::open));
+            chosen.forEach(entry -> told.merge(entry.server(), 1, Integer::sum));
+        }
+        IntStream.range(0, 98).forEach(server -> assertEquals(500, told.get((long) server), 90));
+    }
+}
--- a/router/src/test/java/stagepier/server/PoolBench.java
+++ b/router/src/test/java/stagepier/server/PoolBench.java
@@ -42,14 +42,14 @@
     static final double IDLE = 60;
     /** Seconds for which repeats of class p are dropped. */
     static final double WINDOW = 0.5;
+
     private static final String SETTINGS = """
             {"Classes":[{"Name":"p","Deadline":5,"GoalTime":1,"Repeat":"deduplicated","Group":"all","DedupWindow":0.5,
             "Worth":1}],"Areas":["a"],"Flavors":["m"],"Limits":{"MaxAttempts":3,"MaxRetryAfter":1.2,"DialTimeout":2,
             "IdleClose":60},"Obligations":{"DrainGrace":1}}""";
 
-    /** How an attempt ended. */
-    record End(long request, int attempt, Api.Outcome outcome) {
-    }
+    /** How an attempt ended, and the load report that came with its answer. */
+    record End(long request, int attempt, Api.Outcome outcome, List<Float> report) {}
 
     /** A clock that stands until it is put forward. Guards against tests that depend on how long their machine takes. */
     static final class HandClock extends Clock {
@@ -121,9 +121,11 @@
     private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
     /** Connections that wait to be allowed, where they are held. */
     private List<Runnable> held;
+
     private Runnable goOn;
     /** What happens in the middle of the module's next decision. */
-    private Runnable beforeSend = () -> { };
+    private Runnable beforeSend = () -> {};
+
     private long server;
     private double startWithin = Double.POSITIVE_INFINITY;
 
@@ -137,14 +139,29 @@
         this.loop = loop;
         SettingsParser.Parsed settings = SettingsParser.parse(SETTINGS);
         host = new ModuleHost(loop, clock, delay, settings);
-        pools = new ServerPools(loop, clock, delay, host, connector == null ? this::connect : connector, linksMost,
-                descriptors, settings.settings(), IDLE, settings.streams());
+        pools = new ServerPools(
+                loop,
+                clock,
+                delay,
+                host,
+                connector == null ? this::connect : connector,
+                linksMost,
+                descriptors,
+                settings.settings(),
+                IDLE,
+                settings.streams());
         host.connect(new Module(), pools);
     }
 
     private ChannelFuture connect(ChannelHandler setUp, InetSocketAddress address) {
-        Channel channel = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.AUTO_READ, false).handler(setUp).register().channel();
+        Channel channel = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(setUp)
+                .register()
+                .channel();
         ChannelPromise up = channel.newPromise();
         if (held == null) {
             channel.connect(address, up);
@@ -179,7 +196,7 @@
 
     /** Until the event loop has looked for input, and whatever is due then is done. */
     void turn() throws Exception {
-        loop.schedule(() -> { }, 2, TimeUnit.MILLISECONDS).get(WAIT_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> {}, 2, TimeUnit.MILLISECONDS).get(WAIT_MS, TimeUnit.MILLISECONDS);
     }
 
     void awaitListAsked() throws Exception {
@@ -222,7 +239,7 @@
         try {
             RingBuffer ring = new RingBuffer();
             ring.put(("ms k 1 O" + id + " Pc=p,d=5000\r\nx\r\n").getBytes(StandardCharsets.ISO_8859_1));
-            return host.take((x, reply) -> { }, CommandParser.next(ring), Double.POSITIVE_INFINITY);
+            return host.take((x, reply) -> {}, CommandParser.next(ring), Double.POSITIVE_INFINITY);
         } catch (stagepier.memcache.MalformedException e) {
             throw new AssertionError(e);
         }
@@ -233,11 +250,15 @@
     }
 
     Api.Outcome nextOutcome() throws InterruptedException {
+        return nextEnd().outcome();
+    }
+
+    End nextEnd() throws InterruptedException {
         End end = ends.poll(WAIT_MS, TimeUnit.MILLISECONDS);
         if (end == null) {
             throw new AssertionError("no attempt ended");
         }
-        return end.outcome();
+        return end;
     }
 
     /** All that ended since this was asked last. */
@@ -280,39 +301,46 @@
     /** Sends each request once to the server that the test named, and gives up after that. */
     private final class Module implements Api.Events {
         @Override
-        public void onMembers(double now, boolean complete, List<Api.Member> members) {
-        }
+        public void onMembers(double now, boolean complete, List<Api.Member> members) {}
 
         @Override
-        public void onMembersFailed(double now) {
-        }
+        public void onMembersFailed(double now) {}
 
         @Override
         public void onRequest(double now, Api.Request request) {
             beforeSend.run();
-            beforeSend = () -> { };
+            beforeSend = () -> {};
             host.send(request.id(), server, 0, startWithin);
         }
 
         @Override
-        public void onFirstByte(double now, long request, int attempt) {
-        }
+        public void onFirstByte(double now, long request, int attempt) {}
 
         @Override
-        public void onOutcome(double now, long request, int attempt, long on, Api.Outcome outcome, double elapsed,
-                boolean finished, Api.Lookup lookup, float[] report) {
-            ends.add(new End(request, attempt, outcome));
+        public void onOutcome(
+                double now,
+                long request,
+                int attempt,
+                long on,
+                Api.Outcome outcome,
+                double elapsed,
+                boolean finished,
+                Api.Lookup lookup,
+                float[] report) {
+            List<Float> values = new ArrayList<>();
+            for (float value : report) {
+                values.add(value);
+            }
+            ends.add(new End(request, attempt, outcome, values));
             if (!finished) {
                 host.fail(request);
             }
         }
 
         @Override
-        public void onClientGone(double now, long request) {
-        }
+        public void onClientGone(double now, long request) {}
 
         @Override
-        public void onTimer(double now, long token) {
-        }
+        public void onTimer(double now, long token) {}
     }
 }
--- a/router/src/test/java/stagepier/server/RestedLinkTest.java
+++ b/router/src/test/java/stagepier/server/RestedLinkTest.java
@@ -16,7 +16,14 @@
 @Timeout(30)
 class RestedLinkTest {
     /** What a cache server does to a connection that rests. */
-    private enum Act { SHUT, RESET, ANSWER_AGAIN, BUSY, HALF_A_LINE, HALF_A_VALUE }
+    private enum Act {
+        SHUT,
+        RESET,
+        ANSWER_AGAIN,
+        BUSY,
+        HALF_A_LINE,
+        HALF_A_VALUE
+    }
 
     private final PoolBench bench = new PoolBench(10, 30);
     private PoolBench.Cache cache;
--- a/router/src/test/java/stagepier/shadow/CandidateFileTest.java
+++ b/router/src/test/java/stagepier/shadow/CandidateFileTest.java
@@ -60,10 +60,12 @@
     @Test
     void ofTwoMapsOneCountsEverywhere() throws CandidateException {
         CandidateMap a = good();
-        CandidateMap b = CandidateFile.parse("x", GOOD.replace("slice = 200", "slice = 300")).map();
+        CandidateMap b = CandidateFile.parse("x", GOOD.replace("slice = 200", "slice = 300"))
+                .map();
         assertTrue(a.replaces(b) != b.replaces(a));
         assertFalse(a.replaces(a));
-        CandidateMap newer = CandidateFile.parse("x", GOOD.replace("version = 3", "version = 4")).map();
+        CandidateMap newer = CandidateFile.parse("x", GOOD.replace("version = 3", "version = 4"))
+                .map();
         assertTrue(newer.replaces(a) && newer.replaces(b) && !a.replaces(newer));
     }
 
@@ -113,22 +115,31 @@
             """)
     void aBadFileIsRefusedInOneLine(String good, String bad, String line) {
         assertTrue(GOOD.contains(good));
-        CandidateException e = assertThrows(CandidateException.class, () -> CandidateFile.parse("f", GOOD.replaceFirst(
-                java.util.regex.Pattern.quote(good), bad)));
+        CandidateException e = assertThrows(
+                CandidateException.class,
+                () -> CandidateFile.parse("f", GOOD.replaceFirst(java.util.regex.Pattern.quote(good), bad)));
         assertTrue(e.lines().stream().anyMatch(l -> l.startsWith(line)), () -> e.lines() + " without " + line);
-        assertTrue(e.lines().stream().allMatch(l -> l.startsWith("f: line ") && l.contains(": key ") && l.lines().count() == 1));
+        assertTrue(e.lines().stream()
+                .allMatch(l -> l.startsWith("f: line ")
+                        && l.contains(": key ")
+                        && l.lines().count() == 1));
     }
 
     @Test
     void aMapWithoutServersOrTooLongForAMessageIsRefused() {
-        CandidateException none = assertThrows(CandidateException.class, () -> CandidateFile.parse("f",
-                GOOD.substring(0, GOOD.indexOf("[[servers]]"))));
+        CandidateException none = assertThrows(
+                CandidateException.class,
+                () -> CandidateFile.parse("f", GOOD.substring(0, GOOD.indexOf("[[servers]]"))));
         assertEquals(List.of("f: line 1: key servers: is missing or empty"), none.lines());
         StringBuilder many = new StringBuilder(GOOD);
         for (int i = 0; i < 400; i++) {
-            many.append("[[servers]]\nname = \"").append("x".repeat(60)).append(i).append("\"\n");
+            many.append("[[servers]]\nname = \"")
+                    .append("x".repeat(60))
+                    .append(i)
+                    .append("\"\n");
         }
-        CandidateException longer = assertThrows(CandidateException.class, () -> CandidateFile.parse("f", many.toString()));
+        CandidateException longer =
+                assertThrows(CandidateException.class, () -> CandidateFile.parse("f", many.toString()));
         assertEquals(List.of("f: line 1: key servers: the map has more than 32000 characters"), longer.lines());
     }
 }
--- a/router/src/test/java/stagepier/shadow/ComparisonTest.java
+++ b/router/src/test/java/stagepier/shadow/ComparisonTest.java
@@ -70,9 +70,11 @@
         Seen slow = new Seen(Outcome.OK, Lookup.HIT, A, 0.02, true);
         assertEquals(Math.log(21.0 / 11), Comparison.score(Result.SAME, HIT_A, slow, true), 1e-9);
         assertEquals(-Math.log(21.0 / 11), Comparison.score(Result.SAME, slow, HIT_A, true), 1e-9);
-        assertEquals(Comparison.RATIO_MOST, Comparison.score(Result.SAME, HIT_A, new Seen(Outcome.OK, Lookup.HIT, A, 9, true),
-                true));
-        assertTrue(Double.isNaN(Comparison.score(Result.SAME, HIT_A, slow, false)), "a connection that has just come up");
+        assertEquals(
+                Comparison.RATIO_MOST,
+                Comparison.score(Result.SAME, HIT_A, new Seen(Outcome.OK, Lookup.HIT, A, 9, true), true));
+        assertTrue(
+                Double.isNaN(Comparison.score(Result.SAME, HIT_A, slow, false)), "a connection that has just come up");
         Seen behind = new Seen(Outcome.OK, Lookup.HIT, A, 0.02, false);
         assertTrue(Double.isNaN(Comparison.score(Result.SAME, behind, slow, true)), "behind another answer");
     }
--- a/router/src/test/java/stagepier/shadow/PromotionTest.java
+++ b/router/src/test/java/stagepier/shadow/PromotionTest.java
@@ -72,8 +72,14 @@
     @Test
     void aPlanTravelsAndNonsenseIsRefused() {
         assertEquals(plan(), PromotionPlan.parse(plan().text()));
-        for (String bad : List.of("", "{}", "[1]", "{\"map\":\"\",\"shares\":[],\"from\":1}", "{\"map\":\"\",\"shares\":[10001]}",
-                "{\"map\":\"\",\"shares\":[1],\"apart\":-1}", "{\"map\":3")) {
+        for (String bad : List.of(
+                "",
+                "{}",
+                "[1]",
+                "{\"map\":\"\",\"shares\":[],\"from\":1}",
+                "{\"map\":\"\",\"shares\":[10001]}",
+                "{\"map\":\"\",\"shares\":[1],\"apart\":-1}",
+                "{\"map\":3")) {
             assertThrows(IllegalArgumentException.class, () -> PromotionPlan.parse(bad), bad);
         }
     }
@@ -82,7 +88,9 @@
     private static String promote(ShadowFleet fleet, Verdict verdict, String stopped) {
         AtomicReference<String> said = new AtomicReference<>();
         ShadowFleet.Router r = fleet.router(0);
-        r.node.start("promote", () -> said.set(r.part.promotion().promote(r.part.state().map(), verdict, stopped)));
+        r.node.start(
+                "promote",
+                () -> said.set(r.part.promotion().promote(r.part.state().map(), verdict, stopped)));
         assertTrue(fleet.world.runUntil(() -> said.get() != null, Duration.ofSeconds(10)));
         return said.get();
     }
@@ -96,7 +104,8 @@
         try (ShadowFleet fleet = new ShadowFleet(1, 5)) {
             fleet.settle(ShadowFleet.map(1));
             for (Verdict.Kind kind : List.of(Verdict.Kind.WORSE, Verdict.Kind.NOT_ENOUGH)) {
-                assertTrue(promote(fleet, new Verdict(kind, 9, 0, -1, 1), "").startsWith("not promoted: the verdict is"));
+                assertTrue(
+                        promote(fleet, new Verdict(kind, 9, 0, -1, 1), "").startsWith("not promoted: the verdict is"));
             }
             assertEquals("not promoted: the candidate was stopped: wrong", promote(fleet, GOOD, "wrong"));
             fleet.router(0).majority = false;
@@ -212,6 +221,9 @@
     }
 
     private static String status(ShadowFleet fleet) {
-        return fleet.router(1).part.status().stream().filter(l -> l.startsWith("promotion: ")).findFirst().orElse("");
+        return fleet.router(1).part.status().stream()
+                .filter(l -> l.startsWith("promotion: "))
+                .findFirst()
+                .orElse("");
     }
 }
--- a/router/src/test/java/stagepier/shadow/ShadowCopiesTest.java
+++ b/router/src/test/java/stagepier/shadow/ShadowCopiesTest.java
@@ -18,8 +18,8 @@
     /** All keys, four servers of eight. */
     private static CandidateMap map(double budget, double fetches) {
         StringBuilder text = new StringBuilder(
-                "version = 1\nslice = 10000\nclasses = [\"read\", \"put\"]\n[budget]\ncopies_per_second = "
-                + budget + "\nfetches_per_second = " + fetches + "\n");
+                "version = 1\nslice = 10000\nclasses = [\"read\", \"put\"]\n[budget]\ncopies_per_second = " + budget
+                        + "\nfetches_per_second = " + fetches + "\n");
         for (int i = 1; i <= 4; i++) {
             text.append("[[servers]]\nname = \"s-0000000").append(i).append("\"\n");
         }
@@ -51,8 +51,11 @@
     @Test
     void copiesAreReadsWithIdsOfTheirOwnAndTheTimeThatIsLeft() {
         ShadowWorld world = play(1, ShadowWorld.Candidate.GOOD, map(100, 100));
-        assertEquals(world.copyLines.size(), world.copyLines.stream().map(l -> l.split(" ")[3]).distinct().count());
-        assertTrue(world.copyLines.stream().allMatch(l -> l.matches("mg [0-9a-f]{16} v Oshadow[0-9a-f]+ Pc=read,d=[0-9]+\r\n")));
+        assertEquals(
+                world.copyLines.size(),
+                world.copyLines.stream().map(l -> l.split(" ")[3]).distinct().count());
+        assertTrue(world.copyLines.stream()
+                .allMatch(l -> l.matches("mg [0-9a-f]{16} v Oshadow[0-9a-f]+ Pc=read,d=[0-9]+\r\n")));
         assertTrue(world.copyLines.stream().allMatch(l -> Integer.parseInt(l.replaceAll(".*d=|\r\n", "")) <= 900));
     }
 
@@ -74,7 +77,8 @@
             } else {
                 List<Object> copy = copies.remove(id);
                 assertTrue(!copy.get(copy.indexOf("server") + 1).equals(server), () -> line + " " + copy);
-                assertTrue(world.log.stream().anyMatch(l -> l.endsWith(" send " + id + " 0 " + server)), line::toString);
+                assertTrue(
+                        world.log.stream().anyMatch(l -> l.endsWith(" send " + id + " 0 " + server)), line::toString);
             }
         }
         assertEquals(java.util.Map.of(), copies);
@@ -89,8 +93,10 @@
         assertTrue(world.counter(Counts.SCORES) > 50);
         assertEquals(world.counter("copies"), world.copiesAt.size());
         var times = world.last().times();
-        assertEquals(times.get("read.real").getTotalCount(),
-                times.get("read.copy").getTotalCount() + times.get("read.control").getTotalCount());
+        assertEquals(
+                times.get("read.real").getTotalCount(),
+                times.get("read.copy").getTotalCount()
+                        + times.get("read.control").getTotalCount());
         assertTrue(world.counter("controls") > 50);
     }
 
@@ -98,8 +104,8 @@
     void aSlowOneIsSeenToBeSlow() {
         ShadowWorld world = new ShadowWorld(1, ShadowWorld.Candidate.SLOW, map(100, 100));
         world.play(1, 12_000, 200);
-        Verdict v = Verdict.of(Counts.sums(Counts.SCORES, world::counter), Counts.sums(Counts.CONTROLS, world::counter), 0.02,
-                true);
+        Verdict v = Verdict.of(
+                Counts.sums(Counts.SCORES, world::counter), Counts.sums(Counts.CONTROLS, world::counter), 0.02, true);
         assertEquals(Verdict.Kind.WORSE, v.kind(), v::words);
     }
 
@@ -178,7 +184,8 @@
                 case 1 -> world.draining = true;
                 case 2 -> {
                     ShadowOrders o = world.orders;
-                    world.orders = new ShadowOrders(o.map(), o.slice(), o.ring(), o.present(), o.fleet(), o.until(), false);
+                    world.orders =
+                            new ShadowOrders(o.map(), o.slice(), o.ring(), o.present(), o.fleet(), o.until(), false);
                 }
                 default -> {
                     ShadowOrders o = world.orders;
@@ -197,8 +204,9 @@
         ShadowWorld world = new ShadowWorld(3, ShadowWorld.Candidate.GOOD, map(100, 100));
         world.play(3, 500, 200);
         for (long id = 1; id <= ShadowWorld.SERVERS; id++) {
-            world.servers.listed(new Api.Member(id, 0, 0, 0, Api.MemberState.DRAINING, 1, 0), new InetSocketAddress("127.0.0.1",
-                    20_000));
+            world.servers.listed(
+                    new Api.Member(id, 0, 0, 0, Api.MemberState.DRAINING, 1, 0),
+                    new InetSocketAddress("127.0.0.1", 20_000));
         }
         world.run(0.06);
         assertEquals(0, world.copies.links());
@@ -211,8 +219,9 @@
     @Test
     void coldCrowdedAndFailingServersAreSpared() {
         ServerStates states = new ServerStates(2, (now, server) -> server == 4 ? Fitness.CROWDED : Fitness.FIT);
-        Stream.of(1, 2, 3, 4).forEach(id -> states.listed(new Api.Member(id, 0, 0, 0, Api.MemberState.READY, 1, id == 1 ? 99
-                : 0), null));
+        Stream.of(1, 2, 3, 4)
+                .forEach(id ->
+                        states.listed(new Api.Member(id, 0, 0, 0, Api.MemberState.READY, 1, id == 1 ? 99 : 0), null));
         assertEquals(Fitness.COLD, states.of(100, 1));
         assertEquals(Fitness.FIT, states.of(101, 1));
         states.ended(100, 2, Api.Outcome.FULL);
--- a/router/src/test/java/stagepier/shadow/ShadowFleet.java
+++ b/router/src/test/java/stagepier/shadow/ShadowFleet.java
@@ -40,11 +40,20 @@
             incarnation = ++incarnations;
             node = world.node(name, wallOff);
             Calls calls = net.calls(node);
-            part = new ShadowPart(new ShadowPart.Parts(node, calls, config(name), incarnation, this::view, () -> calendar,
+            part = new ShadowPart(new ShadowPart.Parts(
+                    node,
+                    calls,
+                    config(name),
+                    incarnation,
+                    this::view,
+                    () -> calendar,
                     agreement(name),
-                    () -> servers, false, List.of("a", "b"), List.of("m1"), (event, values) -> history.add(world.seconds() + " "
-                    + name
-                            + " " + event + " " + List.of(values))));
+                    () -> servers,
+                    false,
+                    List.of("a", "b"),
+                    List.of("m1"),
+                    (event, values) ->
+                            history.add(world.seconds() + " " + name + " " + event + " " + List.of(values))));
             part.start();
             calls.start();
         }
@@ -54,7 +63,8 @@
             for (String n : names) {
                 Router r = routers.get(n);
                 long version = r == null || r.part == null ? 0 : r.part.version();
-                members.add(new FleetView.Member(n, 1, FleetView.State.ALIVE, new FleetView.Facts("", "", 1, 0, version)));
+                members.add(
+                        new FleetView.Member(n, 1, FleetView.State.ALIVE, new FleetView.Facts("", "", 1, 0, version)));
             }
             return new FleetView(name, 7, majority, members);
         }
@@ -82,9 +92,11 @@
     final List<String> history = new ArrayList<>();
     /** All that ever counted. */
     final List<Router> all = new ArrayList<>();
+
     Calendar calendar = Calendar.NONE;
     /** The one sequence of what was agreed, and who cannot hear of it. */
     final List<String> agreed = new ArrayList<>();
+
     final Set<String> deaf = new HashSet<>();
     private final Map<String, Integer> learnt = new TreeMap<>();
     private final List<Api.Member> servers = new ArrayList<>();
@@ -159,7 +171,8 @@
 
     static CandidateMap map(long version) {
         try {
-            return CandidateFile.parse("test", CandidateFileTest.GOOD.replace("version = 3", "version = " + version)).map();
+            return CandidateFile.parse("test", CandidateFileTest.GOOD.replace("version = 3", "version = " + version))
+                    .map();
         } catch (CandidateException e) {
             throw new AssertionError(e);
         }
@@ -168,9 +181,11 @@
     /** All have one candidate and may copy. */
     void settle(CandidateMap map) {
         router(0).part.take(map);
-        if (!world.runUntil(() -> live().stream().allMatch(r -> r.part.version() == map.version() && r.copies()),
+        if (!world.runUntil(
+                () -> live().stream().allMatch(r -> r.part.version() == map.version() && r.copies()),
                 Duration.ofSeconds(60))) {
-            throw new AssertionError("no shadow at " + live().stream().filter(r -> !r.copies()).map(r -> r.name).toList());
+            throw new AssertionError("no shadow at "
+                    + live().stream().filter(r -> !r.copies()).map(r -> r.name).toList());
         }
     }
 
--- a/router/src/test/java/stagepier/shadow/ShadowFleetTest.java
+++ b/router/src/test/java/stagepier/shadow/ShadowFleetTest.java
@@ -24,12 +24,20 @@
     private static void assertSums(ShadowFleet fleet) {
         for (ShadowFleet.Router r : fleet.live()) {
             Map<String, Long> sums = new HashMap<>();
-            r.part.state().known().forEach((name, processes) -> processes.forEach((incarnation, sequence) -> {
-                ShadowFleet.Router said = fleet.all.stream().filter(a -> a.incarnation == incarnation).findFirst().orElseThrow();
-                assertEquals(name, said.name);
-                Counts.Snapshot then = said.told.stream().filter(s -> s.sequence() == sequence).findFirst().orElseThrow();
-                then.counters().forEach((counter, n) -> sums.merge(counter, n, Long::sum));
-            }));
+            r.part.state()
+                    .known()
+                    .forEach((name, processes) -> processes.forEach((incarnation, sequence) -> {
+                        ShadowFleet.Router said = fleet.all.stream()
+                                .filter(a -> a.incarnation == incarnation)
+                                .findFirst()
+                                .orElseThrow();
+                        assertEquals(name, said.name);
+                        Counts.Snapshot then = said.told.stream()
+                                .filter(s -> s.sequence() == sequence)
+                                .findFirst()
+                                .orElseThrow();
+                        then.counters().forEach((counter, n) -> sums.merge(counter, n, Long::sum));
+                    }));
             assertEquals(sums, r.part.state().sums(), r.name);
         }
     }
@@ -60,12 +68,13 @@
                             fleet.start(any, Duration.ZERO);
                         }
                         case 4 -> fleet.routers.get(any).node.standStill(Duration.ofSeconds(4));
-                        default -> fleet.live().forEach(r -> {
-                            if (!r.part.state().id().isEmpty()) {
-                                r.count("same", 1 + random.nextInt(5));
-                                r.count("scores", 1);
-                            }
-                        });
+                        default ->
+                            fleet.live().forEach(r -> {
+                                if (!r.part.state().id().isEmpty()) {
+                                    r.count("same", 1 + random.nextInt(5));
+                                    r.count("scores", 1);
+                                }
+                            });
                     }
                     fleet.run(0.1 + random.nextDouble());
                     assertSums(fleet);
@@ -74,8 +83,12 @@
                 fleet.run(10);
                 assertSums(fleet);
                 long heard = fleet.router(0).part.state().sums().get("same");
-                fleet.live().forEach(r -> assertEquals(heard, r.part.state().sums().get("same"), r.name));
-                long living = fleet.live().stream().filter(r -> !r.told.isEmpty()).mapToLong(r -> last(r).counter("same")).sum();
+                fleet.live()
+                        .forEach(r -> assertEquals(heard, r.part.state().sums().get("same"), r.name));
+                long living = fleet.live().stream()
+                        .filter(r -> !r.told.isEmpty())
+                        .mapToLong(r -> last(r).counter("same"))
+                        .sum();
                 assertTrue(heard >= living && living > 100, () -> heard + " of " + living);
             }
         }
@@ -92,10 +105,15 @@
                 fleet.net.loss(0.05);
                 double at = fleet.world.seconds();
                 fleet.router((int) (seed % size)).count("wrong", 1);
-                assertTrue(fleet.world.runUntil(() -> fleet.live().stream().noneMatch(ShadowFleet.Router::copies),
-                        Duration.ofSeconds(2)),
-                        "seed " + seed + ": " + fleet.live().stream().filter(ShadowFleet.Router::copies).map(r ->
-                        r.name).toList());
+                assertTrue(
+                        fleet.world.runUntil(
+                                () -> fleet.live().stream().noneMatch(ShadowFleet.Router::copies),
+                                Duration.ofSeconds(2)),
+                        "seed " + seed + ": "
+                                + fleet.live().stream()
+                                        .filter(ShadowFleet.Router::copies)
+                                        .map(r -> r.name)
+                                        .toList());
                 worst = Math.max(worst, fleet.world.seconds() - at);
                 fleet.run(5);
                 assertTrue(fleet.live().stream().noneMatch(ShadowFleet.Router::copies));
@@ -114,10 +132,15 @@
                 fleet.router(0).count("wrong", 1);
                 fleet.run(0.1);
                 fleet.router(0).node.kill();
-                assertTrue(fleet.world.runUntil(() -> fleet.live().stream().noneMatch(ShadowFleet.Router::copies),
-                        Duration.ofMillis(1900)),
-                        "seed " + seed + ": " + fleet.live().stream().filter(ShadowFleet.Router::copies).map(r ->
-                        r.name).toList());
+                assertTrue(
+                        fleet.world.runUntil(
+                                () -> fleet.live().stream().noneMatch(ShadowFleet.Router::copies),
+                                Duration.ofMillis(1900)),
+                        "seed " + seed + ": "
+                                + fleet.live().stream()
+                                        .filter(ShadowFleet.Router::copies)
+                                        .map(r -> r.name)
+                                        .toList());
                 fleet.live().forEach(r -> assertFalse(r.part.state().stopped().isEmpty(), r.name));
             }
         }
@@ -141,8 +164,9 @@
                     fleet.run(2);
                     int turn = i;
                     // Who stood still may have been the last to know; from its lease on it does not copy either.
-                    assertTrue(turn < 2 || fleet.live().stream().noneMatch(ShadowFleet.Router::copies), "seed " + seed
-                            + " turn " + turn);
+                    assertTrue(
+                            turn < 2 || fleet.live().stream().noneMatch(ShadowFleet.Router::copies),
+                            "seed " + seed + " turn " + turn);
                 }
                 fleet.net.heal();
                 fleet.run(3);
@@ -188,8 +212,9 @@
                     fleet.start(name, Duration.ZERO).part.take(ShadowFleet.map(1));
                     for (int i = 0; i < 50; i++) {
                         fleet.run(0.1);
-                        assertTrue(fleet.live().stream().noneMatch(ShadowFleet.Router::copies), "seed " + seed + " after "
-                                + name);
+                        assertTrue(
+                                fleet.live().stream().noneMatch(ShadowFleet.Router::copies),
+                                "seed " + seed + " after " + name);
                     }
                 }
             }
@@ -204,11 +229,18 @@
                 score(fleet.router(i), 1000, 0.5);
             }
             fleet.run(10);
-            assertEquals(Verdict.Kind.NOT_ENOUGH, fleet.router(0).part.state().verdict(true).kind(), "7 of 14 have spoken");
+            assertEquals(
+                    Verdict.Kind.NOT_ENOUGH,
+                    fleet.router(0).part.state().verdict(true).kind(),
+                    "7 of 14 have spoken");
             score(fleet.router(7), 1000, 0.5);
             fleet.run(10);
-            assertEquals(Verdict.Kind.WORSE, fleet.router(0).part.state().verdict(true).kind());
-            assertEquals(Verdict.Kind.NOT_ENOUGH, fleet.router(0).part.state().verdict(false).kind());
+            assertEquals(
+                    Verdict.Kind.WORSE,
+                    fleet.router(0).part.state().verdict(true).kind());
+            assertEquals(
+                    Verdict.Kind.NOT_ENOUGH,
+                    fleet.router(0).part.state().verdict(false).kind());
             fleet.router(0).majority = false;
             fleet.run(1);
             assertFalse(fleet.router(0).copies());
@@ -230,14 +262,23 @@
     @Test
     void twoCandidatesAtOnceBecomeOneAndANewerOneBeginsAnew() throws CandidateException {
         try (ShadowFleet fleet = new ShadowFleet(3, FLEET)) {
-            CandidateMap other = CandidateFile.parse("test", CandidateFileTest.GOOD.replace("slice = 200", "slice = 100")
-                    .replace("version = 3", "version = 1")).map();
+            CandidateMap other = CandidateFile.parse(
+                            "test",
+                            CandidateFileTest.GOOD
+                                    .replace("slice = 200", "slice = 100")
+                                    .replace("version = 3", "version = 1"))
+                    .map();
             fleet.router(0).part.take(ShadowFleet.map(1));
             fleet.router(5).part.take(other);
             fleet.router(0).count("same", 5);
             fleet.router(5).count("same", 7);
             fleet.run(10);
-            assertEquals(1, fleet.live().stream().map(r -> r.part.state().id()).distinct().count());
+            assertEquals(
+                    1,
+                    fleet.live().stream()
+                            .map(r -> r.part.state().id())
+                            .distinct()
+                            .count());
             fleet.router(0).count("wrong", 1);
             fleet.run(3);
             fleet.router(3).part.take(ShadowFleet.map(2));
@@ -265,8 +306,11 @@
                 r.count("same", 500);
             }
             fleet.run(15);
-            fleet.live().forEach(r -> assertEquals(40 * 500, r.part.state().sums().get("same"), r.name));
-            assertTrue(fleet.router(1).part.status().stream().anyMatch(l -> l.startsWith("shadow times of read.copy: n 20000")),
+            fleet.live()
+                    .forEach(r -> assertEquals(40 * 500, r.part.state().sums().get("same"), r.name));
+            assertTrue(
+                    fleet.router(1).part.status().stream()
+                            .anyMatch(l -> l.startsWith("shadow times of read.copy: n 20000")),
                     () -> fleet.router(1).part.status().toString());
         }
     }
--- a/router/src/test/java/stagepier/shadow/ShadowRulesTest.java
+++ b/router/src/test/java/stagepier/shadow/ShadowRulesTest.java
@@ -32,7 +32,8 @@
     }
 
     private static Ruling rule(ShadowRules.Asked asked, ShadowRules.Owners owners) {
-        return new ShadowRules(CandidateFileTest.good(), 1).rule(10, asked, owners, true, router(false, false), Fitness.FIT);
+        return new ShadowRules(CandidateFileTest.good(), 1)
+                .rule(10, asked, owners, true, router(false, false), Fitness.FIT);
     }
 
     @Test
@@ -58,9 +59,10 @@
     @ParameterizedTest
     @CsvSource({"ABSENT", "DRAINING", "COLD", "CROWDED", "OPEN"})
     void neverToAServerThatHasToBeSpared(Fitness fitness) {
-        assertEquals(Ruling.NOT_FIT, new ShadowRules(CandidateFileTest.good(), 1).rule(10, FINE, MOVED, true, router(false,
-                false),
-                fitness));
+        assertEquals(
+                Ruling.NOT_FIT,
+                new ShadowRules(CandidateFileTest.good(), 1)
+                        .rule(10, FINE, MOVED, true, router(false, false), fitness));
     }
 
     @Test
@@ -83,7 +85,9 @@
         for (int router = 0; router < fleet; router++) {
             Pace pace = new Pace(budget, fleet);
             List<Double> own = new ArrayList<>();
-            for (double now = 0; now < 20; now += random.nextDouble() * 0.002 * (random.nextInt(2000) == 0 ? 500 : 0.2)) {
+            for (double now = 0;
+                    now < 20;
+                    now += random.nextDouble() * 0.002 * (random.nextInt(2000) == 0 ? 500 : 0.2)) {
                 if (pace.has(now)) {
                     pace.spend(now);
                     own.add(now);
--- a/router/src/test/java/stagepier/shadow/ShadowWorld.java
+++ b/router/src/test/java/stagepier/shadow/ShadowWorld.java
@@ -17,12 +17,13 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import stagepier.Api;
-import stagepier.Brain;
-import stagepier.exchange.Carrier;
+import stagepier.RoutingPolicy;
 import stagepier.exchange.Clock;
 import stagepier.exchange.Exchange;
 import stagepier.exchange.Ids;
 import stagepier.exchange.ModuleHost;
+import stagepier.exchange.ResponseInfo;
+import stagepier.exchange.ServerTransport;
 import stagepier.memcache.CommandParser;
 import stagepier.memcache.MalformedException;
 import stagepier.memcache.RingBuffer;
@@ -33,7 +34,7 @@
  * One router with the real module in virtual time, its cache servers scripted: what a server does with a request depends on the
  * key, the server and the attempt alone, so that a play with copies and one without can be compared request by request.
  */
-final class ShadowWorld implements Carrier {
+final class ShadowWorld implements ServerTransport {
     static final String SETTINGS = """
             {"Siblings":4,"Classes":[{"Name":"read","Deadline":1,"GoalTime":0.5,"Repeat":"idempotent"},
             {"Name":"put","Deadline":1,"Repeat":"deduplicated","DedupWindow":5}],"FamilyInfo":{"Mode":"through"},
@@ -44,7 +45,15 @@
     private static final double STEP = 0.001;
 
     /** How servers answer copies. */
-    enum Candidate { GOOD, SLOW, WRONG, FAILS, SILENT, BREAKS, RACES }
+    enum Candidate {
+        GOOD,
+        SLOW,
+        WRONG,
+        FAILS,
+        SILENT,
+        BREAKS,
+        RACES
+    }
 
     final List<String> log = new ArrayList<>();
     final Map<String, Long> status = new TreeMap<>();
@@ -76,7 +85,7 @@
         this.candidate = candidate;
         main.freezeTime();
         host = new ModuleHost(loop, clock, new LoopDelay(), settings);
-        host.connect(new Brain(settings.settings(), seed, host), this);
+        host.connect(new RoutingPolicy(settings.settings(), seed, host), this);
         List<Api.Member> members = new ArrayList<>();
         for (int i = 1; i <= SERVERS; i++) {
             Api.Member m = new Api.Member(i, i % 2, 0, 0, Api.MemberState.READY, 1, 0);
@@ -85,27 +94,46 @@
         }
         host.members(true, members);
         if (map != null) {
-            orders = new ShadowOrders(map, new Slice(map.salt()), ShardRing.of(map), ShardRing.of(servers.members(), false), 1,
-                    Long.MAX_VALUE / 2, true);
-            copies = new ShadowCopies(new ShadowCopies.Parts(loop, clock, this::connect, settings, 32, "shadow",
+            orders = new ShadowOrders(
+                    map,
+                    new Slice(map.salt()),
+                    ShardRing.of(map),
+                    ShardRing.of(servers.members(), false),
+                    1,
+                    Long.MAX_VALUE / 2,
+                    true);
+            copies = new ShadowCopies(new ShadowCopies.Parts(
+                    loop,
+                    clock,
+                    this::connect,
+                    settings,
+                    32,
+                    "shadow",
                     new RouterState() {
-                @Override
-                public boolean isPressed() {
-                    return pressed;
-                }
+                        @Override
+                        public boolean isPressed() {
+                            return pressed;
+                        }
 
-                @Override
-                public boolean isDraining() {
-                    return draining;
-                }
-            }, servers, () -> 0, () -> orders, told::add, () -> promoted, host::promoted, (event, values) -> {
-                if (event.equals("shadow.copy")) {
-                    copiesAt.add(now);
-                }
-                List<Object> line = new ArrayList<>(List.of(event));
-                line.addAll(List.of(values));
-                history.add(line);
-            }));
+                        @Override
+                        public boolean isDraining() {
+                            return draining;
+                        }
+                    },
+                    servers,
+                    () -> 0,
+                    () -> orders,
+                    told::add,
+                    () -> promoted,
+                    host::promoted,
+                    (event, values) -> {
+                        if (event.equals("shadow.copy")) {
+                            copiesAt.add(now);
+                        }
+                        List<Object> line = new ArrayList<>(List.of(event));
+                        line.addAll(List.of(values));
+                        history.add(line);
+                    }));
             copies.start();
             host.connectShadow(copies);
         }
@@ -134,8 +162,10 @@
             run(-Math.log(1 - random.nextDouble()) / perSecond);
             String key = String.format("%016x", 1 + (long) (300 * random.nextDouble() * random.nextDouble()));
             boolean write = random.nextInt(20) == 0;
-            ask(write ? "ms " + key + " 1 Or" + i + " Pc=put,d=900,k=" + i + "\r\nx\r\n" : "mg " + key + " v Or" + i
-                    + " Pc=read,d=900\r\n");
+            ask(
+                    write
+                            ? "ms " + key + " 1 Or" + i + " Pc=put,d=900,k=" + i + "\r\nx\r\n"
+                            : "mg " + key + " v Or" + i + " Pc=read,d=900\r\n");
         }
         run(3);
     }
@@ -144,8 +174,11 @@
         RingBuffer ring = new RingBuffer();
         ring.put(line.getBytes(StandardCharsets.ISO_8859_1));
         try {
-            host.take((x, reply) -> log.add(time() + " answer " + x.command().id() + " " + reply.kind() + " "
-                    + new String(reply.body(), StandardCharsets.ISO_8859_1)), CommandParser.next(ring), Double.POSITIVE_INFINITY);
+            host.take(
+                    (x, reply) -> log.add(time() + " answer " + x.command().id() + " " + reply.kind() + " "
+                            + new String(reply.body(), StandardCharsets.ISO_8859_1)),
+                    CommandParser.next(ring),
+                    Double.POSITIVE_INFINITY);
         } catch (MalformedException e) {
             throw new AssertionError(e);
         }
@@ -174,20 +207,22 @@
     }
 
     @Override
-    public Sending send(Exchange x, int attempt, long server, double timeout) {
+    public Transmission send(Exchange x, int attempt, long server, double timeout) {
         double sentAt = now;
         String id = x.command().id();
         log.add(time() + " send " + id + " " + attempt + " " + server);
         SplittableRandom draw = draw(id, server, attempt);
         int fate = draw.nextInt(100);
-        Api.Outcome outcome = fate < 2 ? Api.Outcome.ERROR : fate < 4 ? Api.Outcome.FULL : fate < 5 ? Api.Outcome.TIMEOUT
-                : Api.Outcome.OK;
+        Api.Outcome outcome = fate < 2
+                ? Api.Outcome.ERROR
+                : fate < 4 ? Api.Outcome.FULL : fate < 5 ? Api.Outcome.TIMEOUT : Api.Outcome.OK;
         double takes = outcome == Api.Outcome.TIMEOUT ? timeout : Math.min(timeout, 0.002 + 0.01 * draw.nextDouble());
         boolean[] over = new boolean[1];
         if (x.command().isWrite()) {
             versions.merge(x.command().key(), 1, Integer::sum);
         }
-        loop.schedule(() -> end(x, attempt, server, outcome, sentAt, over), (long) (takes * 1e6), TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> end(x, attempt, server, outcome, sentAt, over), (long) (takes * 1e6), TimeUnit.MICROSECONDS);
         return () -> end(x, attempt, server, Api.Outcome.CANCELLED, sentAt, over);
     }
 
@@ -196,7 +231,14 @@
             over[0] = true;
             log.add(time() + " end " + x.command().id() + " " + attempt + " " + server + " " + outcome);
             String body = value(x.command().key());
-            host.ended(x, attempt, server, outcome, sentAt, Api.Lookup.HIT, body.getBytes(StandardCharsets.ISO_8859_1));
+            host.ended(
+                    x,
+                    attempt,
+                    server,
+                    outcome,
+                    sentAt,
+                    ResponseInfo.of(Api.Lookup.HIT),
+                    body.getBytes(StandardCharsets.ISO_8859_1));
         }
     }
 
@@ -205,12 +247,10 @@
     }
 
     @Override
-    public void probe(long server) {
-    }
+    public void probe(long server) {}
 
     @Override
-    public void closeIdle(long server) {
-    }
+    public void closeIdle(long server) {}
 
     // ---- the connections for copies -----------------------------------------------------------------------
     private ChannelFuture connect(ChannelHandler setUp, InetSocketAddress address) {
@@ -233,7 +273,9 @@
         if (whole) {
             answer(channel, server, all.toString(), heard);
         }
-        loop.schedule(() -> hear(channel, server, whole ? heard + 1 : heard, whole ? "" : all.toString()), 100,
+        loop.schedule(
+                () -> hear(channel, server, whole ? heard + 1 : heard, whole ? "" : all.toString()),
+                100,
                 TimeUnit.MICROSECONDS);
     }
 
@@ -243,27 +285,32 @@
         String key = words[1];
         String id = words[3].substring(1);
         boolean fromCandidate = orders.ring().owner(Ids.ofKey(key)) == server;
-        double takes = (candidate == Candidate.SLOW && fromCandidate ? 0.03 : 0.002) + 0.01 * draw(id, server, 0).nextDouble();
+        double takes = (candidate == Candidate.SLOW && fromCandidate ? 0.03 : 0.002)
+                + 0.01 * draw(id, server, 0).nextDouble();
         String value = value(key);
         String said = switch (candidate) {
             case WRONG -> fromCandidate ? "wrong" : value;
             case RACES -> heard % 5 == 4 ? value + "!" : value;
             default -> value;
         };
-        String text = candidate == Candidate.FAILS ? "SERVER_ERROR failed\r\n" : "VA " + said.length() + " O" + id + " h1\r\n"
-                + said + "\r\n";
+        String text = candidate == Candidate.FAILS
+                ? "SERVER_ERROR failed\r\n"
+                : "VA " + said.length() + " O" + id + " h1\r\n" + said + "\r\n";
         if (candidate == Candidate.SILENT) {
             return;
         }
-        loop.schedule(() -> {
-            if (!channel.isOpen()) {
-                return;
-            }
-            if (candidate == Candidate.BREAKS && heard % 3 == 2) {
-                channel.close();
-            } else {
-                channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
-            }
-        }, (long) (takes * 1e6), TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> {
+                    if (!channel.isOpen()) {
+                        return;
+                    }
+                    if (candidate == Candidate.BREAKS && heard % 3 == 2) {
+                        channel.close();
+                    } else {
+                        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+                    }
+                },
+                (long) (takes * 1e6),
+                TimeUnit.MICROSECONDS);
     }
 }
--- a/router/src/test/java/stagepier/shadow/VerdictTest.java
+++ b/router/src/test/java/stagepier/shadow/VerdictTest.java
@@ -60,7 +60,9 @@
     }
 
     private static long said(Verdict.Kind kind, double times) {
-        return java.util.stream.LongStream.range(0, PLAYS).filter(seed -> play(seed, times).kind() == kind).count();
+        return java.util.stream.LongStream.range(0, PLAYS)
+                .filter(seed -> play(seed, times).kind() == kind)
+                .count();
     }
 
     @Test
@@ -78,9 +80,9 @@
         for (double percent : new double[] {5, 10, 20}) {
             long[] worse = copies(1 + percent / 100, Verdict.Kind.WORSE);
             long[] better = copies(1 / (1 + percent / 100), Verdict.Kind.BETTER);
-            System.err.printf("verdicts: %.0f%% slower: median %d, 95%% within %d; as much faster: median %d, 95%% within %d%n",
-                    percent,
-                    worse[PLAYS / 2], worse[PLAYS * 95 / 100], better[PLAYS / 2], better[PLAYS * 95 / 100]);
+            System.err.printf(
+                    "verdicts: %.0f%% slower: median %d, 95%% within %d; as much faster: median %d, 95%% within %d%n",
+                    percent, worse[PLAYS / 2], worse[PLAYS * 95 / 100], better[PLAYS / 2], better[PLAYS * 95 / 100]);
             assertTrue(worse[PLAYS / 2] < before);
             before = worse[PLAYS / 2];
         }
@@ -114,10 +116,15 @@
         Verdict.Sums few = new Verdict.Sums(Verdict.LEAST - 1, 1000, 20_000);
         Verdict.Sums many = new Verdict.Sums(100_000, 50_000, 60_000);
         Verdict.Sums control = new Verdict.Sums(100_000, 0, 60_000);
-        assertEquals(Verdict.Kind.NOT_ENOUGH, Verdict.of(none, none, MARGIN, true).kind());
-        assertEquals(Verdict.Kind.NOT_ENOUGH, Verdict.of(many, none, MARGIN, true).kind());
-        assertEquals(Verdict.Kind.NOT_ENOUGH, Verdict.of(few, control, MARGIN, true).kind());
-        assertEquals(Verdict.Kind.NOT_ENOUGH, Verdict.of(many, control, MARGIN, false).kind());
+        assertEquals(
+                Verdict.Kind.NOT_ENOUGH, Verdict.of(none, none, MARGIN, true).kind());
+        assertEquals(
+                Verdict.Kind.NOT_ENOUGH, Verdict.of(many, none, MARGIN, true).kind());
+        assertEquals(
+                Verdict.Kind.NOT_ENOUGH, Verdict.of(few, control, MARGIN, true).kind());
+        assertEquals(
+                Verdict.Kind.NOT_ENOUGH,
+                Verdict.of(many, control, MARGIN, false).kind());
         assertEquals(Verdict.Kind.WORSE, Verdict.of(many, control, MARGIN, true).kind());
     }
 }
--- a/router/src/test/java/stagepier/tasks/LiveTasksTest.java
+++ b/router/src/test/java/stagepier/tasks/LiveTasksTest.java
@@ -35,7 +35,7 @@
         }
         int taken = 0;
         int[] last = {-1, -1, -1, -1};
-        for (;;) {
+        for (; ; ) {
             boolean last1 = done.getCount() == 0;
             int[] thing = box.take(Duration.ofMillis(last1 ? 0 : 20));
             if (thing == null && last1) {
