--- a/lab/src/main/java/stagepier/lab/standin/StreamRelay.java
+++ b/lab/src/main/java/stagepier/lab/standin/StreamRelay.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
@@ -123,6 +124,7 @@
         });
     }
 
+    /** On the event loop: elsewhere the channel may close between the look whether it is open and the option. */
     private void reset(Channel channel) {
         open.remove(channel);
         if (channel.isOpen()) {
@@ -131,11 +133,19 @@
         channel.close();
     }
 
-    void close() {
-        if (listening != null) {
-            listening.close();
-        }
-        Set.copyOf(open).forEach(this::reset);
+    /**
+     * Ends all its connections. May be called from any thread: connections end on the event loop of the stand-ins, and
+     * only there is it known which are still open.
+     *
+     * @return done once all have been reset
+     */
+    Future<?> close() {
+        return world.loop().submit(() -> {
+            if (listening != null) {
+                listening.close();
+            }
+            Set.copyOf(open).forEach(this::reset);
+        });
     }
 
     /** One direction of one connection. */
--- a/lab/src/test/java/stagepier/lab/standin/RelayTest.java
+++ b/lab/src/test/java/stagepier/lab/standin/RelayTest.java
@@ -1,12 +1,14 @@
 package stagepier.lab.standin;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -16,6 +18,7 @@
 import java.net.SocketTimeoutException;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -81,7 +84,7 @@
             far.setSoTimeout(5000);
             talk.between(near, far);
         } finally {
-            relay.close();
+            relay.close().sync();
             target.close();
         }
     }
@@ -157,6 +160,44 @@
         });
     }
 
+    /** A connection that ends in the same moment must not be touched by two threads at once. */
+    @Test
+    void closingIsDoneByTheEventLoopAndByNoOtherThread() throws Exception {
+        try (ServerSocket target = new ServerSocket(0, 4, LOOPBACK)) {
+            StreamRelay relay = new StreamRelay(world, nemesis, Link.DISCOVERY, 0, Link.AGENT, target.getLocalPort());
+            relay.listen();
+            try (Socket near = new Socket(LOOPBACK, relay.port());
+                    Socket far = target.accept()) {
+                assertEquals('a', say(near, far, 'a'));
+                CountDownLatch held = new CountDownLatch(1);
+                CountDownLatch isHeld = new CountDownLatch(1);
+                loop.execute(() -> {
+                    isHeld.countDown();
+                    awaitQuietly(held);
+                });
+                isHeld.await();
+                Future<?> closed = relay.close();
+                assertFalse(closed.isDone(), "nothing has been closed while the event loop is held");
+                held.countDown();
+                closed.sync();
+                assertThrows(IOException.class, () -> {
+                    near.setSoTimeout(5000);
+                    if (near.getInputStream().read() < 0) {
+                        throw new IOException("ended");
+                    }
+                });
+            }
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void eachMessageIsKnownByWhenItsFirstByteWentOff() {
         SentTimes sent = new SentTimes();
