Give hollow watchers the waits for a shared service; measure a router that is kept busy

Cause: hollow watchers of a service that all ask still made the calls of the router before a shared service was spared, so that no run showed the herd of the router as it is. And lab throughput ends where its clients end: at 8,060 requests a second and 0.88 cores, so that the rate at which one core is full was not measured. The options for results are one mixin of three commands, and the settings of a router are a class of their own, out of Fleet. Result: HollowWatcherBesideRouterTest, now with pushed and with asked lists: calls of a real router within those of twelve hollow ones by span and kind, green. In virtual time the herd at a shared service ends within 20 s at 200, 800 and 1,900 watches, with changes and with whole lists (DiscoveryHerdTest).

--- a/lab/src/main/java/stagepier/lab/cli/Lab.java
+++ b/lab/src/main/java/stagepier/lab/cli/Lab.java
@@ -33,6 +33,7 @@
             ScaleCommand.class,
             ScaleDiscoveryCommand.class,
             ThroughputCommand.class,
+            SaturationCommand.class,
             CapacityCommand.class
         })
 final class Lab implements Runnable {
@@ -43,7 +44,7 @@
     public void run() {
         throw new CommandLine.ParameterException(
                 spec.commandLine(),
-                "run, hunt, scale, scale-discovery, throughput, list, report, compare or capacity?");
+                "run, hunt, scale, scale-discovery, throughput, saturation, list, report, compare or capacity?");
     }
 
     /** Where the router is: what the launcher says, or what the build makes. */
@@ -51,6 +52,11 @@
         return Path.of(System.getProperty("stagepier.router", "router/target/stagepier.jar"));
     }
 
+    /** The project's folder, in which the file of the deployment is. */
+    static Path root() {
+        return routerJar().toAbsolutePath().getParent().getParent().getParent();
+    }
+
     @Command(
             name = "run",
             mixinStandardHelpOptions = true,
--- a/lab/src/main/java/stagepier/lab/cli/ScaleCommand.java
+++ b/lab/src/main/java/stagepier/lab/cli/ScaleCommand.java
@@ -1,9 +1,6 @@
 package stagepier.lab.cli;
 
 import java.io.IOException;
-import java.io.PrintWriter;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
@@ -69,40 +66,31 @@
             description = "how often hollow routers report: ${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
     private ReportPacing reports;
 
-    @Option(names = "--out", defaultValue = "results/scale", description = "folder of the results (${DEFAULT-VALUE})")
-    private Path out;
-
-    @Option(names = "--add", description = "keeps what the results there hold of other sizes and seeds")
-    private boolean add;
-
-    @Option(names = "--json", description = "prints the results as JSON")
-    private boolean json;
+    @CommandLine.Mixin
+    private ResultsOptions output;
 
     @Override
     public Integer call() throws IOException, InterruptedException, PlanTooLargeException {
         check();
         ScalePlan plan = isShort ? ScalePlan.shortForm() : new ScalePlan(sizes, real, seeds, seconds, warmUp, reports);
         ScaleMeasurement.check(plan);
-        Path root = Lab.routerJar().toAbsolutePath().getParent().getParent().getParent();
-        ScaleMeasurement measurement = new ScaleMeasurement(plan, DeploymentCommand.read(root), out.toAbsolutePath());
-        Path file = out.resolve(ScaleMeasurement.RESULTS);
-        ScaleResults earlier = add && Files.exists(file) ? ScaleResults.read(file) : null;
-        PrintWriter to = spec.commandLine().getOut();
-        ScaleTable table = new ScaleTable(to);
-        if (!json) {
+        ScaleMeasurement measurement = new ScaleMeasurement(
+                plan, DeploymentCommand.read(Lab.root()), output.folder().toAbsolutePath());
+        ScaleResults earlier = output.earlier(ScaleMeasurement.RESULTS);
+        ScaleTable table = new ScaleTable(spec.commandLine().getOut());
+        if (!output.isJson()) {
             table.head();
         }
         boolean[] whole = {true};
         ScaleResults all = measurement.measure(earlier, results -> {
             whole[0] &= !results.samples().isEmpty();
-            if (!json) {
+            if (!output.isJson()) {
                 table.rows(results);
             }
         });
-        to.println(json ? all.toJson() : "results: " + file);
+        output.announce(ScaleMeasurement.RESULTS, all);
         List<String> faults = isShort ? GrowthCheck.faults(all) : List.of();
         faults.forEach(spec.commandLine().getErr()::println);
-        to.flush();
         return whole[0] && faults.isEmpty() ? 0 : Cli.BROKEN;
     }
 
--- a/lab/src/main/java/stagepier/lab/cli/ScaleDiscoveryCommand.java
+++ b/lab/src/main/java/stagepier/lab/cli/ScaleDiscoveryCommand.java
@@ -1,9 +1,6 @@
 package stagepier.lab.cli;
 
 import java.io.IOException;
-import java.io.PrintWriter;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -32,6 +29,14 @@
         ASK
     }
 
+    /** How routers watch. */
+    enum Watch {
+        /** As the router watches an agent on its own machine. */
+        AGENT,
+        /** As the router watches one service that all routers ask. */
+        SHARED
+    }
+
     private static final int WATCHES_MOST = 4000;
     private static final int SERVERS_MOST = 2000;
     private static final double MILLISECONDS = 1e-3;
@@ -82,20 +87,19 @@
     @Option(names = "--notices-ended", description = "ask: no work for calls whose connection has ended")
     private boolean noticesEnded;
 
+    @Option(
+            names = "--watch",
+            description = "agent or shared: the router's waits for one of them (agent with push, shared with ask)")
+    private Watch watch;
+
     @Option(
             names = "--now-within-ms",
             defaultValue = "300",
-            description = "a watcher gives up a call that asks what there is now after this (${DEFAULT-VALUE})")
+            description = "agent: a watcher gives up a call that asks what there is now after this (${DEFAULT-VALUE})")
     private int nowWithinMs;
 
-    @Option(names = "--out", defaultValue = "results/scale", description = "folder of the results (${DEFAULT-VALUE})")
-    private Path out;
-
-    @Option(names = "--add", description = "keeps what the results there hold of other sizes and seeds")
-    private boolean add;
-
-    @Option(names = "--json", description = "prints the results as JSON")
-    private boolean json;
+    @CommandLine.Mixin
+    private ResultsOptions output;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
@@ -105,38 +109,30 @@
         }
         List<Sample> samples = new ArrayList<>();
         List<String> invalid = new ArrayList<>();
-        PrintWriter to = spec.commandLine().getOut();
-        DiscoveryTable table = new DiscoveryTable(to);
-        if (!json) {
+        DiscoveryTable table = new DiscoveryTable(spec.commandLine().getOut());
+        if (!output.isJson()) {
             table.head();
         }
         for (int size : watches) {
             for (long seed : seeds) {
-                DiscoverySetting setting = new DiscoverySetting(
-                        size, servers, seed, manners(), WatchTimes.OF_ROUTER.withNowWithin(nowWithinMs));
+                DiscoverySetting setting = new DiscoverySetting(size, servers, seed, manners(), times());
                 DiscoveryRun.Outcome outcome;
                 try (DiscoveryRun run = new DiscoveryRun(setting)) {
                     outcome = run.run();
                 }
                 samples.addAll(outcome.samples());
                 invalid.addAll(outcome.invalid());
-                if (!json) {
+                if (!output.isJson()) {
                     table.row(setting, outcome);
                 }
             }
         }
-        keep(new ScaleResults(typed(), Runtime.getRuntime().availableProcessors(), samples, invalid), to);
+        output.write(
+                mode == Mode.PUSH ? "discovery.json" : "discovery-ask.json",
+                new ScaleResults(output.typed(), Runtime.getRuntime().availableProcessors(), samples, invalid));
         return invalid.isEmpty() ? 0 : Cli.BROKEN;
     }
 
-    private void keep(ScaleResults results, PrintWriter to) throws IOException {
-        Path file = out.resolve(mode == Mode.PUSH ? "discovery.json" : "discovery-ask.json");
-        ScaleResults all = add && Files.exists(file) ? ScaleResults.read(file).with(results) : results;
-        all.write(file);
-        to.println(json ? results.toJson() : "results: " + file);
-        to.flush();
-    }
-
     private ServiceManners manners() {
         return mode == Mode.PUSH
                 ? ServiceManners.PUSHED
@@ -149,9 +145,11 @@
                         noticesEnded);
     }
 
-    private String typed() {
-        return "bin/stagepier "
-                + String.join(" ", spec.commandLine().getParseResult().originalArgs());
+    private WatchTimes times() {
+        Watch usual = mode == Mode.PUSH ? Watch.AGENT : Watch.SHARED;
+        return (watch == null ? usual : watch) == Watch.AGENT
+                ? WatchTimes.OF_AGENT.withNowWithin(nowWithinMs)
+                : WatchTimes.OF_SHARED_SERVICE;
     }
 
     private void check() {
--- a/lab/src/main/java/stagepier/lab/cli/ThroughputCommand.java
+++ b/lab/src/main/java/stagepier/lab/cli/ThroughputCommand.java
@@ -61,9 +61,8 @@
     @Override
     public Integer call() throws IOException, InterruptedException, BadScenarioException {
         check();
-        Path root = Lab.routerJar().toAbsolutePath().getParent().getParent().getParent();
         Path folder = Files.createDirectories(out.toAbsolutePath());
-        ThroughputMeasurement measurement = new ThroughputMeasurement(DeploymentCommand.read(root), folder);
+        ThroughputMeasurement measurement = new ThroughputMeasurement(DeploymentCommand.read(Lab.root()), folder);
         PrintWriter to = spec.commandLine().getOut();
         to.printf(
                 "%10s %12s %12s %12s %8s %12s%n",
--- a/lab/src/main/java/stagepier/lab/scale/Conversation.java
+++ b/lab/src/main/java/stagepier/lab/scale/Conversation.java
@@ -1,6 +1,6 @@
 package stagepier.lab.scale;
 
-/** A control conversation that a router has with other machines, or all of a process together. */
+/** A conversation that a router has with other machines, or all of a process together. */
 public enum Conversation {
     /** UDP datagrams between routers: attempts in flight and open circuits. */
     LOAD_REPORTS,
@@ -12,5 +12,7 @@
      */
     CONTROL_PROCESS,
     /** What cannot be told apart by conversation: processor time, memory, threads and descriptors of a process. */
-    PROCESS
+    PROCESS,
+    /** No control at all: requests of clients to one router that is kept busy, and the answers to them. */
+    DATA_PATH
 }
--- a/lab/src/main/java/stagepier/lab/scale/Figure.java
+++ b/lab/src/main/java/stagepier/lab/scale/Figure.java
@@ -47,7 +47,19 @@
     /** Calls and connections of a router that fail while nothing is out of order. */
     CALM_FAILURES("1/s"),
     /** Routers that did not have a change by the end of the wait for it. */
-    CHANGE_NOT_CURRENT("count");
+    CHANGE_NOT_CURRENT("count"),
+    /** Requests that a router answers with a value. */
+    REQUESTS_ANSWERED("1/s"),
+    /** The same for each core that the process takes, with all of its threads. */
+    REQUESTS_ANSWERED_PER_CORE("1/s"),
+    /** Bytes of values, without what frames them, that a router answers with. */
+    VALUE_BYTES_ANSWERED("B/s"),
+    /** The same for each core that the process takes, with all of its threads. */
+    VALUE_BYTES_ANSWERED_PER_CORE("B/s"),
+    /** Requests that a router refuses or that end without a value. */
+    REQUESTS_NOT_ANSWERED("1/s"),
+    /** Processor time of the busiest thread, as a part of one core. */
+    BUSIEST_THREAD("cores");
 
     private final String unit;
 
--- a/lab/src/main/java/stagepier/lab/scale/ProcessUse.java
+++ b/lab/src/main/java/stagepier/lab/scale/ProcessUse.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.stream.Stream;
 
 /**
@@ -12,7 +15,7 @@
  * @param residentBytes    of memory
  * @param descriptors      that it has open
  */
-record ProcessUse(double processorSeconds, long residentBytes, int threads, int descriptors) {
+public record ProcessUse(double processorSeconds, long residentBytes, int threads, int descriptors) {
     /** Linux counts processor time in these for all programs, whatever the kernel's own beat. */
     private static final double TICKS_A_SECOND = 100;
 
@@ -22,12 +25,9 @@
 
     private static final int SYSTEM_TICKS = 12;
 
-    static ProcessUse of(long pid) throws IOException {
+    /** @throws IOException where there is no such process (any more) */
+    public static ProcessUse of(long pid) throws IOException {
         Path process = Path.of("/proc", Long.toString(pid));
-        String stat = Files.readString(process.resolve("stat"));
-        // The name stands in parentheses and may hold anything.
-        String[] words = stat.substring(stat.lastIndexOf(')') + 2).trim().split(" ");
-        double ticks = Double.parseDouble(words[USER_TICKS]) + Double.parseDouble(words[SYSTEM_TICKS]);
         long resident = 0;
         int threads = 0;
         for (String line : Files.readAllLines(process.resolve("status"))) {
@@ -38,8 +38,35 @@
             }
         }
         try (Stream<Path> open = Files.list(process.resolve("fd"))) {
-            return new ProcessUse(ticks / TICKS_A_SECOND, resident, threads, (int) open.count());
+            return new ProcessUse(processorSeconds(process), resident, threads, (int) open.count());
+        }
+    }
+
+    /**
+     * Seconds of processor time that each thread of a process has taken so far, by the thread's id; a thread that ends
+     * meanwhile is left out.
+     *
+     * @throws IOException where there is no such process (any more)
+     */
+    public static Map<String, Double> ofThreads(long pid) throws IOException {
+        Map<String, Double> seconds = new HashMap<>();
+        try (Stream<Path> threads = Files.list(Path.of("/proc", Long.toString(pid), "task"))) {
+            for (Path thread : threads.toList()) {
+                try {
+                    seconds.put(thread.getFileName().toString(), processorSeconds(thread));
+                } catch (NoSuchFileException e) {
+                    continue;
+                }
+            }
         }
+        return seconds;
+    }
+
+    private static double processorSeconds(Path processOrThread) throws IOException {
+        String stat = Files.readString(processOrThread.resolve("stat"));
+        // The name stands in parentheses and may hold anything.
+        String[] words = stat.substring(stat.lastIndexOf(')') + 2).trim().split(" ");
+        return (Double.parseDouble(words[USER_TICKS]) + Double.parseDouble(words[SYSTEM_TICKS])) / TICKS_A_SECOND;
     }
 
     private static long number(String line) {
--- a/lab/src/main/java/stagepier/lab/scale/discovery/HollowWatcher.java
+++ b/lab/src/main/java/stagepier/lab/scale/discovery/HollowWatcher.java
@@ -8,8 +8,8 @@
  * A router's watch on discovery without the router: it makes the calls that the router's watch makes, when that makes
  * them, and keeps nothing of the answers but their version. Free of sockets and clock. One thread.
  *
- * <p>The first call of a connection asks what there is now; those after it wait for a change. A call that fails, is
- * refused or is not answered in time ends the connection, and the next one comes after a wait by chance that grows.
+ * <p>At an agent the first call of a connection asks what there is now; all others wait for a change. A call that fails,
+ * is refused or is not answered in time ends the connection, and the next one comes after a wait by chance that grows.
  *
  * <p>Left out is the second connection of the real watch, which asks beside an answer that has begun and is not whole
  * when its call is due. {@link Events#slow} tells where that would have come.
@@ -100,7 +100,7 @@
         isUp = false;
         hasBegun = false;
         connection = connector.open(this);
-        due(times.nowWithin());
+        due(times.connectWithin());
     }
 
     /** Ends its connection, and opens no other. */
@@ -143,7 +143,7 @@
             return;
         }
         span = times.retryFirst();
-        isFresh |= asksNow;
+        isFresh |= asksNow || !times.asksFirst();
         version = newVersion;
         events.hasVersion(newVersion);
         call();
@@ -151,7 +151,7 @@
 
     private void call() {
         events.called();
-        asksNow = !isFresh;
+        asksNow = !isFresh && times.asksFirst();
         hasBegun = false;
         pieces++;
         int hold = asksNow ? times.now() : times.hold() - random.applyAsInt(times.holdSpread());
@@ -186,7 +186,8 @@
             return;
         }
         events.failed();
-        int wait = 1 + random.applyAsInt(span);
+        int least = (int) (times.retryLeast() * span);
+        int wait = least + 1 + random.applyAsInt(span - least);
         span = Math.min(times.retryMost(), span * 2);
         scheduler.at(scheduler.now() + wait / 1e3, this::start);
     }
--- a/lab/src/main/java/stagepier/lab/standin/Fleet.java
+++ b/lab/src/main/java/stagepier/lab/standin/Fleet.java
@@ -18,7 +18,6 @@
 import stagepier.lab.model.NodeModel;
 import stagepier.lab.model.OriginModel;
 import stagepier.lab.model.Randoms;
-import stagepier.lab.model.RequestKind;
 import stagepier.lab.nemesis.Link;
 import stagepier.lab.nemesis.Nemesis;
 import stagepier.lab.scenario.Fault;
@@ -271,69 +270,14 @@
             limits.addProperty("sockets", scenario.sockets());
             o.add("limits", limits);
             o.add("known", agents.get(router).known());
-            o.add("settings", settings(router));
+            o.add("settings", RouterSettings.json(scenario, stated(), router));
             return o.toString();
         });
     }
 
-    private JsonObject settings(int router) {
-        JsonObject o = new JsonObject();
-        o.addProperty("Siblings", wider != null ? wider.routers().size() : scenario.stated());
-        o.addProperty("SlotNo", router);
-        o.addProperty("Zone", router % scenario.zones());
-        JsonArray classes = new JsonArray();
-        for (RequestKind k : scenario.kinds()) {
-            JsonObject c = new JsonObject();
-            c.addProperty("Name", k.name());
-            c.addProperty("Deadline", k.deadline());
-            c.addProperty("GoalTime", k.aim());
-            c.addProperty("Worth", k.worth());
-            c.addProperty(
-                    "Repeat",
-                    switch (k.repeat()) {
-                        case SAFE -> "idempotent";
-                        case KEYED -> "deduplicated";
-                        case UNSAFE -> "at_most_once";
-                    });
-            c.addProperty("Group", "all");
-            c.addProperty("DedupWindow", k.dedupWindow());
-            classes.add(c);
-        }
-        o.add("Classes", classes);
-        JsonArray realms = new JsonArray();
-        for (int t = 0; t < scenario.demand().tenants(); t++) {
-            JsonObject realm = new JsonObject();
-            realm.addProperty("Name", "t" + t);
-            realm.addProperty("Portion", 1.0 / scenario.demand().tenants());
-            realms.add(realm);
-        }
-        o.add("Realms", realms);
-        JsonArray zones = new JsonArray();
-        for (int z = 0; z < scenario.zones(); z++) {
-            zones.add("z" + z);
-        }
-        o.add("Areas", zones);
-        JsonArray kinds = new JsonArray();
-        kinds.add("m");
-        o.add("Flavors", kinds);
-        JsonObject limits = new JsonObject();
-        limits.addProperty("MaxAttempts", 3);
-        limits.addProperty("MayDuplicate", true);
-        limits.addProperty("Cancel", true);
-        limits.addProperty("MaxRetryAfter", 1.2);
-        limits.addProperty("DialTimeout", 0.25);
-        limits.addProperty("IdleClose", 60);
-        limits.addProperty("Peers", scenario.peers());
-        o.add("Limits", limits);
-        NodeModel.Traits t = scenario.node();
-        JsonObject rules = new JsonObject();
-        rules.addProperty("DrainGrace", Scenario.DRAIN_GRACE);
-        rules.addProperty("ColdFrom", t.coldShare());
-        rules.addProperty("Cold", t.warmUp());
-        rules.addProperty("FallMultiple", t.fallMultiple());
-        rules.addProperty("TipAfter", t.fallSpan());
-        o.add("Obligations", rules);
-        return o;
+    /** Routers of the fleet, by the settings. */
+    private int stated() {
+        return wider != null ? wider.routers().size() : scenario.stated();
     }
 
     /** What lies between processes; on the event loop of the stand-ins. */
--- a/lab/src/test/java/stagepier/lab/fleet/HollowWatcherBesideRouterTest.java
+++ b/lab/src/test/java/stagepier/lab/fleet/HollowWatcherBesideRouterTest.java
@@ -21,9 +21,10 @@
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import stagepier.lab.model.Randoms;
 import stagepier.lab.scale.discovery.HollowWatcher;
 import stagepier.lab.scale.discovery.NettyConnector;
@@ -55,6 +56,24 @@
         CHANGES
     }
 
+    /** How lists come to routers, and what a watch is like there. */
+    private enum Mode {
+        PUSHED("push", ServiceManners.PUSHED, WatchTimes.OF_AGENT),
+        ASKED("ask", new ServiceManners(true, 0.0005, 0.00002, 1, 4000, false), WatchTimes.OF_SHARED_SERVICE);
+
+        /** The word of the settings. */
+        private final String setting;
+
+        private final ServiceManners manners;
+        private final WatchTimes times;
+
+        Mode(String setting, ServiceManners manners, WatchTimes times) {
+            this.setting = setting;
+            this.manners = manners;
+            this.times = times;
+        }
+    }
+
     /** A span of the script. */
     private enum Phase {
         START,
@@ -150,8 +169,8 @@
         Thread.sleep((long) (seconds * 1e3));
     }
 
-    private Seen standIn() throws Exception {
-        Seen seen = new Seen(ServiceManners.PUSHED);
+    private Seen standIn(Mode mode) throws Exception {
+        Seen seen = new Seen(mode.manners);
         all.add(seen);
         onLoop(() -> {
             for (int i = 0; i < SERVERS; i++) {
@@ -166,22 +185,23 @@
         return new HostList.Entry("s-%08x".formatted(i), i, "127.0.0.1:1", "z0", lifecycle, 0);
     }
 
-    private void startRouter(Seen seen) throws Exception {
+    private void startRouter(Mode mode, Seen seen) throws Exception {
         JsonObject config =
                 JsonParser.parseString(fleet.config(0, router.port(), 1)).getAsJsonObject();
         config.addProperty("discovery", "127.0.0.1:" + seen.front.port());
+        config.getAsJsonObject("settings").addProperty("Discovery", mode.setting);
         config.add("known", onLoop(() -> seen.service.list().json()));
         router.start(config.toString());
         router.awaitReady();
     }
 
-    private void startHollow(Seen seen, int number) throws Exception {
+    private void startHollow(Mode mode, Seen seen, int number) throws Exception {
         onLoop(() -> {
             var random = new Randoms(1).of("watcher-" + number);
             new HollowWatcher(
                             new LoopScheduler(loop, clock),
                             NettyConnector.to(loop, seen.front.port()),
-                            WatchTimes.OF_ROUTER,
+                            mode.times,
                             random::nextInt,
                             new HollowWatcher.Events() {},
                             SERVERS)
@@ -190,15 +210,16 @@
         });
     }
 
-    @Test
-    void aHollowWatcherMakesTheCallsOfARealOne() throws Exception {
-        Seen real = standIn();
-        startRouter(real);
+    @ParameterizedTest
+    @EnumSource
+    void aHollowWatcherMakesTheCallsOfARealOne(Mode mode) throws Exception {
+        Seen real = standIn(mode);
+        startRouter(mode, real);
         List<Seen> hollow = new ArrayList<>();
         for (int i = 0; i < HOLLOW; i++) {
-            Seen seen = standIn();
+            Seen seen = standIn(mode);
             hollow.add(seen);
-            startHollow(seen, i);
+            startHollow(mode, seen, i);
         }
         enter(Phase.CALM, 6, () -> null);
         enter(Phase.CHANGE, 0.5, () -> {
@@ -215,19 +236,19 @@
             return null;
         });
         onLoop(() -> {
-            compare(real, hollow);
+            compare(mode.times, real, hollow);
             return null;
         });
     }
 
-    private static void compare(Seen real, List<Seen> hollow) {
+    private static void compare(WatchTimes times, Seen real, List<Seen> hollow) {
         for (Seen one : hollow) {
             assertEquals(real.heads(), one.heads(), "bytes of requests beyond their target, by kind");
         }
         for (Seen one : hollow) {
-            holdsWithinBounds(one.requests);
+            holdsWithinBounds(times, one.requests);
         }
-        holdsWithinBounds(real.requests);
+        holdsWithinBounds(times, real.requests);
         for (Phase phase : List.of(Phase.CALM, Phase.CHANGE, Phase.OUTAGE, Phase.RETURN)) {
             for (Kind kind : Kind.values()) {
                 List<Long> counts =
@@ -248,8 +269,7 @@
                 real.connections + " connections, hollow ones " + opened);
     }
 
-    private static void holdsWithinBounds(Collection<Request> requests) {
-        WatchTimes t = WatchTimes.OF_ROUTER;
+    private static void holdsWithinBounds(WatchTimes t, Collection<Request> requests) {
         requests.stream()
                 .filter(r -> r.kind() == Kind.CHANGES)
                 .forEach(r ->
--- a/lab/src/test/java/stagepier/lab/scale/discovery/AskedServiceTest.java
+++ b/lab/src/test/java/stagepier/lab/scale/discovery/AskedServiceTest.java
@@ -24,7 +24,7 @@
     private static final int SERVERS = 4;
 
     private final VirtualDiscovery time =
-            new VirtualDiscovery(new DiscoverySetting(0, SERVERS, 1, ServiceManners.PUSHED, WatchTimes.OF_ROUTER));
+            new VirtualDiscovery(new DiscoverySetting(0, SERVERS, 1, ServiceManners.PUSHED, WatchTimes.OF_AGENT));
     private final List<String> told = new ArrayList<>();
 
     private DiscoveryService service(
--- a/lab/src/test/java/stagepier/lab/scale/discovery/DiscoveryHerdTest.java
+++ b/lab/src/test/java/stagepier/lab/scale/discovery/DiscoveryHerdTest.java
@@ -24,7 +24,7 @@
 
     private static VirtualDiscovery settled(int watches, int servers, ServiceManners manners) {
         VirtualDiscovery world =
-                new VirtualDiscovery(new DiscoverySetting(watches, servers, 1, manners, WatchTimes.OF_ROUTER));
+                new VirtualDiscovery(new DiscoverySetting(watches, servers, 1, manners, WatchTimes.OF_AGENT));
         world.pass(SETTLED);
         return world;
     }
@@ -84,8 +84,11 @@
     }
 
     private static VirtualDiscovery returned(int watches, int nowWithinMs, boolean whole, boolean noticesEnded) {
+        return returned(watches, WatchTimes.OF_AGENT.withNowWithin(nowWithinMs), whole, noticesEnded);
+    }
+
+    private static VirtualDiscovery returned(int watches, WatchTimes times, boolean whole, boolean noticesEnded) {
         ServiceManners manners = new ServiceManners(true, PER_CALL, PER_LINE, LONGEST_WAIT, MOST_WAITING, noticesEnded);
-        WatchTimes times = WatchTimes.OF_ROUTER.withNowWithin(nowWithinMs);
         VirtualDiscovery world = new VirtualDiscovery(new DiscoverySetting(watches, 240, 1, manners, times));
         world.pass(SETTLED);
         world.service().down(true);
@@ -130,4 +133,13 @@
         assertTrue(without > watches / 4, without + " without the list after 60 s");
         assertTrue(world.mostCalls() > 60, world.mostCalls() + " calls of one router");
     }
+
+    /** As the router watches a service that all ask: nobody gives up a call that is in the queue of the service. */
+    @ParameterizedTest
+    @CsvSource({"200,false", "800,false", "1900,false", "200,true", "800,true", "1900,true"})
+    void withTheWaitsForASharedServiceTheHerdEnds(int watches, boolean whole) {
+        VirtualDiscovery world = returned(watches, WatchTimes.OF_SHARED_SERVICE, whole, false);
+        assertEquals(0, world.untilCurrent(20), "routers without the list");
+        assertTrue(world.mostCalls() <= 10, world.mostCalls() + " calls of one router");
+    }
 }
