--- a/router/src/main/java/stagepier/app/Rehearsal.java
+++ b/router/src/main/java/stagepier/app/Rehearsal.java
@@ -29,7 +29,7 @@
             "machineType":"m","cell":0,"lifecycle":"up","weight":3.0,"startedAtMs":0}]}""";
 
     /** What one connection of a stand-in is to do with each of its lines. */
-    private interface Talk {
+    private interface LineHandler {
         String answer(String line, BufferedReader in) throws IOException;
     }
 
@@ -105,7 +105,7 @@
         return "HD " + id + " cab\r\n";
     }
 
-    private static void serve(ServerSocket on, Talk talk) {
+    private static void serve(ServerSocket on, LineHandler handler) {
         daemon(() -> {
             while (true) {
                 Socket one = on.accept();
@@ -114,7 +114,7 @@
                         one.setTcpNoDelay(true);
                         BufferedReader in = reader(one);
                         for (String line = in.readLine(); line != null; line = in.readLine()) {
-                            write(one, talk.answer(line, in));
+                            write(one, handler.answer(line, in));
                         }
                     }
                 });
--- a/router/src/main/java/stagepier/app/StaffCalls.java
+++ b/router/src/main/java/stagepier/app/StaffCalls.java
@@ -63,11 +63,11 @@
     }
 
     private void look() {
-        tell(hosts.apply(files.news()));
+        report(hosts.apply(files.news()));
         hosts.bans().forget(clock.now()).forEach(files::drop);
     }
 
-    private void tell(HostGroup.Change change) {
+    private void report(HostGroup.Change change) {
         if (!change.hosts().isEmpty()) {
             changed.accept(change);
         }
@@ -124,7 +124,7 @@
                 kept = ", but other processes are not told";
             }
         }
-        tell(hosts.apply(List.of(ban)));
+        report(hosts.apply(List.of(ban)));
         return Result.yes(server + (out ? " is out" : " is back") + kept);
     }
 
--- a/router/src/main/java/stagepier/app/WarmUp.java
+++ b/router/src/main/java/stagepier/app/WarmUp.java
@@ -118,7 +118,7 @@
         }
         listener.workOff();
         new ArrayList<>(toServers).forEach(WarmUp::answer);
-        served += heard(client).split("(VA|HD) ", -1).length - 1;
+        served += written(client).split("(VA|HD) ", -1).length - 1;
     }
 
     private ChannelFuture connect(ChannelHandler setUp, InetSocketAddress address) {
@@ -129,7 +129,7 @@
 
     /** A cache server that has all. */
     private static void answer(EmbeddedChannel server) {
-        for (String line : heard(server).split("\r\n")) {
+        for (String line : written(server).split("\r\n")) {
             String id = line.contains(" O") ? line.substring(line.indexOf(" O"), line.indexOf(" P")) : "";
             if (line.startsWith("mg ")) {
                 say(server, Protocol.withValue("VA 16" + id + " h1", new byte[16]));
@@ -143,7 +143,7 @@
         to.writeInbound(Unpooled.wrappedBuffer(bytes));
     }
 
-    private static String heard(EmbeddedChannel from) {
+    private static String written(EmbeddedChannel from) {
         StringBuilder all = new StringBuilder();
         for (ByteBuf bytes = from.readOutbound(); bytes != null; bytes = from.readOutbound()) {
             all.append(bytes.toString(StandardCharsets.ISO_8859_1));
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -37,7 +37,7 @@
     private static final long BYTES_MOST = 8 << 20;
 
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
-    private static final double TOLD_EVERY = 1;
+    private static final double LOG_EVERY = 1;
     /** While clients are sent away, their links are looked through so often. */
     private static final long SEND_AWAY_MS = 5;
     /** With all slots taken a link lingers no longer than this, in seconds: those who wait for a slot come first. */
@@ -66,7 +66,7 @@
     private ConnectionSlots.Level level = ConnectionSlots.Level.PLENTY;
     private boolean working;
     private long held;
-    private double toldAt = Double.NEGATIVE_INFINITY;
+    private double loggedAt = Double.NEGATIVE_INFINITY;
     private final long[] commands = new long[Command.Kind.values().length];
     private long opened;
     private long malformed;
@@ -140,7 +140,7 @@
         level = slots.level(now, slotsTaken(), held);
         double late = delay.unreadFor(now);
         if (level != was || level != ConnectionSlots.Level.PLENTY) {
-            tell(now);
+            logPressure(now);
         }
         for (ClientLink link : new ArrayList<>(links)) {
             ConnectionSlots.Behaviour behaviour = link.behaviour();
@@ -171,11 +171,11 @@
     }
 
     /** An event for the operators while slots are short, not more often than once a second. */
-    private void tell(double now) {
-        if (now - toldAt < TOLD_EVERY) {
+    private void logPressure(double now) {
+        if (now - loggedAt < LOG_EVERY) {
             return;
         }
-        toldAt = now;
+        loggedAt = now;
         int[] of = new int[ConnectionSlots.Behaviour.values().length];
         links.forEach(link -> of[link.behaviour().ordinal()]++);
         var event = LOG.atInfo()
--- a/router/src/main/java/stagepier/discovery/HostGroup.java
+++ b/router/src/main/java/stagepier/discovery/HostGroup.java
@@ -64,7 +64,7 @@
      * @throws IllegalArgumentException where it makes no sense; the list is then as before
      */
     public Change apply(JsonElement message) {
-        List<Host> told = new ArrayList<>();
+        List<Host> listed = new ArrayList<>();
         boolean complete;
         long version;
         try {
@@ -73,7 +73,7 @@
             complete = o.get("reset").getAsBoolean();
             JsonArray entries = o.getAsJsonArray("instances");
             for (JsonElement e : entries) {
-                told.add(host(e.getAsJsonObject()));
+                listed.add(host(e.getAsJsonObject()));
             }
         } catch (NullPointerException
                 | ClassCastException
@@ -84,12 +84,12 @@
         }
         Map<Long, Host> before = new LinkedHashMap<>(hosts);
         if (admission != null && generation >= 0) {
-            told = admitted(told, complete);
+            listed = admitted(listed, complete);
         }
         if (complete) {
             hosts.clear();
         }
-        for (Host host : told) {
+        for (Host host : listed) {
             before.remove(host.member().id());
             if (host.member().state() == Api.MemberState.GONE) {
                 hosts.remove(host.member().id());
@@ -98,10 +98,10 @@
             }
         }
         generation = version;
-        told.forEach(host -> remember(host.name()));
+        listed.forEach(host -> remember(host.name()));
         return new Change(
                 complete,
-                told.stream().map(this::counted).toList(),
+                listed.stream().map(this::counted).toList(),
                 complete ? List.copyOf(before.values()) : List.of());
     }
 
@@ -126,10 +126,10 @@
     }
 
     /** The entries as they count: without servers whose addition is held, others as before where a change of theirs is. */
-    private List<Host> admitted(List<Host> told, boolean complete) {
+    private List<Host> admitted(List<Host> listed, boolean complete) {
         List<Host> counts = new ArrayList<>();
         Set<String> named = new LinkedHashSet<>();
-        for (Host host : told) {
+        for (Host host : listed) {
             named.add(host.name());
             Host old = hosts.get(host.member().id());
             if (host.member().state() != Api.MemberState.READY) {
@@ -140,7 +140,7 @@
             } else if (old != null && old.member().state() == Api.MemberState.READY) {
                 // Keys must not be sent to a process of another name: who lost its address to another server drains
                 // until it may move.
-                Api.MemberState state = isTaken(old, told) ? Api.MemberState.DRAINING : Api.MemberState.READY;
+                Api.MemberState state = isTaken(old, listed) ? Api.MemberState.DRAINING : Api.MemberState.READY;
                 counts.add(as(old, state, host.member().startedAt()));
             } else if (old != null) {
                 // It drained, and goes on counting so until it may be taken up again.
@@ -155,8 +155,8 @@
     }
 
     /** Whether another server is listed at the address of this one. */
-    private boolean isTaken(Host host, List<Host> told) {
-        return Stream.concat(told.stream(), hosts.values().stream())
+    private boolean isTaken(Host host, List<Host> listed) {
+        return Stream.concat(listed.stream(), hosts.values().stream())
                 .anyMatch(other -> other.address() != null
                         && other.member().id() != host.member().id()
                         && other.address().equals(host.address()));
--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -53,8 +53,7 @@
     private final Api.Settings settings;
     private final Map<Long, Exchange> open = new HashMap<>();
     private final EventQueue events;
-    private final long[] outcomes = new long[Api.Outcome.values().length];
-    private final long[] replies = new long[Reply.Kind.values().length];
+    private final RequestCounters counters = new RequestCounters();
     private final RequestIds ids;
     private Api.Events module;
     private ServerTransport transport;
@@ -65,10 +64,6 @@
 
     private Consumer<byte[]> toPeers;
     private long lastId;
-    private long unanswered;
-    private long gone;
-    private long overdue;
-    private long cameLate;
 
     public ModuleHost(EventLoop loop, Clock clock, LoopDelay delay, SettingsParser.Parsed parsed) {
         this.loop = loop;
@@ -135,12 +130,14 @@
         double wait = time == null ? most : Math.min(most, Double.parseDouble(time) / 1e3);
         double now = clock.now();
         double unread = Math.max(0, now - cameAt);
-        cameLate += unread > LATE ? 1 : 0;
+        if (unread > LATE) {
+            counters.readLate();
+        }
         double budget = wait - unread - Math.min(MARGIN, MARGIN_PART * wait);
         Exchange x = new Exchange(++lastId, command, listener, now, now + budget);
         open.put(x.id(), x);
         ids.take(command.id(), now);
-        unanswered++;
+        counters.taken();
         x.backstop(loop.schedule(() -> pastItsTime(x), micros(budget + OVERDUE), TimeUnit.MICROSECONDS));
         Api.Request request = new Api.Request(
                 x.id(),
@@ -169,7 +166,7 @@
         if (x.isFinished()) {
             return;
         }
-        gone++;
+        counters.clientGone();
         finish(x);
         events.post(() -> {
             module.onClientGone(clock.now(), x.id());
@@ -190,7 +187,7 @@
     private void overdue(Exchange x) {
         events.post(() -> {
             if (!x.isFinished()) {
-                overdue++;
+                counters.overdue();
                 LOG.warn("request {} had no answer in time", x.command().id());
                 answer(x, Reply.FAILED);
                 module.onClientGone(clock.now(), x.id());
@@ -199,7 +196,7 @@
     }
 
     private void answer(Exchange x, Reply reply) {
-        replies[reply.kind().ordinal()]++;
+        counters.answered(reply.kind());
         if (tap != null) {
             tap.answered(x, reply, clock.now());
         }
@@ -210,7 +207,7 @@
 
     private void finish(Exchange x) {
         x.finish();
-        unanswered--;
+        counters.finished();
     }
 
     private void forgetIfOver(Exchange x) {
@@ -221,7 +218,7 @@
 
     /** Requests that still need their final answer. */
     public long unanswered() {
-        return unanswered;
+        return counters.unanswered();
     }
 
     // ---- from the server side -----------------------------------------------------------------------------
@@ -248,7 +245,7 @@
                 // What lay here unread is this router's own delay: no server may be judged by it.
                 elapsed = Math.max(Math.min(elapsed, SHORTEST), elapsed - delay.unreadFor(now));
             }
-            outcomes[outcome.ordinal()]++;
+            counters.ended(outcome);
             x.outstanding(-1);
             if (outcome == Api.Outcome.OK && !x.isFinished()) {
                 answer(x, served);
@@ -274,11 +271,11 @@
      * nothing of the lookup. Guards against a write's wait for the origin being held against its cache server, whose
      * keys are then turned away.
      */
-    private Api.Lookup lookup(boolean write, Api.Outcome outcome, Api.Lookup told) {
+    private Api.Lookup lookup(boolean write, Api.Outcome outcome, Api.Lookup received) {
         boolean carriedOn = write
                 && settings.fetching() == Api.Fetching.THROUGH
                 && (outcome == Api.Outcome.OK || outcome == Api.Outcome.ERROR);
-        return carriedOn && told == Api.Lookup.UNKNOWN ? Api.Lookup.MISS : told;
+        return carriedOn && received == Api.Lookup.UNKNOWN ? Api.Lookup.MISS : received;
     }
 
     public void probed(long server, Api.Outcome outcome, double sentAt) {
@@ -460,20 +457,10 @@
         if (peers != null) {
             peers.count(to);
         }
-        to.accept("requests", lastId);
-        to.accept("requests_unanswered", unanswered);
-        to.accept("requests_client_gone", gone);
-        to.accept("requests_overdue", overdue);
-        to.accept("requests_read_late", cameLate);
+        counters.count(to);
         to.accept("loop_stood_still", events.standstills());
         to.accept("loop_turns", delay.turns());
         to.accept("loop_late_mean_us", Math.round(delay.mean() * 1e6));
         to.accept("loop_late_worst_us", Math.round(delay.worst() * 1e6));
-        for (Reply.Kind kind : Reply.Kind.values()) {
-            to.accept("answers_" + kind.name().toLowerCase(java.util.Locale.ROOT), replies[kind.ordinal()]);
-        }
-        for (Api.Outcome outcome : Api.Outcome.values()) {
-            to.accept("executions_" + outcome.name().toLowerCase(java.util.Locale.ROOT), outcomes[outcome.ordinal()]);
-        }
     }
 }
--- a/router/src/main/java/stagepier/fleet/MemberTable.java
+++ b/router/src/main/java/stagepier/fleet/MemberTable.java
@@ -65,7 +65,7 @@
         return turns;
     }
 
-    MemberNews told() {
+    MemberNews news() {
         return told;
     }
 
--- a/router/src/main/java/stagepier/fleet/Membership.java
+++ b/router/src/main/java/stagepier/fleet/Membership.java
@@ -128,14 +128,14 @@
         int stalls;
         double factor;
         synchronized (table) {
-            words = table.told().ping(p);
+            words = table.news().ping(p);
             stalls = table.stalls();
             factor = table.waitLonger();
         }
         try {
             Message reply = calls.call(p.name, Message.of(MembershipMessages.PING, words), Duration.ofNanos((long)
                     (PROBE_MOST.toNanos() * factor)));
-            hear(p, read(reply, Pong.class), sentAt);
+            receive(p, read(reply, Pong.class), sentAt);
         } catch (Calls.SilentException e) {
             List<String> relays;
             synchronized (table) {
@@ -150,7 +150,7 @@
         }
     }
 
-    private void hear(Peer p, Pong pong, long sentAt) {
+    private void receive(Peer p, Pong pong, long sentAt) {
         if (pong == null) {
             return;
         }
@@ -173,12 +173,12 @@
     private boolean ask(String relay, Peer about) throws InterruptedException {
         long sentAt = tasks.nanoTime();
         try {
-            AgeResponse told = read(
+            AgeResponse response = read(
                     calls.call(relay, Message.of(MembershipMessages.AGE_REQUEST, new AgeRequest(about.name)), ASK_MOST),
                     AgeResponse.class);
             synchronized (table) {
-                if (told != null && told.age() >= 0 && told.age() < Integer.MAX_VALUE) {
-                    table.heardOfOthers(Map.of(about.name, (int) told.age()), sentAt);
+                if (response != null && response.age() >= 0 && response.age() < Integer.MAX_VALUE) {
+                    table.heardOfOthers(Map.of(about.name, (int) response.age()), sentAt);
                     table.reachedBy(relay, List.of(about.name));
                 }
                 return !about.failsHere();
@@ -217,7 +217,7 @@
             Sync sync;
             synchronized (table) {
                 other = table.turns().anyone(tasks.nanoTime());
-                sync = new Sync(table.told().part(from, SYNC_PART));
+                sync = new Sync(table.news().part(from, SYNC_PART));
             }
             learned = other == null ? 0 : sync(other, sync);
             from = (from + SYNC_PART) % config.members().size();
@@ -265,7 +265,7 @@
                     table.applyAlive(config.self(), ping.heldIncarnation(), now);
                     table.apply(from, ping.about(), now);
                     table.apply(from, ping.news(), now);
-                    pong = table.told().pong(from, ping, now);
+                    pong = table.news().pong(from, ping, now);
                 }
                 return Message.of(MembershipMessages.PONG, pong);
             }
@@ -289,7 +289,7 @@
                     table.apply(from, sync.news(), now);
                     return Message.of(
                             MembershipMessages.SYNC_RESPONSE,
-                            new Sync(table.told().newer(sync.news())));
+                            new Sync(table.news().newer(sync.news())));
                 }
             }
             default -> throw new Message.MalformedException(call.kind() + " is no word of the view");
--- a/router/src/main/java/stagepier/freeze/Acceptor.java
+++ b/router/src/main/java/stagepier/freeze/Acceptor.java
@@ -35,7 +35,7 @@
     private Entry learned = Entry.NONE;
     private Ballot learnedIn = Ballot.ZERO;
     private String file = "";
-    private long ballotsHeard;
+    private long ballotsReceived;
 
     /**
      * @param incarnation of this process, above 0 and above those of all processes that had this name
@@ -61,7 +61,7 @@
 
     /** @param kind one of those in {@link RegisterRequest} */
     final synchronized RegisterResponse answer(String kind, RegisterRequest ask) {
-        heard(ask.name(), ask.incarnation());
+        learnIncarnation(ask.name(), ask.incarnation());
         if (ask.yours() > incarnation) {
             startOver(ask.yours());
         }
@@ -120,7 +120,7 @@
             return false;
         }
         promised = ask.ballot();
-        ballotsHeard++;
+        ballotsReceived++;
         return true;
     }
 
@@ -131,7 +131,7 @@
         promised = ask.ballot();
         ballot = ask.ballot();
         entry = ask.entry();
-        ballotsHeard++;
+        ballotsReceived++;
         history.write(
                 "calendar.vote",
                 "generation",
@@ -168,7 +168,7 @@
         if (founding != ask.generation() || member || ask.vector().getOrDefault(self, 0L) != incarnation) {
             return false;
         }
-        ask.vector().forEach(this::heard);
+        ask.vector().forEach(this::learnIncarnation);
         begin(ask.generation(), Ballot.ZERO, Ballot.ZERO, ask.entry());
         return true;
     }
@@ -207,13 +207,13 @@
         for (RegisterResponse r : replies) {
             most = r.promised().compareTo(most) > 0 ? r.promised() : most;
             last = last == null || r.ballot().compareTo(last.ballot()) > 0 ? r : last;
-            r.vector().forEach(this::heard);
+            r.vector().forEach(this::learnIncarnation);
         }
         begin(inGeneration, most, last.ballot(), last.entry());
         return true;
     }
 
-    private void heard(String name, long itsIncarnation) {
+    private void learnIncarnation(String name, long itsIncarnation) {
         vector.merge(name, itsIncarnation, Math::max);
     }
 
@@ -275,8 +275,8 @@
     }
 
     /** Grows with each promise and vote. */
-    final synchronized long ballotsHeard() {
-        return ballotsHeard;
+    final synchronized long ballotsReceived() {
+        return ballotsReceived;
     }
 
     /** The last generation that it heard of in any way. */
--- a/router/src/main/java/stagepier/freeze/Fanout.java
+++ b/router/src/main/java/stagepier/freeze/Fanout.java
@@ -166,8 +166,8 @@
         round.end();
     }
 
-    /** Tells all others, and waits for nobody. */
-    void tell(Function<String, Message> call, Duration within) {
+    /** Sends to all others, and waits for no reply. */
+    void broadcast(Function<String, Message> call, Duration within) {
         long until = tasks.nanoTime() + within.toNanos();
         Round nobodyWaits = new Round(new Tally(), t -> false, others.size(), tasks.box(1));
         order().forEach(name -> send(new Errand(name, call.apply(name), until, nobodyWaits)));
--- a/router/src/main/java/stagepier/freeze/FreezePart.java
+++ b/router/src/main/java/stagepier/freeze/FreezePart.java
@@ -36,7 +36,7 @@
     private volatile String why = "not confirmed since the start";
     private volatile IntSupplier held = () -> 0;
     /** Whether it was said that the calendar is unknown. */
-    private boolean told;
+    private boolean unknownReported;
 
     /**
      * Reads the router's own file.
@@ -183,7 +183,7 @@
                 LOG.info("calendar: {} is accepted; {} says something else", accepted.version(), file);
             }
         }
-        boolean news = !wasConfirmed || told || !calendar.accepted().equals(accepted.version());
+        boolean news = !wasConfirmed || unknownReported || !calendar.accepted().equals(accepted.version());
         calendar = again;
         confirmedNano = startNano;
         wasConfirmed = true;
@@ -201,7 +201,7 @@
                     accepted.version(),
                     again.state(tasks.wall().instant(), tasks.nanoTime()));
         }
-        told = false;
+        unknownReported = false;
     }
 
     /** So that a checker knows what a version forbids: {@code START..END SCOPE} in milliseconds since 1970, for a day. */
@@ -221,17 +221,18 @@
     private void close(Version version, String reason) {
         calendar = LeasedCalendar.closed(version, reason);
         why = reason;
-        if (!told) {
+        if (!unknownReported) {
             LOG.warn("calendar: unknown and therefore closed: {}", reason);
         }
-        told = true;
+        unknownReported = true;
     }
 
     /** One line when the lease has run out. */
     private void sayWhenOver() {
-        if (!told && tasks.nanoTime() - confirmedNano > config.lease().toNanos()) {
+        if (!unknownReported
+                && tasks.nanoTime() - confirmedNano > config.lease().toNanos()) {
             LOG.warn("calendar: unknown and therefore closed: {}", why);
-            told = true;
+            unknownReported = true;
         }
     }
 
--- a/router/src/main/java/stagepier/freeze/Register.java
+++ b/router/src/main/java/stagepier/freeze/Register.java
@@ -94,7 +94,7 @@
 
     private int proposed;
     /** In the last ballot a majority could have voted. */
-    private boolean heardEnough;
+    private boolean hasQuorum;
 
     private long round;
 
@@ -319,7 +319,7 @@
 
     /** Has the proposal accepted, if no more than other routers' ballots stand against it: these are let finish. */
     private void decide(Proposal proposal) throws InterruptedException {
-        for (int attempt = 0; attempt < BALLOTS_AT_ONCE && !ballot(proposal) && heardEnough; attempt++) {
+        for (int attempt = 0; attempt < BALLOTS_AT_ONCE && !ballot(proposal) && hasQuorum; attempt++) {
             tasks.sleep(Duration.ofMillis(random.nextInt(BACKOFF_MS << attempt)));
             quiet();
         }
@@ -327,9 +327,9 @@
 
     /** Waits until no other router's ballot is going on here, or for so long that it does not matter. */
     private void quiet() throws InterruptedException {
-        long heard = -1;
-        for (int i = 0; i < QUIET_LOOKS && heard != acceptor.ballotsHeard(); i++) {
-            heard = acceptor.ballotsHeard();
+        long before = -1;
+        for (int i = 0; i < QUIET_LOOKS && before != acceptor.ballotsReceived(); i++) {
+            before = acceptor.ballotsReceived();
             tasks.sleep(Duration.ofMillis(QUIET_MS + random.nextInt(QUIET_MS)));
         }
     }
@@ -344,7 +344,7 @@
                 .values()
                 .forEach(r -> round = Math.max(round, r.promised().round()));
         Map<String, RegisterResponse> agreed = promises.standing(r -> r.ok() && r.entry() != null);
-        heardEnough = promises.standing(r -> r.member() && r.generation() == generation)
+        hasQuorum = promises.standing(r -> r.member() && r.generation() == generation)
                         .size()
                 >= majority;
         if (agreed.size() < majority) {
@@ -398,7 +398,7 @@
                 "votes",
                 new ArrayList<>(votes.keySet()));
         acceptor.learn(entry, ballot);
-        fanout.tell(
+        fanout.broadcast(
                 to -> Message.of(RegisterRequest.LEARN, ask(to, entry.version().generation(), ballot, entry)), ROUND);
     }
 
--- a/router/src/main/java/stagepier/link/PatientBind.java
+++ b/router/src/main/java/stagepier/link/PatientBind.java
@@ -19,7 +19,7 @@
     private final Consumer<Throwable> waits;
     private Channel channel;
     private boolean stopped;
-    private boolean told;
+    private boolean waitReported;
 
     /**
      * @param bind  tries to bind, once
@@ -41,8 +41,8 @@
                 channel = done.channel();
                 return;
             }
-            if (!told) {
-                told = true;
+            if (!waitReported) {
+                waitReported = true;
                 waits.accept(done.cause());
             }
             loop.schedule(this::start, AGAIN_MS, TimeUnit.MILLISECONDS);
--- a/router/src/main/java/stagepier/memcache/AnswerParser.java
+++ b/router/src/main/java/stagepier/memcache/AnswerParser.java
@@ -159,30 +159,30 @@
     }
 
     private Answer value(RingBuffer in, int line, String[] words, boolean keep) throws MalformedException {
-        int told = words.length < 2 ? -1 : Protocol.valueLength(words[1]);
-        if (told < 0 || told > LARGEST_VALUE) {
+        int announced = words.length < 2 ? -1 : Protocol.valueLength(words[1]);
+        if (announced < 0 || announced > LARGEST_VALUE) {
             throw new MalformedException("bad value length");
         }
-        if (told >= LARGE) {
-            boolean flows = told > Protocol.LARGEST_VALUE && keep;
-            blocked = keep && !flows && !room.take(told);
+        if (announced >= LARGE) {
+            boolean flows = announced > Protocol.LARGEST_VALUE && keep;
+            blocked = keep && !flows && !room.take(announced);
             // One that flows not before its first byte is there. Guards against a claim that nothing follows.
             if (blocked || flows && in.size() == line) {
                 return null;
             }
             in.skip(line);
             large = words;
-            length = told;
+            length = announced;
             got = 0;
             kept = keep && !flows;
             flowing = flows;
-            return flows ? value(words, Answer.NO_BODY, told) : collect(in);
+            return flows ? value(words, Answer.NO_BODY, announced) : collect(in);
         }
-        if (in.size() < line + told + 2) {
+        if (in.size() < line + announced + 2) {
             return null;
         }
-        byte[] value = Protocol.value(in, line, told);
-        in.skip(line + told + 2);
+        byte[] value = Protocol.value(in, line, announced);
+        in.skip(line + announced + 2);
         return value(words, value, 0);
     }
 
--- a/router/src/main/java/stagepier/peers/NewsCodec.java
+++ b/router/src/main/java/stagepier/peers/NewsCodec.java
@@ -56,19 +56,19 @@
     /** Servers whose names are no numbers of 32 bits are left out, too. */
     public static byte[] encode(PeerReport report) {
         boolean plain = report.isPlain();
-        List<Api.News> told = report.entries().stream()
+        List<Api.News> entries = report.entries().stream()
                 .filter(NewsCodec::canName)
                 .limit(plain ? ENTRIES_MOST : ENTRIES_MOST_WEIGHTED)
                 .toList();
-        ByteBuffer to = ByteBuffer.allocate((plain ? HEADER : HEADER_WEIGHTED) + ENTRY * told.size());
-        to.put(plain ? PLAIN : WEIGHTED).put((byte) told.size());
+        ByteBuffer to = ByteBuffer.allocate((plain ? HEADER : HEADER_WEIGHTED) + ENTRY * entries.size());
+        to.put(plain ? PLAIN : WEIGHTED).put((byte) entries.size());
         if (!plain) {
             to.put((byte) report.zone())
                     .putShort((short) Math.round(report.window() * MILLIS))
                     .putFloat((float) report.weight())
                     .putShort((short) Math.min(SHORT, report.closedServers()));
         }
-        for (Api.News n : told) {
+        for (Api.News n : entries) {
             to.putInt((int) n.server()).put((byte) (Math.min(IN_FLIGHT_MOST, n.inFlight()) | (n.open() ? OPEN : 0)));
         }
         return to.array();
--- a/router/src/main/java/stagepier/peers/PeerSocket.java
+++ b/router/src/main/java/stagepier/peers/PeerSocket.java
@@ -62,7 +62,7 @@
     private final PatientBind bind;
     private final boolean batched;
     private long sent;
-    private long heard;
+    private long received;
     private long strange;
     private long malformed;
     private long bytesSent;
@@ -140,7 +140,7 @@
                 malformed++;
                 return;
             }
-            heard++;
+            received++;
             listener.reported(peer, report);
         }
 
@@ -160,7 +160,7 @@
 
     public void count(ObjLongConsumer<String> to) {
         to.accept("peer_messages_sent", sent);
-        to.accept("peer_messages_heard", heard);
+        to.accept("peer_messages_heard", received);
         to.accept("peer_messages_strange", strange);
         to.accept("peer_messages_malformed", malformed);
         to.accept("peer_bytes_sent", bytesSent);
--- a/router/src/main/java/stagepier/server/Execution.java
+++ b/router/src/main/java/stagepier/server/Execution.java
@@ -151,16 +151,16 @@
 
     void answered(Answer answer) {
         switch (answer.kind()) {
-            case BUSY -> end(Api.Outcome.FULL, info(answer), null);
-            case FAILED -> end(Api.Outcome.ERROR, info(answer), null);
-            default -> end(Api.Outcome.OK, info(answer), answer.body());
+            case BUSY -> end(Api.Outcome.FULL, ResponseInfo.of(answer), null);
+            case FAILED -> end(Api.Outcome.ERROR, ResponseInfo.of(answer), null);
+            default -> end(Api.Outcome.OK, ResponseInfo.of(answer), answer.body());
         }
     }
 
     /** The first bytes of a large value are there. */
     void begun(Answer head, ValueFlow flow) {
         if (endsNow()) {
-            pools.host().begun(exchange, attempt, server, startedAt, info(head), flow);
+            pools.host().begun(exchange, attempt, server, startedAt, ResponseInfo.of(head), flow);
         } else {
             flow.abandon();
         }
@@ -176,16 +176,6 @@
         return first;
     }
 
-    private static ResponseInfo info(Answer answer) {
-        Api.Lookup lookup = switch (answer.hit()) {
-            case UNTOLD -> Api.Lookup.UNKNOWN;
-            case HIT -> Api.Lookup.HIT;
-            case MISS -> Api.Lookup.MISS;
-            case MISS_FETCHING -> Api.Lookup.MISS_FETCHING;
-        };
-        return new ResponseInfo(lookup, answer.report());
-    }
-
     @Override
     public void cancel() {
         giveUp(Api.Outcome.CANCELLED);
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -17,8 +17,7 @@
     private static final int LARGE_READ = 64 * 1024;
 
     private final ServerPool pool;
-    /** Not a byte of these has been handed to the socket. */
-    private final ArrayDeque<Execution> waiting = new ArrayDeque<>();
+    private final UnsentExecutions waiting = new UnsentExecutions();
     /** Handed to the socket, in order; those given up keep their place, for their answers still come. */
     private final ArrayDeque<Execution> sent = new ArrayDeque<>();
 
@@ -170,26 +169,12 @@
      * begun goes on. Guards against answers that are on their way here and would be cut off with it.
      */
     void drain() {
-        dropWaiting();
+        waiting.endAll();
         if (up && !nothingQueued() && takenBytes() <= beganAt) {
             close();
         }
     }
 
-    /** Ends what waits here and has not begun to be sent. */
-    private void dropWaiting() {
-        List<Execution> dropped = new ArrayList<>(waiting);
-        waiting.clear();
-        dropped.forEach(e -> e.end(Api.Outcome.CONNECT_FAILED));
-    }
-
-    /** Guards against a repeat that waited here and would come after the window in which its cache server drops repeats. */
-    private void dropBelated() {
-        List<Execution> belated = waiting.stream().filter(Execution::isBelated).toList();
-        waiting.removeAll(belated);
-        belated.forEach(e -> e.end(Api.Outcome.NOT_SENT));
-    }
-
     /** Nothing is awaited on it and it has rested so long that its server may close it before anything else arrives there. */
     boolean isRestedOut(double now) {
         return up && sent.isEmpty() && now - activity.heardAt() >= pool.pools().idleMost();
@@ -225,23 +210,17 @@
         }
         if (pool.isRetired()) {
             // The last point before bytes go out: whatever brought it here, nothing new goes to a server that drains.
-            dropWaiting();
-        }
-        dropBelated();
-        // Whoever is not wanted any more goes first; to ask may close this link, or withdraw others that wait here.
-        for (Execution first = waiting.peek();
-                first != null && nothingQueued() && !first.isWanted();
-                first = waiting.peek()) {
-            waiting.remove(first);
-            first.cancel();
+            waiting.endAll();
         }
+        waiting.endBelated();
+        waiting.cancelUnwanted(this::nothingQueued);
         proveRested();
         if (isClosed() || isInputOver()) {
             return;
         }
         // One at a time: what waits here can still be withdrawn, what is in the ring, or waits at the server, can not.
         if (nothingQueued() && !waiting.isEmpty() && sent.size() < pool.pools().streams()) {
-            Execution next = waiting.remove();
+            Execution next = waiting.next();
             if (sent.isEmpty()) {
                 activity.begins(pool.pools().now());
                 next.alone();
@@ -283,13 +262,7 @@
     @Override
     protected void onInputOver() {
         retired = true;
-        moveWaiting();
-    }
-
-    private void moveWaiting() {
-        List<Execution> moved = new ArrayList<>(waiting);
-        waiting.clear();
-        moved.forEach(pool::take);
+        waiting.moveTo(pool::take);
     }
 
     @Override
@@ -562,9 +535,9 @@
         }
         if (up) {
             // Not a byte of these was sent: they go to another link of the server.
-            moveWaiting();
+            waiting.moveTo(pool::take);
         } else {
-            dropWaiting();
+            waiting.endAll();
         }
     }
 }
--- a/router/src/main/java/stagepier/shadow/Lease.java
+++ b/router/src/main/java/stagepier/shadow/Lease.java
@@ -37,7 +37,7 @@
      * @param caughtUp whether it had
      * @param ages     how long ago, in milliseconds, it knew what others knew
      */
-    void heard(String member, long callBegan, boolean caughtUp, Map<String, Long> ages) {
+    void replied(String member, long callBegan, boolean caughtUp, Map<String, Long> ages) {
         replied.add(member);
         if (!caughtUp) {
             return;
--- a/router/src/main/java/stagepier/shadow/MergedCounts.java
+++ b/router/src/main/java/stagepier/shadow/MergedCounts.java
@@ -10,9 +10,9 @@
 import java.util.TreeMap;
 
 /**
- * The counts of all routers that were heard, one entry for each process: a state-based, grow-only counter (Shapiro, Preguiça,
+ * The counts of all routers that are known, one entry for each process: a state-based, grow-only counter (Shapiro, Preguiça,
  * Baquero and Zawirski, <i>Conflict-free replicated data types</i>, 2011). Each entry has one writer and a sequence, and of two
- * the higher sequence stays, so that what is heard twice, late, or from somebody else changes nothing. Not shared between tasks.
+ * the higher sequence stays, so that what is received twice, late, or from somebody else changes nothing. Not shared between tasks.
  */
 final class MergedCounts {
     /** Processes of one router that are remembered. Guards against memory that grows with every restart. */
@@ -21,20 +21,20 @@
     private final SortedMap<String, TreeMap<Long, RouterCounts>> entries = new TreeMap<>();
     private int turn;
 
-    /** Takes what was heard; returns whether it was new. */
-    boolean take(RouterCounts heard) {
-        TreeMap<Long, RouterCounts> own = entries.computeIfAbsent(heard.router(), r -> new TreeMap<>());
-        RouterCounts had = own.get(heard.incarnation());
-        if (had != null && had.sequence() >= heard.sequence()) {
+    /** Takes counts of another router, or newer ones of this; returns whether it was new. */
+    boolean take(RouterCounts counts) {
+        TreeMap<Long, RouterCounts> own = entries.computeIfAbsent(counts.router(), r -> new TreeMap<>());
+        RouterCounts had = own.get(counts.incarnation());
+        if (had != null && had.sequence() >= counts.sequence()) {
             return false;
         }
         if (had == null && own.size() >= PROCESSES_MOST) {
-            if (heard.incarnation() < own.firstKey()) {
+            if (counts.incarnation() < own.firstKey()) {
                 return false;
             }
             own.pollFirstEntry();
         }
-        own.put(heard.incarnation(), heard);
+        own.put(counts.incarnation(), counts);
         return true;
     }
 
--- a/router/src/main/java/stagepier/shadow/Promotion.java
+++ b/router/src/main/java/stagepier/shadow/Promotion.java
@@ -26,7 +26,7 @@
     private Agreement.Accepted read;
     private PromotionPlan plan;
     private CandidateMap map;
-    private int told;
+    private int reportedShare;
 
     /** @param lead from the agreement to the first step: the time in which all hear of it, with what clocks may differ by */
     Promotion(
@@ -110,9 +110,9 @@
         if (latest.isPresent() && !latest.get().equals(read)) {
             read = latest.get();
             try {
-                PromotionPlan heard = PromotionPlan.parse(read.text());
-                map = CandidateFile.parse("an agreed promotion", heard.map()).map();
-                plan = heard;
+                PromotionPlan agreed = PromotionPlan.parse(read.text());
+                map = CandidateFile.parse("an agreed promotion", agreed.map()).map();
+                plan = agreed;
             } catch (IllegalArgumentException | CandidateException e) {
                 // What a majority agreed on was checked before; an unknown form leaves what was in force.
                 history.write("promotion.unread", "why", String.valueOf(e.getMessage()));
@@ -128,8 +128,8 @@
     /** Looks at time and calendar; returns the share of keys that the candidate serves here, in parts per ten thousand. */
     synchronized int share() {
         int share = gate.look(plan(), calendar.get(), tasks.wall().instant(), tasks.nanoTime());
-        if (share != told) {
-            told = share;
+        if (share != reportedShare) {
+            reportedShare = share;
             history.write(
                     "shadow.promoted",
                     "version",
--- a/router/src/main/java/stagepier/shadow/ShadowCopies.java
+++ b/router/src/main/java/stagepier/shadow/ShadowCopies.java
@@ -46,7 +46,7 @@
     /** So many are compared without a score: the code for copies runs slowly until it has been compiled. */
     private static final int COMPARED_COLD = 50;
     /** Ticks between two hand-overs of counts. */
-    private static final int TELL_EVERY = 5;
+    private static final int PUBLISH_EVERY = 5;
 
     /**
      * What it works with.
@@ -70,7 +70,7 @@
             ServerStates servers,
             LongSupplier nanoTime,
             Supplier<ShadowOrders> orders,
-            Predicate<Counts.Snapshot> tell,
+            Predicate<Counts.Snapshot> publish,
             Supplier<Api.Promoted> promoted,
             Consumer<Api.Promoted> promote,
             History history) {}
@@ -132,7 +132,7 @@
     /** Since this process began, whatever the map. */
     private long compared;
 
-    private long toldSequence;
+    private long publishedSequence;
     private int ticks;
 
     public ShadowCopies(Parts parts) {
@@ -282,7 +282,7 @@
             id = now.map().id();
             look = null;
             halted = false;
-            toldSequence = 0;
+            publishedSequence = 0;
         }
         orders = now;
     }
@@ -478,7 +478,7 @@
             parts.history().write("shadow.wrong", "map", id);
             LOG.warn("candidate {} gives wrong answers: stopped here", id);
             giveWay(parts.clock().now());
-            tell();
+            publishCounts();
         }
     }
 
@@ -511,15 +511,15 @@
             if (look != null) {
                 look.look(time);
             }
-            if (++ticks % TELL_EVERY == 0) {
-                tell();
+            if (++ticks % PUBLISH_EVERY == 0) {
+                publishCounts();
             }
         });
     }
 
-    private void tell() {
-        if (counts.sequence() != toldSequence && parts.tell().test(counts.snapshot(id))) {
-            toldSequence = counts.sequence();
+    private void publishCounts() {
+        if (counts.sequence() != publishedSequence && parts.publish().test(counts.snapshot(id))) {
+            publishedSequence = counts.sequence();
         }
     }
 
--- a/router/src/main/java/stagepier/shadow/ShadowPart.java
+++ b/router/src/main/java/stagepier/shadow/ShadowPart.java
@@ -189,14 +189,14 @@
     void take(CandidateMap map) {
         CandidateMap held = state.map();
         if (state.take(map)) {
-            told();
+            candidateTaken();
         } else if (!map.id().equals(held.id())) {
             throw new IllegalStateException("candidate " + held.id() + " is held, which is newer: raise the version");
         }
         order();
     }
 
-    private void told() {
+    private void candidateTaken() {
         LOG.info("candidate {} is tried", state.id());
         parts.history().write("shadow.map", "map", state.id());
     }
@@ -269,7 +269,7 @@
             ShadowMessages.SyncResponse known = parts.calls()
                     .call(member, Message.of(ShadowMessages.SYNC_REQUEST, state.ask()), CALL_MOST)
                     .read(ShadowMessages.SyncResponse.class);
-            boolean stop = state.heard(member, began, known);
+            boolean stop = state.merge(member, began, known);
             news(before, stop);
             ShadowMessages.Update lacked = state.lackedBy(known);
             if (lacked != null) {
@@ -285,7 +285,7 @@
 
     private void news(String idBefore, boolean stop) {
         if (!state.id().equals(idBefore)) {
-            told();
+            candidateTaken();
         }
         if (stop) {
             stopped();
@@ -302,7 +302,7 @@
                         ShadowMessages.SYNC_RESPONSE,
                         state.answer(call.read(ShadowMessages.SyncRequest.class), tasks.nanoTime()));
             case ShadowMessages.UPDATE, ShadowMessages.STOP:
-                news(before, state.told(call.read(ShadowMessages.Update.class)));
+                news(before, state.apply(call.read(ShadowMessages.Update.class)));
                 return Message.of(ShadowMessages.ACKNOWLEDGEMENT, new ShadowMessages.Acknowledgement(state.id()));
             default:
                 throw new Message.MalformedException("no word of the shadow: " + call.kind());
--- a/router/src/main/java/stagepier/shadow/ShadowRequest.java
+++ b/router/src/main/java/stagepier/shadow/ShadowRequest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import stagepier.Api;
+import stagepier.exchange.ResponseInfo;
 import stagepier.memcache.Answer;
 import stagepier.memcache.Command;
 
@@ -67,22 +68,13 @@
             default ->
                 end(new Seen(
                         Api.Outcome.OK,
-                        lookup(answer.hit()),
+                        ResponseInfo.lookup(answer.hit()),
                         answer.flow() > 0 ? 0 : Seen.checksum(answer.body()),
                         now - sentAt,
                         steady));
         }
     }
 
-    private static Api.Lookup lookup(Answer.Hit hit) {
-        return switch (hit) {
-            case UNTOLD -> Api.Lookup.UNKNOWN;
-            case HIT -> Api.Lookup.HIT;
-            case MISS -> Api.Lookup.MISS;
-            case MISS_FETCHING -> Api.Lookup.MISS_FETCHING;
-        };
-    }
-
     void end(Api.Outcome outcome, double now) {
         end(new Seen(outcome, Api.Lookup.UNKNOWN, 0, now - sentAt, steady));
     }
--- a/router/src/main/java/stagepier/shadow/ShadowState.java
+++ b/router/src/main/java/stagepier/shadow/ShadowState.java
@@ -60,10 +60,10 @@
         return snapshot.map().equals(id) && take(RouterCounts.of(self, incarnation, epoch, snapshot));
     }
 
-    private boolean take(RouterCounts heard) {
-        return merged.take(heard)
-                && heard.counter(Result.WRONG.counter()) > 0
-                && stop("wrong answers, seen by " + heard.router());
+    private boolean take(RouterCounts counts) {
+        return merged.take(counts)
+                && counts.counter(Result.WRONG.counter()) > 0
+                && stop("wrong answers, seen by " + counts.router());
     }
 
     private boolean stop(String why) {
@@ -95,17 +95,17 @@
     }
 
     /** Takes the reply of a member; returns whether that has stopped the candidate just now. */
-    synchronized boolean heard(String member, long callBegan, ShadowMessages.SyncResponse known)
+    synchronized boolean merge(String member, long callBegan, ShadowMessages.SyncResponse known)
             throws Message.MalformedException {
         if (known.knows() == null
                 || known.ages() == null
                 || known.knows().values().contains(null)) {
             throw new Message.MalformedException("a reply without what is known");
         }
-        boolean news = told(new ShadowMessages.Update(known.map(), known.text(), known.stopped(), known.counts()));
+        boolean news = apply(new ShadowMessages.Update(known.map(), known.text(), known.stopped(), known.counts()));
         // Of whoever tries another map it is not known whether it was told of a stop of this one.
         if (known.map().equals(id)) {
-            lease.heard(member, callBegan, known.caughtUp(), known.ages());
+            lease.replied(member, callBegan, known.caughtUp(), known.ages());
         }
         return news;
     }
@@ -125,22 +125,22 @@
     }
 
     /** Returns whether that has stopped the candidate just now. */
-    synchronized boolean told(ShadowMessages.Update tell) throws Message.MalformedException {
-        if (tell.map() == null || tell.text() == null || tell.stopped() == null || tell.counts() == null) {
+    synchronized boolean apply(ShadowMessages.Update update) throws Message.MalformedException {
+        if (update.map() == null || update.text() == null || update.stopped() == null || update.counts() == null) {
             throw new Message.MalformedException("something is missing in what was told");
         }
-        if (!tell.text().isEmpty()) {
+        if (!update.text().isEmpty()) {
             try {
-                take(CandidateFile.parse("from another router", tell.text()).map());
+                take(CandidateFile.parse("from another router", update.text()).map());
             } catch (CandidateException e) {
                 throw new Message.MalformedException(e.getMessage());
             }
         }
-        if (!tell.map().equals(id)) {
+        if (!update.map().equals(id)) {
             return false;
         }
-        boolean news = stop(tell.stopped());
-        for (RouterCounts c : tell.counts()) {
+        boolean news = stop(update.stopped());
+        for (RouterCounts c : update.counts()) {
             if (c == null || !c.isWhole()) {
                 throw new Message.MalformedException("counts that are not whole");
             }
@@ -174,12 +174,12 @@
 
     /** @param majority this router and those that it hears are more than half of the configured ones */
     synchronized Verdict verdict(boolean majority) {
-        boolean heard = map != null && majority && merged.routersWith(Counts.SCORES) > fleet / 2;
+        boolean hasQuorum = map != null && majority && merged.routersWith(Counts.SCORES) > fleet / 2;
         return Verdict.of(
                 Counts.sums(Counts.SCORES, merged::sum),
                 Counts.sums(Counts.CONTROLS, merged::sum),
                 map == null ? 0 : Math.log1p(map.margin()),
-                heard);
+                hasQuorum);
     }
 
     synchronized long routersHeard() {
--- a/router/src/main/java/stagepier/shadow/Verdict.java
+++ b/router/src/main/java/stagepier/shadow/Verdict.java
@@ -56,11 +56,11 @@
     }
 
     /**
-     * @param heard  routers whose scores are in the sums are a majority of the configured ones, and so are those that hear each
+     * @param hasQuorum routers whose scores are in the sums are a majority of the configured ones, and so are those that hear each
      *               other
      * @param margin mean, on either side of 0, within which a candidate is no different
      */
-    public static Verdict of(Sums candidate, Sums control, double margin, boolean heard) {
+    public static Verdict of(Sums candidate, Sums control, double margin, boolean hasQuorum) {
         // As so many pairs of one of each: the kind of each copy is drawn, so there are about as many of both.
         long pairs = Math.min(candidate.n(), control.n());
         long copies = candidate.n() + control.n();
@@ -75,7 +75,7 @@
                         / RHO_SQUARED
                         * Math.log(Math.sqrt(grown) / MADE_FOR))
                 / pairs;
-        Kind kind = heard && pairs >= LEAST ? kind(mean - half, mean + half, margin) : Kind.NOT_ENOUGH;
+        Kind kind = hasQuorum && pairs >= LEAST ? kind(mean - half, mean + half, margin) : Kind.NOT_ENOUGH;
         return new Verdict(kind, copies, mean, mean - half, mean + half);
     }
 
--- a/router/src/test/java/stagepier/app/CrossingFixture.java
+++ b/router/src/test/java/stagepier/app/CrossingFixture.java
@@ -1,13 +1,8 @@
 package stagepier.app;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -17,15 +12,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import stagepier.Api;
 import stagepier.client.ClientListener;
 import stagepier.drain.Drain;
 import stagepier.exchange.Clock;
+import stagepier.exchange.EventsAdapter;
 import stagepier.exchange.ModuleHost;
 import stagepier.overload.LoopDelay;
-import stagepier.server.Connector;
+import stagepier.server.HoldableConnector;
 import stagepier.server.ServerPools;
 import stagepier.settings.SettingsParser;
 
@@ -52,9 +47,8 @@
     final List<Long> asked = new ArrayList<>();
     /** What the module does when it is told of a list. */
     Runnable onList = () -> {};
-    /** Links that are to come up, and come up once this is run. */
-    final LinkedBlockingQueue<Runnable> connects = new LinkedBlockingQueue<>();
 
+    private final HoldableConnector connector;
     private final int port;
 
     /**
@@ -75,26 +69,10 @@
         cache.setSoTimeout(RouterProcess.WAIT_MS);
         SettingsParser.Parsed parsed = SettingsParser.parse(SETTINGS.formatted(streams));
         host = new ModuleHost(loop, clock, delay, parsed);
-        Connector connector = (setUp, address) -> {
-            Bootstrap bootstrap = new Bootstrap()
-                    .group(loop)
-                    .channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true)
-                    .option(ChannelOption.AUTO_READ, false)
-                    .handler(setUp);
-            if (bufferBytes > 0) {
-                bootstrap.option(ChannelOption.SO_SNDBUF, bufferBytes);
-            }
-            Channel channel = bootstrap.register().channel();
-            ChannelPromise up = channel.newPromise();
-            Runnable connect = () -> loop.execute(() -> channel.connect(address, up));
-            if (held) {
-                connects.add(connect);
-            } else {
-                connect.run();
-            }
-            return up;
-        };
+        connector = new HoldableConnector(loop, bufferBytes);
+        if (held) {
+            connector.hold();
+        }
         servers = new ServerPools(
                 loop,
                 clock,
@@ -120,7 +98,7 @@
     }
 
     /** Sends each request once to the one server, and gives up what has failed. */
-    private final class Module implements Api.Events {
+    private final class Module extends EventsAdapter {
         @Override
         public void onRequest(double now, Api.Request r) {
             asked.add(r.id());
@@ -147,18 +125,6 @@
         public void onMembers(double now, boolean complete, List<Api.Member> members) {
             onList.run();
         }
-
-        @Override
-        public void onMembersFailed(double now) {}
-
-        @Override
-        public void onFirstByte(double now, long request, int attempt) {}
-
-        @Override
-        public void onClientGone(double now, long request) {}
-
-        @Override
-        public void onTimer(double now, long token) {}
     }
 
     <T> T onLoop(Callable<T> work) throws Exception {
@@ -215,11 +181,7 @@
 
     /** The next link that is to come up. */
     Runnable nextConnect() throws InterruptedException {
-        Runnable next = connects.poll(RouterProcess.WAIT_MS, TimeUnit.MILLISECONDS);
-        if (next == null) {
-            throw new AssertionError("no link was to come up");
-        }
-        return next;
+        return connector.awaitHeld(RouterProcess.WAIT_MS);
     }
 
     @Override
--- a/router/src/test/java/stagepier/client/SendAwayTest.java
+++ b/router/src/test/java/stagepier/client/SendAwayTest.java
@@ -11,17 +11,16 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import stagepier.Api;
 import stagepier.drain.Drain;
-import stagepier.exchange.Clock;
-import stagepier.exchange.Exchange;
+import stagepier.exchange.EventsAdapter;
+import stagepier.exchange.HandClock;
 import stagepier.exchange.ModuleHost;
-import stagepier.exchange.ServerTransport;
+import stagepier.exchange.TransportAdapter;
 import stagepier.overload.LoopDelay;
 import stagepier.settings.SettingsParser;
 
@@ -36,65 +35,12 @@
             "Flavors":["m"],"Limits":{"MaxAttempts":3,"MaxRetryAfter":1.2,"DialTimeout":2,"IdleClose":60},
             "Obligations":{"DrainGrace":1}}""";
 
-    /** A clock that stands until it is put forward. */
-    private static final class HandClock extends Clock {
-        private double now = 1e9;
-
-        @Override
-        public double now() {
-            return now;
-        }
-    }
-
-    /** Decides nothing: requests wait until the test answers them. */
-    private final class WaitingModule implements Api.Events {
+    /** Requests wait until the test answers them. */
+    private final class WaitingModule extends EventsAdapter {
         @Override
         public void onRequest(double now, Api.Request request) {
             requests.add(request.id());
         }
-
-        @Override
-        public void onOutcome(
-                double now,
-                long request,
-                int attempt,
-                long server,
-                Api.Outcome outcome,
-                double elapsed,
-                boolean finished,
-                Api.Lookup lookup,
-                float[] report) {}
-
-        @Override
-        public void onMembers(double now, boolean complete, List<Api.Member> members) {}
-
-        @Override
-        public void onMembersFailed(double now) {}
-
-        @Override
-        public void onFirstByte(double now, long request, int attempt) {}
-
-        @Override
-        public void onClientGone(double now, long request) {}
-
-        @Override
-        public void onTimer(double now, long token) {}
-    }
-
-    /** Nothing is sent. */
-    private static final class NoServers implements ServerTransport {
-        @Override
-        public Transmission send(Exchange exchange, int attempt, long server, double timeout) {
-            throw new AssertionError("a request was sent");
-        }
-
-        @Override
-        public void probe(long server) {
-            throw new AssertionError("a server was probed");
-        }
-
-        @Override
-        public void closeIdle(long server) {}
     }
 
     private final HandClock clock = new HandClock();
@@ -110,7 +56,7 @@
         time.freezeTime();
         LoopDelay delay = new LoopDelay();
         host = new ModuleHost(time.eventLoop(), clock, delay, SettingsParser.parse(SETTINGS));
-        host.connect(new WaitingModule(), new NoServers());
+        host.connect(new WaitingModule(), new TransportAdapter() {});
         clients = new ClientListener(time.eventLoop(), clock, delay, PLACES, host, () -> "END", drain);
         client = new EmbeddedChannel(new ChannelInitializer<Channel>() {
             @Override
@@ -123,7 +69,7 @@
 
     private void pass(int milliseconds) {
         for (int ms = 0; ms < milliseconds; ms++) {
-            clock.now += 1e-3;
+            clock.pass(1e-3);
             time.advanceTimeBy(1, TimeUnit.MILLISECONDS);
             time.runScheduledPendingTasks();
             time.runPendingTasks();
--- a/router/src/test/java/stagepier/exchange/ModuleHostTest.java
+++ b/router/src/test/java/stagepier/exchange/ModuleHostTest.java
@@ -35,7 +35,7 @@
     private final List<Reply> replies = new ArrayList<>();
 
     /** Sends each request twice and writes down what comes of it. */
-    private class Module implements Api.Events {
+    private class Module extends EventsAdapter {
         private boolean inside;
 
         @Override
@@ -65,39 +65,21 @@
             events.add("list " + complete);
         }
 
-        @Override
-        public void onMembersFailed(double now) {}
-
-        @Override
-        public void onFirstByte(double now, long request, int attempt) {}
-
         @Override
         public void onClientGone(double now, long request) {
             events.add("gone");
         }
-
-        @Override
-        public void onTimer(double now, long token) {}
-
-        @Override
-        public void onProbe(double now, long server, Api.Outcome outcome, double elapsed, float[] report) {}
     }
 
     /** A server side on which every send ends at once. */
     private void take(String line, Api.Outcome outcome) throws MalformedException {
         AtomicInteger cancels = new AtomicInteger();
-        host.connect(new Module(), new ServerTransport() {
+        host.connect(new Module(), new TransportAdapter() {
             @Override
             public Transmission send(Exchange x, int attempt, long server, double timeout) {
                 host.ended(x, attempt, server, outcome, 0, ResponseInfo.NONE, new byte[0]);
                 return cancels::incrementAndGet;
             }
-
-            @Override
-            public void probe(long server) {}
-
-            @Override
-            public void closeIdle(long server) {}
         });
         RingBuffer ring = new RingBuffer();
         ring.put(line.getBytes(StandardCharsets.ISO_8859_1));
@@ -200,7 +182,7 @@
     }
 
     /** A server side on which nothing answers, and an execution that woke late looks once more before its time is up. */
-    private final class Silent implements ServerTransport {
+    private final class Silent extends TransportAdapter {
         @Override
         public Transmission send(Exchange x, int attempt, long server, double timeout) {
             loop.schedule(
@@ -212,11 +194,5 @@
                     TimeUnit.MICROSECONDS);
             return () -> {};
         }
-
-        @Override
-        public void probe(long server) {}
-
-        @Override
-        public void closeIdle(long server) {}
     }
 }
--- a/router/src/test/java/stagepier/fleet/MemberTableTest.java
+++ b/router/src/test/java/stagepier/fleet/MemberTableTest.java
@@ -81,11 +81,11 @@
         table.apply("c", news("b", 5, State.GONE), NOW + Peers.ms(100));
         assertEquals(State.ALIVE, table.changedView().member("b").orElseThrow().state());
         assertTrue(
-                table.told().news().stream().anyMatch(n -> n.member().equals("b") && n.state() == State.GONE.ordinal()),
+                table.news().news().stream().anyMatch(n -> n.member().equals("b") && n.state() == State.GONE.ordinal()),
                 "it is told on");
         table.apply("b", news("b", 6, State.ALIVE), NOW + Peers.ms(200));
         assertTrue(
-                table.told().news().stream()
+                table.news().news().stream()
                         .noneMatch(n -> n.member().equals("b") && n.state() == State.GONE.ordinal()),
                 "it was contradicted");
     }
@@ -107,7 +107,7 @@
         table.tick(0, NOW + Peers.ms(5_200));
         assertEquals(State.GONE, table.changedView().member("b").orElseThrow().state());
         assertTrue(
-                table.told().news().stream()
+                table.news().news().stream()
                         .anyMatch(n ->
                                 n.member().equals("b") && n.incarnation() == 6 && n.state() == State.ALIVE.ordinal()),
                 "it is told on");
--- a/router/src/test/java/stagepier/server/LatestStartTest.java
+++ b/router/src/test/java/stagepier/server/LatestStartTest.java
@@ -2,30 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import stagepier.Api;
 
 /** Whatever holds a repeat up, not a byte of it goes out once the window is over in which its cache server drops it. */
 @Timeout(30)
-class LatestStartTest {
-    private final PoolBench bench = new PoolBench(10, 30);
-    private PoolBench.Cache cache;
-
-    @BeforeEach
-    void start() throws Exception {
-        cache = new PoolBench.Cache();
-        bench.ready(1, cache.address());
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        bench.close();
-        cache.close();
-    }
-
+class LatestStartTest extends OneServerFixture {
     /** The first that the cache server sees is the one asked last. */
     private void assertNotSent(PoolBench.Conversation on) throws Exception {
         assertEquals(Api.Outcome.NOT_SENT, bench.nextOutcome());
--- a/router/src/test/java/stagepier/server/LoadReportTest.java
+++ b/router/src/test/java/stagepier/server/LoadReportTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -11,22 +10,12 @@
 
 /** Load reports over sockets: what the module is given, and what a bad one changes, which is a counter alone. */
 @Timeout(30)
-class LoadReportTest {
-    private final PoolBench bench = new PoolBench(10, 30);
-    private PoolBench.Cache cache;
+class LoadReportTest extends OneServerFixture {
     private PoolBench.Conversation connection;
 
     @BeforeEach
-    void start() throws Exception {
+    void readReports() {
         bench.pools.readReports(List.of("inflight", "queue", "x1"));
-        cache = new PoolBench.Cache();
-        bench.ready(1, cache.address());
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        bench.close();
-        cache.close();
     }
 
     /** The end of an attempt whose answer is that line with the id in it. */
--- a/router/src/test/java/stagepier/server/PoolBench.java
+++ b/router/src/test/java/stagepier/server/PoolBench.java
@@ -1,15 +1,8 @@
 package stagepier.server;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
@@ -27,8 +20,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import stagepier.Api;
-import stagepier.exchange.Clock;
+import stagepier.exchange.EventsAdapter;
 import stagepier.exchange.Exchange;
+import stagepier.exchange.HandClock;
 import stagepier.exchange.ModuleHost;
 import stagepier.memcache.CommandParser;
 import stagepier.memcache.RingBuffer;
@@ -51,16 +45,6 @@
     /** How an attempt ended, and the load report that came with its answer. */
     record End(long request, int attempt, Api.Outcome outcome, List<Float> report) {}
 
-    /** A clock that stands until it is put forward. Guards against tests that depend on how long their machine takes. */
-    static final class HandClock extends Clock {
-        private volatile double now = 1e9;
-
-        @Override
-        public double now() {
-            return now;
-        }
-    }
-
     /** A cache server on loopback; the test is its mind. */
     static final class Cache implements Closeable {
         private final ServerSocket listening = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
@@ -119,9 +103,7 @@
     final ModuleHost host;
     final ServerPools pools;
     private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
-    /** Connections that wait to be allowed, where they are held. */
-    private List<Runnable> held;
-
+    private final HoldableConnector connector;
     private Runnable goOn;
     /** What happens in the middle of the module's next decision. */
     private Runnable beforeSend = () -> {};
@@ -134,17 +116,18 @@
         this(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next(), null, linksMost, descriptors);
     }
 
-    /** @param connector null for one to sockets */
-    PoolBench(EventLoop loop, Connector connector, int linksMost, int descriptors) {
+    /** @param other brings up connections; null for one to sockets */
+    PoolBench(EventLoop loop, Connector other, int linksMost, int descriptors) {
         this.loop = loop;
         SettingsParser.Parsed settings = SettingsParser.parse(SETTINGS);
         host = new ModuleHost(loop, clock, delay, settings);
+        connector = new HoldableConnector(loop, 0);
         pools = new ServerPools(
                 loop,
                 clock,
                 delay,
                 host,
-                connector == null ? this::connect : connector,
+                other == null ? connector : other,
                 linksMost,
                 descriptors,
                 settings.settings(),
@@ -153,35 +136,13 @@
         host.connect(new Module(), pools);
     }
 
-    private ChannelFuture connect(ChannelHandler setUp, InetSocketAddress address) {
-        Channel channel = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.AUTO_READ, false)
-                .handler(setUp)
-                .register()
-                .channel();
-        ChannelPromise up = channel.newPromise();
-        if (held == null) {
-            channel.connect(address, up);
-        } else {
-            held.add(() -> channel.connect(address, up));
-        }
-        return up;
-    }
-
     /** Connections come up no sooner than they are let. */
-    void holdConnections() throws Exception {
-        on(() -> held = new ArrayList<>());
+    void holdConnections() {
+        connector.hold();
     }
 
-    void letConnections() throws Exception {
-        on(() -> {
-            held.forEach(Runnable::run);
-            held = null;
-            return null;
-        });
+    void letConnections() {
+        connector.release();
     }
 
     /** The process stands still now; the list, asked for anew when that is seen, comes when the test says so. On the event loop. */
@@ -222,7 +183,7 @@
     }
 
     void pass(double seconds) {
-        clock.now += seconds;
+        clock.pass(seconds);
     }
 
     void ready(long id, InetSocketAddress address) throws Exception {
@@ -299,13 +260,7 @@
     }
 
     /** Sends each request once to the server that the test named, and gives up after that. */
-    private final class Module implements Api.Events {
-        @Override
-        public void onMembers(double now, boolean complete, List<Api.Member> members) {}
-
-        @Override
-        public void onMembersFailed(double now) {}
-
+    private final class Module extends EventsAdapter {
         @Override
         public void onRequest(double now, Api.Request request) {
             beforeSend.run();
@@ -313,9 +268,6 @@
             host.send(request.id(), server, 0, startWithin);
         }
 
-        @Override
-        public void onFirstByte(double now, long request, int attempt) {}
-
         @Override
         public void onOutcome(
                 double now,
@@ -336,11 +288,5 @@
                 host.fail(request);
             }
         }
-
-        @Override
-        public void onClientGone(double now, long request) {}
-
-        @Override
-        public void onTimer(double now, long token) {}
     }
 }
--- a/router/src/test/java/stagepier/server/RestedLinkTest.java
+++ b/router/src/test/java/stagepier/server/RestedLinkTest.java
@@ -4,8 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.util.concurrent.CountDownLatch;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -14,7 +12,7 @@
 
 /** A write never goes on a link that has rested too long, that is closed, or on which something came that nobody asked for. */
 @Timeout(30)
-class RestedLinkTest {
+class RestedLinkTest extends OneServerFixture {
     /** What a cache server does to a connection that rests. */
     private enum Act {
         SHUT,
@@ -25,21 +23,6 @@
         HALF_A_VALUE
     }
 
-    private final PoolBench bench = new PoolBench(10, 30);
-    private PoolBench.Cache cache;
-
-    @BeforeEach
-    void start() throws Exception {
-        cache = new PoolBench.Cache();
-        bench.ready(1, cache.address());
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        bench.close();
-        cache.close();
-    }
-
     /** The next write comes on another connection and is answered; the old one is closed with nothing on it. */
     private void assertGoesElsewhere(PoolBench.Conversation old) throws Exception {
         PoolBench.Conversation fresh = cache.accept();
--- a/router/src/test/java/stagepier/server/SecondAnswerTest.java
+++ b/router/src/test/java/stagepier/server/SecondAnswerTest.java
@@ -4,30 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import stagepier.Api;
 
 /** A second answer that comes after the first one is never the answer to what was asked next. */
 @Timeout(30)
-class SecondAnswerTest {
-    private final PoolBench bench = new PoolBench(10, 30);
-    private PoolBench.Cache cache;
-
-    @BeforeEach
-    void start() throws Exception {
-        cache = new PoolBench.Cache();
-        bench.ready(1, cache.address());
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        bench.close();
-        cache.close();
-    }
-
+class SecondAnswerTest extends OneServerFixture {
     @Test
     void onALinkThatRestsItEndsTheLink() throws Exception {
         PoolBench.Conversation old = bench.rested(cache, "a");
