--- a/lab/src/main/java/stagepier/lab/scale/Figure.java
+++ b/lab/src/main/java/stagepier/lab/scale/Figure.java
@@ -58,8 +58,8 @@
     VALUE_BYTES_ANSWERED_PER_CORE("B/s"),
     /** Requests that a router refuses or that end without a value. */
     REQUESTS_NOT_ANSWERED("1/s"),
-    /** Processor time of the busiest thread, as a part of one core. */
-    BUSIEST_THREAD("cores");
+    /** Processor time of the event loop and of the collector, for which it stands still, as a part of one core. */
+    EVENT_LOOP("cores");
 
     private final String unit;
 
--- a/lab/src/main/java/stagepier/lab/scale/ProcessUse.java
+++ b/lab/src/main/java/stagepier/lab/scale/ProcessUse.java
@@ -43,8 +43,8 @@
     }
 
     /**
-     * Seconds of processor time that each thread of a process has taken so far, by the thread's id; a thread that ends
-     * meanwhile is left out.
+     * Seconds of processor time that each thread of a process has taken so far, by the thread's id and, behind a space, its
+     * name; a thread that ends meanwhile is left out.
      *
      * @throws IOException where there is no such process (any more)
      */
@@ -53,7 +53,8 @@
         try (Stream<Path> threads = Files.list(Path.of("/proc", Long.toString(pid), "task"))) {
             for (Path thread : threads.toList()) {
                 try {
-                    seconds.put(thread.getFileName().toString(), processorSeconds(thread));
+                    String name = Files.readString(thread.resolve("comm")).strip();
+                    seconds.put(thread.getFileName() + " " + name, processorSeconds(thread));
                 } catch (NoSuchFileException e) {
                     continue;
                 }
