Log why connections fail, and at debug level what becomes of each request

Change: a rate-limited warning for connections that are not accepted and for links that do not come up, both counted (client_accepts_failed is new); discovery not heard and heard again as one line each; stagepier.requests at debug level tells of each request by id: taken, each attempt, its outcome, why one was not sent, answered, client gone.

--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -372,6 +372,7 @@
         to.accept("client_links", links.size());
         to.accept("client_links_lingering", lingering.size());
         to.accept("client_links_opened", opened);
+        to.accept("client_accepts_failed", socket.failures());
         to.accept("client_places_full", timesFull);
         to.accept("client_requests_turned_away", turnedAway);
         to.accept("client_input_malformed", malformed);
--- a/router/src/main/java/stagepier/client/ListeningSocket.java
+++ b/router/src/main/java/stagepier/client/ListeningSocket.java
@@ -14,7 +14,10 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import stagepier.exchange.Clock;
+import stagepier.logging.RateLimitedWarning;
 import stagepier.overload.BacklogWait;
 import stagepier.overload.Pressure;
 
@@ -23,11 +26,15 @@
  * that is accepted may have waited. Owns the socket, unless other processes have it as well.
  */
 final class ListeningSocket {
+    private static final Logger LOG = LoggerFactory.getLogger(ListeningSocket.class);
     private static final int BACKLOG = 512;
+    /** Seconds between two lines of the log about failures. */
+    private static final double WARN_EVERY = 1;
 
     private final Clock clock;
     private final Consumer<Channel> accepted;
     private final ServerChannelRecvByteBufAllocator batches = new ServerChannelRecvByteBufAllocator();
+    private final RateLimitedWarning failed = new RateLimitedWarning(LOG, "a client was not accepted", WARN_EVERY);
     private final BacklogWait backlog = new BacklogWait(Pressure.ACCEPTED_USUALLY);
     /** Null before it listens. */
     private Channel channel;
@@ -91,6 +98,12 @@
                         backlog.rests(clock.now());
                         ctx.fireChannelReadComplete();
                     }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        failed.warn(clock.now(), cause.getMessage());
+                        ctx.fireExceptionCaught(cause);
+                    }
                 })
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.AUTO_READ, false)
@@ -149,6 +162,11 @@
         }
     }
 
+    /** How often a connection could not be accepted. */
+    long failures() {
+        return failed.count();
+    }
+
     /** It has been accepting all along and nobody came. */
     void nobodyWaits() {
         backlog.idle(clock.now());
--- a/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -90,6 +90,8 @@
     private boolean stopped;
     private long calls;
     private long failures;
+    /** Since the last answer that was taken. */
+    private long failuresInARow;
 
     /**
      * @param times   how long it waits for what
@@ -348,6 +350,10 @@
             return;
         }
         backoff.reset();
+        if (failuresInARow > 0) {
+            LOG.info("discovery at {} is heard again after {} failures", address, failuresInARow);
+            failuresInARow = 0;
+        }
         asksWhole = false;
         isFresh |= asksNow || !times.asksFirst();
         if (!moved) {
@@ -408,7 +414,11 @@
             return;
         }
         failures++;
-        LOG.debug("discovery: {}", why);
+        if (failuresInARow++ == 0) {
+            LOG.warn("discovery at {} is not heard: {}", address, why);
+        } else {
+            LOG.debug("discovery: {}", why);
+        }
         retryTimer = loop.schedule(
                 () -> {
                     retryTimer = null;
--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -54,6 +54,7 @@
     private final Map<Long, Exchange> open = new HashMap<>();
     private final EventQueue events;
     private final RequestCounters counters = new RequestCounters();
+    private final RequestLog log = new RequestLog();
     private final RequestIds ids;
     private Api.Events module;
     private ServerTransport transport;
@@ -138,6 +139,7 @@
         open.put(x.id(), x);
         ids.take(command.id(), now);
         counters.taken();
+        log.taken(x, unread);
         x.backstop(loop.schedule(() -> pastItsTime(x), micros(budget + OVERDUE), TimeUnit.MICROSECONDS));
         Api.Request request = new Api.Request(
                 x.id(),
@@ -167,6 +169,7 @@
             return;
         }
         counters.clientGone();
+        log.clientGone(x, clock.now());
         finish(x);
         events.post(() -> {
             module.onClientGone(clock.now(), x.id());
@@ -197,6 +200,7 @@
 
     private void answer(Exchange x, Reply reply) {
         counters.answered(reply.kind());
+        log.answered(x, reply.kind(), clock.now());
         if (tap != null) {
             tap.answered(x, reply, clock.now());
         }
@@ -246,6 +250,7 @@
                 elapsed = Math.max(Math.min(elapsed, SHORTEST), elapsed - delay.unreadFor(now));
             }
             counters.ended(outcome);
+            log.ended(x, attempt, server, outcome, elapsed);
             x.outstanding(-1);
             if (outcome == Api.Outcome.OK && !x.isFinished()) {
                 answer(x, served);
@@ -327,12 +332,14 @@
                 || left <= 0
                 || latestStart < now
                 || attempt >= settings.limits().maxAttempts()) {
+            log.notSent(x, attempt, server, x.isFinished() ? "finished" : left <= 0 ? "time is up" : "out of bounds");
             x.sendings().add(() -> {});
             ended(x, attempt, server, Api.Outcome.NOT_SENT, now, ResponseInfo.NONE, null);
         } else if (timeout < 0) {
             x.sendings().add(() -> {});
             ended(x, attempt, server, Api.Outcome.TIMEOUT, now, ResponseInfo.NONE, null);
         } else {
+            log.sent(x, attempt, server, now);
             x.sendings()
                     .add(transport.send(
                             x, attempt, server, timeout == 0 ? left : Math.min(timeout, left), latestStart));
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -22,6 +22,7 @@
 import stagepier.exchange.Exchange;
 import stagepier.exchange.ModuleHost;
 import stagepier.exchange.ServerTransport;
+import stagepier.logging.RateLimitedWarning;
 import stagepier.memcache.LoadReportFormat;
 import stagepier.memcache.MalformedException;
 import stagepier.memcache.Protocol;
@@ -78,9 +79,10 @@
 
     private final double shortestDeadline;
     private long opened;
-    private long failedOpens;
-    private long malformed;
-    private double nextWarning;
+    private final RateLimitedWarning spoilt =
+            new RateLimitedWarning(LOG, "a cache server's answer was spoilt", WARN_EVERY);
+    private final RateLimitedWarning unreached =
+            new RateLimitedWarning(LOG, "no connection to a cache server", WARN_EVERY);
     private final LoopDelay delay;
     private long silenced;
     private int flows;
@@ -239,7 +241,7 @@
                         address)
                 .addListener(done -> {
                     if (!done.isSuccess()) {
-                        failedOpens++;
+                        unreached.warn(now(), address + ": " + done.cause().getMessage());
                         link.drop();
                     }
                 });
@@ -322,19 +324,14 @@
     }
 
     void malformed(MalformedException e) {
-        malformed++;
-        // One line for many: a bad peer must not flood the log.
-        if (now() >= nextWarning) {
-            nextWarning = now() + WARN_EVERY;
-            LOG.warn("a cache server's answer was spoilt ({} so far): {}", malformed, e.getMessage());
-        }
+        spoilt.warn(now(), e.getMessage());
     }
 
     public void count(ObjLongConsumer<String> to) {
         to.accept("server_links", links());
         to.accept("server_links_opened", opened);
-        to.accept("server_links_failed", failedOpens);
-        to.accept("server_input_malformed", malformed);
+        to.accept("server_links_failed", unreached.count());
+        to.accept("server_input_malformed", spoilt.count());
         to.accept("server_reports", reports.received());
         to.accept("server_reports_malformed", reports.malformed());
         to.accept("server_links_silent", silenced);
