Reproduce a request forwarded after its client left, by accept that fails (red)

Reproduction on a real process over loopback: a preloaded library, built by the test with cc, makes chosen system calls fail as a file shared with the test says. accept fails with ENFILE, the client sends and leaves, accept works again: the cache server gets its request. Three failures in a row hold a client up for 3 s. Guards that are green: reads and writes of one byte, interrupted waits.

--- a/router/src/test/java/stagepier/KnownRedTest.java
+++ b/router/src/test/java/stagepier/KnownRedTest.java
@@ -17,7 +17,7 @@
 /** Which tests {@code .ci/run} passes over: just those that KNOWN-RED.txt names, and never many. */
 class KnownRedTest {
     private static final int BAD_DATA = 65;
-    private static final String LINE = "some.of.ThingTest#%s | it is slow | #12";
+    private static final String LINE = "some.of.ThingTest#%s | mvn -Dtest=ThingTest test, seed 1 | it is slow | #12";
 
     @TempDir
     private Path root;
@@ -89,16 +89,18 @@
     @ValueSource(
             strings = {
                 "some.of.ThingTest#one",
-                "some.of.ThingTest#one | cause",
-                "some.of.ThingTest#one |  | #1",
-                "some.of.ThingTest#one | cause | ",
-                "some.of.ThingTest | cause | #1",
-                "some.of.*Test#one | cause | #1",
-                "some.of.ThingTest#o* | cause | #1",
-                "ThingTest#one | cause | #1",
-                "!some.of.ThingTest#one | cause | #1",
-                "some.of.ThingTest#one+two | cause | #1",
-                "some.of.ThingTest#one | a | b | c",
+                "some.of.ThingTest#one | command",
+                "some.of.ThingTest#one | command | seen",
+                "some.of.ThingTest#one |  | seen | #1",
+                "some.of.ThingTest#one | command |  | #1",
+                "some.of.ThingTest#one | command | seen | ",
+                "some.of.ThingTest | command | seen | #1",
+                "some.of.*Test#one | command | seen | #1",
+                "some.of.ThingTest#o* | command | seen | #1",
+                "ThingTest#one | command | seen | #1",
+                "!some.of.ThingTest#one | command | seen | #1",
+                "some.of.ThingTest#one+two | command | seen | #1",
+                "some.of.ThingTest#one | a | b | c | d",
                 "# a comment",
                 "",
                 " "
@@ -106,11 +108,15 @@
     void aMalformedLineFailsInOneLine(String line) throws Exception {
         Said said = run(line + "\n");
         assertEquals(BAD_DATA, said.code());
-        assertEquals(List.of("KNOWN-RED.txt: line 1 is not 'package.Class#method | cause | issue'"), said.told());
+        assertEquals(
+                List.of(
+                        "KNOWN-RED.txt: line 1 is not 'package.Class#method | command and seed | what was seen | issue'"),
+                said.told());
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"some.of.ThingTest#gone | cause | #1", "some.of.OtherTest#one | cause | #1"})
+    @ValueSource(
+            strings = {"some.of.ThingTest#gone | command | seen | #1", "some.of.OtherTest#one | command | seen | #1"})
     void aLineThatNamesNoTestFails(String line) throws Exception {
         Said said = run(line + "\n");
         assertEquals(BAD_DATA, said.code());
--- a/router/src/test/java/stagepier/app/RouterProcess.java
+++ b/router/src/test/java/stagepier/app/RouterProcess.java
@@ -7,11 +7,15 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** The program as it is started, on a port of its own, with its log and configuration in a folder. */
 final class RouterProcess implements Closeable {
     static final int WAIT_MS = 5000;
+    /** Name of the configuration file. */
+    static final String CONFIG = "config.json";
+
     static final String SETTINGS = """
             {"Classes":[{"Name":"read","Deadline":2,"GoalTime":1,"Repeat":"idempotent","Worth":1},
             {"Name":"put","Deadline":2,"GoalTime":1,"Repeat":"deduplicated","Group":"all","DedupWindow":9,"Worth":1}],
@@ -20,19 +24,40 @@
 
     private final Path folder;
     private final int port;
+    private final String known;
     private final Process process;
 
     /** One that knows these cache servers. */
     RouterProcess(Path folder, StandInAgent agent, String... entries) throws IOException {
+        this(folder, agent, Map.of(), entries);
+    }
+
+    /** @param environment variables of the process beside those of this one */
+    RouterProcess(Path folder, StandInAgent agent, Map<String, String> environment, String... entries)
+            throws IOException {
         this.folder = folder;
         port = Rehearsal.freePort();
-        process = launch(folder, """
+        known = StandInAgent.known(entries);
+        process = launch(folder, config(agent), environment);
+    }
+
+    private String config(StandInAgent agent) {
+        return """
                 {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964","settings":%s,
-                "limits":{"sockets":128},"known":%s}""".formatted(port, agent.port(), SETTINGS, StandInAgent.known(entries)));
+                "limits":{"sockets":128},"known":%s}""".formatted(port, agent.port(), SETTINGS, known);
+    }
+
+    /** Writes a configuration with another discovery; read on SIGHUP. */
+    void configure(StandInAgent agent) throws IOException {
+        Files.writeString(folder.resolve(CONFIG), config(agent));
     }
 
     static Process launch(Path folder, String config) throws IOException {
-        Path file = Files.writeString(folder.resolve("config.json"), config);
+        return launch(folder, config, Map.of());
+    }
+
+    private static Process launch(Path folder, String config, Map<String, String> environment) throws IOException {
+        Path file = Files.writeString(folder.resolve(CONFIG), config);
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1",
@@ -41,6 +66,7 @@
                 System.getProperty("java.class.path"),
                 "stagepier.app.Main",
                 "serve");
+        builder.environment().putAll(environment);
         builder.environment().put("GW_CONFIG", file.toString());
         builder.redirectError(folder.resolve("log").toFile());
         return builder.start();
--- /dev/null
+++ b/router/src/test/java/stagepier/app/SystemCallFaultTest.java
@@ -0,0 +1,110 @@
+package stagepier.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import stagepier.app.SyscallFaults.Call;
+import stagepier.app.SyscallFaults.Failure;
+
+/** The real process while system calls fail for a moment. */
+@Timeout(60)
+class SystemCallFaultTest {
+    private static final String READY = "MN";
+    /** Milliseconds that clients wait, nearly all of what the class may take. */
+    private static final int WAIT_MS = 1900;
+    /** More failures than any test lasts. */
+    private static final int LASTING = 1_000_000;
+
+    @TempDir
+    private Path folder;
+
+    private SyscallFaults faults;
+    private StandInAgent agent;
+    private StandInCache cache;
+    private RouterProcess router;
+
+    @BeforeEach
+    void prepare() throws Exception {
+        faults = new SyscallFaults(folder);
+        agent = new StandInAgent();
+        cache = new StandInCache();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        router.close();
+        agent.close();
+        cache.close();
+    }
+
+    private void start() throws Exception {
+        router = new RouterProcess(folder, agent, faults.environment(), StandInAgent.entry(1, cache.port(), "up"));
+        assertEquals(READY, router.ask("mn"));
+    }
+
+    private static String read(String id) {
+        return "mg k" + id + " v O" + id + " Pc=read,t=x,d=" + WAIT_MS;
+    }
+
+    private void assertServed(String id) throws Exception {
+        assertEquals("VA 2 O" + id, router.ask(read(id)));
+    }
+
+    @Test
+    void aRequestThatWaitedWhileAcceptFailedIsNotForwardedAfterItsClientHasLeft() throws Exception {
+        start();
+        // A link that is up, so that a request is sent as soon as it is read.
+        assertServed("first");
+        faults.next(Call.ACCEPT, Failure.ENFILE, LASTING);
+        try (Socket client = router.connect()) {
+            Rehearsal.write(client, read("gone") + "\r\n");
+            faults.awaitMade(Call.ACCEPT, 1);
+        }
+        faults.next(Call.ACCEPT, Failure.ENFILE, 0);
+        // Accepted behind the one that has gone, and answered by the same cache server.
+        assertServed("last");
+        assertEquals(2, cache.answered(), "forwarded after its client had left");
+    }
+
+    @Test
+    void aClientIsAnsweredInItsTimeThoughAcceptFailsForAMoment() throws Exception {
+        start();
+        faults.next(Call.ACCEPT, Failure.ENFILE, 3);
+        long from = System.nanoTime();
+        assertServed("a");
+        assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(WAIT_MS), "too late");
+    }
+
+    @Test
+    void readsAndWritesOfSingleBytesLoseNothing() throws Exception {
+        start();
+        faults.next(Call.READ, Failure.SHORT, 1000);
+        faults.next(Call.WRITE, Failure.SHORT, 1000);
+        try (Socket client = router.connect()) {
+            BufferedReader in = Rehearsal.reader(client);
+            for (int i = 0; i < 10; i++) {
+                Rehearsal.write(client, read("a" + i) + "\r\n");
+                assertEquals("VA 2 Oa" + i, in.readLine());
+                assertEquals("hi", in.readLine());
+            }
+        }
+    }
+
+    @Test
+    void interruptedWaitsLoseNothing() throws Exception {
+        start();
+        faults.next(Call.WAIT, Failure.EINTR, 200);
+        assertServed("a");
+        assertTrue(faults.made(Call.WAIT) > 0);
+    }
+}
