Look for a client's end behind its request before an attempt begins

Cause: a link that had read a request counted its client as there for 20 ms, though the read stopped at the last byte of the request and the end of the stream lay right behind it. So whatever kept a request unread while its client left (accept that failed, a late loop) had it forwarded. Evidence: groups of requests on new connections let go together, an event loop on time, nothing in the log; SystemCallFaultTest red the same way. Ruled out: links that came up late (looked at before a send), a loop that stood still. Change: a client counts as there only by a read that found nothing; a read that found bytes is followed by another before an attempt begins. It closes the class, not the case: nothing depends on why the request lay.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -76,8 +76,8 @@
     private double partSince = Double.NaN;
     /** When bytes came last. */
     private double bytesAt;
-    /** When its socket was read last. */
-    private double lookedAt;
+    /** When its socket was read last and nothing was there; before that, or with more behind what was read, never. */
+    private double emptyAt = Double.NEGATIVE_INFINITY;
 
     private boolean asked;
     /** Requests that went to the module. */
@@ -214,7 +214,7 @@
     protected void onBytes() {
         double now = owner.now();
         bytesAt = now;
-        lookedAt = now;
+        emptyAt = Double.NEGATIVE_INFINITY;
         double came = owner.cameAt(now);
         if (Double.isNaN(cameAt) && mayTake()) {
             cameAt = asked ? came : Math.min(came, connectedAt);
@@ -275,12 +275,13 @@
 
     /**
      * Whether the client is there, by what has come by this moment. A connection that it has ended for its own sending counts as
-     * ended: that is what a client's close looks like from here. Guards against a loop that is late, and begins an attempt before
-     * it reads that the client went.
+     * ended: that is what a client's close looks like from here. Guards against a request that lay unread while its client went:
+     * the end of the stream lies right behind it, and an attempt would begin before that is read.
      */
     private boolean lookIfThere() {
-        if (owner.now() - lookedAt > LOOKED_LATELY) {
-            lookedAt = owner.now();
+        double now = owner.now();
+        while (now - emptyAt > LOOKED_LATELY && !isClosed()) {
+            emptyAt = now;
             readNow();
         }
         return !isClosed();
