Open sockets before the bootstrap, so that a refused one fails on the event loop

Cause: where socket() fails, Netty's Bootstrap has no channel, and completes its future on the thread globalEventExecutor-1-1. Listeners of that future in ServerPools, DiscoveryWatch, PatientBind, ShadowLinks and SocketWarmUp then ran links, pools and the decision module beside the event loop, without locks; the stand-in channel of such a future throws where it is closed, so that a reload in that moment left no watch at all. Ruled out: connect() that fails, which is told on the event loop. That a crash or a foreign request came of it in pre-production is concluded from the race, not shown. Change: Sockets opens the socket in the caller's turn and throws there; an ArchUnit rule allows no other place, which closes the class of the mistake. LinkOpener is a part of its own (ServerPools was large).

--- a/router/src/main/java/stagepier/app/SocketWarmUp.java
+++ b/router/src/main/java/stagepier/app/SocketWarmUp.java
@@ -3,14 +3,17 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import stagepier.link.Sockets;
 
 /**
  * Calls this process' own console a number of times before the router serves. Guards against the first wave of clients after a
@@ -65,9 +68,16 @@
         }
         begun++;
         open++;
+        ChannelFactory<? extends Channel> socket;
+        try {
+            socket = Sockets.connecting();
+        } catch (ChannelException e) {
+            end();
+            return;
+        }
         new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(socket)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (LASTS_MOST * 1e3))
                 .handler(new Caller())
--- a/router/src/main/java/stagepier/client/ListeningSocket.java
+++ b/router/src/main/java/stagepier/client/ListeningSocket.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.function.Consumer;
@@ -18,6 +17,7 @@
 import org.slf4j.LoggerFactory;
 import stagepier.exchange.Clock;
 import stagepier.link.AcceptControl;
+import stagepier.link.Sockets;
 import stagepier.logging.RateLimitedWarning;
 import stagepier.overload.BacklogWait;
 import stagepier.overload.Pressure;
@@ -62,7 +62,7 @@
     /** Listens on a socket of its own. */
     ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
         return listening(server(group)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(Sockets.listening())
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .bind(address));
@@ -74,9 +74,7 @@
      */
     ChannelFuture listen(EventLoopGroup group, ServerSocketChannel passed) {
         shared = true;
-        return listening(server(group)
-                .channelFactory(() -> new NioServerSocketChannel(passed))
-                .register());
+        return listening(server(group).channelFactory(Sockets.listening(passed)).register());
     }
 
     private ChannelFuture listening(ChannelFuture up) {
--- a/router/src/main/java/stagepier/console/ConsoleListener.java
+++ b/router/src/main/java/stagepier/console/ConsoleListener.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -15,6 +14,7 @@
 import org.slf4j.LoggerFactory;
 import stagepier.link.AcceptControl;
 import stagepier.link.PatientBind;
+import stagepier.link.Sockets;
 
 /** The door for staff: owns its listening socket and the callers' links. */
 public final class ConsoleListener {
@@ -45,7 +45,7 @@
     private ChannelFuture bind(InetSocketAddress address) {
         return new ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(Sockets.listening())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new AcceptControl(why -> LOG.warn("a caller was not accepted: {}", why.getMessage())))
--- a/router/src/main/java/stagepier/discovery/DiscoveryConnector.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryConnector.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -17,6 +16,7 @@
 import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.util.function.Supplier;
+import stagepier.link.Sockets;
 
 /** Opens HTTP connections to discovery and writes its requests. Holds no connection itself. */
 final class DiscoveryConnector {
@@ -41,11 +41,15 @@
         this.answers = answers;
     }
 
-    /** Begins to connect. */
+    /**
+     * Begins to connect.
+     *
+     * @throws io.netty.channel.ChannelException where the system has no socket now
+     */
     ChannelFuture connect(InetSocketAddress address) {
         return new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(Sockets.connecting())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectWithinMs)
                 .handler(new ChannelInitializer<Channel>() {
--- a/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -120,7 +121,13 @@
 
     /** Begins the watch from the list that the group has. */
     public void start() {
-        ChannelFuture connect = connector.connect(address);
+        ChannelFuture connect;
+        try {
+            connect = connector.connect(address);
+        } catch (ChannelException e) {
+            again("no socket: " + e.getMessage());
+            return;
+        }
         connecting = connect.channel();
         connect.addListener(done -> {
             if (!done.isSuccess() && connect.channel() == connecting) {
--- a/router/src/main/java/stagepier/link/PatientBind.java
+++ b/router/src/main/java/stagepier/link/PatientBind.java
@@ -1,6 +1,7 @@
 package stagepier.link;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
@@ -22,7 +23,7 @@
     private boolean waitReported;
 
     /**
-     * @param bind  tries to bind, once
+     * @param bind  tries to bind, once; may throw a {@link ChannelException}
      * @param waits told why it has to wait, the first time only
      */
     public PatientBind(EventLoop loop, Supplier<ChannelFuture> bind, Consumer<Throwable> waits) {
@@ -36,19 +37,30 @@
         if (stopped) {
             return;
         }
-        bind.get().addListener((ChannelFuture done) -> {
+        ChannelFuture bound;
+        try {
+            bound = bind.get();
+        } catch (ChannelException e) {
+            again(e);
+            return;
+        }
+        bound.addListener((ChannelFuture done) -> {
             if (done.isSuccess()) {
                 channel = done.channel();
-                return;
-            }
-            if (!waitReported) {
-                waitReported = true;
-                waits.accept(done.cause());
+            } else {
+                again(done.cause());
             }
-            loop.schedule(this::start, AGAIN_MS, TimeUnit.MILLISECONDS);
         });
     }
 
+    private void again(Throwable cause) {
+        if (!waitReported) {
+            waitReported = true;
+            waits.accept(cause);
+        }
+        loop.schedule(this::start, AGAIN_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** Closes the socket, or gives up trying. */
     public void stop() {
         stopped = true;
--- a/router/src/main/java/stagepier/peers/PeerSocket.java
+++ b/router/src/main/java/stagepier/peers/PeerSocket.java
@@ -12,8 +12,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.SocketProtocolFamily;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
@@ -22,6 +20,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.link.PatientBind;
+import stagepier.link.Sockets;
 
 /**
  * The datagrams between routers; owns their one socket. What comes from an address that is no router's, or makes no sense,
@@ -89,7 +88,7 @@
     private ChannelFuture bind() {
         return new Bootstrap()
                 .group(loop)
-                .channelFactory(() -> new NioDatagramChannel(SocketProtocolFamily.INET))
+                .channelFactory(Sockets.datagrams())
                 // A byte more than the most: what fills it was longer, and is no message.
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
--- a/router/src/main/java/stagepier/server/ServerPool.java
+++ b/router/src/main/java/stagepier/server/ServerPool.java
@@ -147,7 +147,7 @@
             links.add(fresh);
             // Before the connect: one that fails at once must find what it has to end.
             fresh.take(execution);
-            pools.open(fresh, address);
+            pools.opener().open(fresh, address);
         } else if (best == null) {
             execution.end(Api.Outcome.CONNECT_FAILED);
         } else {
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -1,11 +1,8 @@
 package stagepier.server;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
@@ -22,6 +19,7 @@
 import stagepier.exchange.Exchange;
 import stagepier.exchange.ModuleHost;
 import stagepier.exchange.ServerTransport;
+import stagepier.link.Sockets;
 import stagepier.logging.RateLimitedWarning;
 import stagepier.memcache.LoadReportFormat;
 import stagepier.memcache.MalformedException;
@@ -67,7 +65,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final ModuleHost host;
-    private final Connector connector;
+    private final LinkOpener opener;
     private final Future<?> sweeps;
     private final double idleMost;
     private final Map<Long, ServerPool> pools = new HashMap<>();
@@ -78,11 +76,8 @@
     private int closing;
 
     private final double shortestDeadline;
-    private long opened;
     private final RateLimitedWarning spoilt =
             new RateLimitedWarning(LOG, "a cache server's answer was spoilt", WARN_EVERY);
-    private final RateLimitedWarning unreached =
-            new RateLimitedWarning(LOG, "no connection to a cache server", WARN_EVERY);
     private final LoopDelay delay;
     private long silenced;
     private int flows;
@@ -108,7 +103,6 @@
             double idleClose,
             int streams) {
         this.streams = Math.max(1, streams);
-        this.connector = connector;
         this.linksMost = linksMost;
         this.descriptors = descriptors;
         shortestDeadline = settings.classes().stream()
@@ -119,6 +113,7 @@
         this.clock = clock;
         this.delay = delay;
         this.host = host;
+        opener = new LinkOpener(clock, connector);
         idleMost = idleClose > 0 ? idleClose * IDLE_PART : Double.POSITIVE_INFINITY;
         sweeps = loop.scheduleWithFixedDelay(this::sweep, 1, 1, TimeUnit.SECONDS);
     }
@@ -227,24 +222,8 @@
         }
     }
 
-    /** Connects a new link; what it was given waits until it is up, and ends where it never comes up. */
-    void open(ServerLink link, InetSocketAddress address) {
-        opened++;
-        connector
-                .connect(
-                        new ChannelInitializer<Channel>() {
-                            @Override
-                            protected void initChannel(Channel channel) {
-                                link.attach(channel);
-                            }
-                        },
-                        address)
-                .addListener(done -> {
-                    if (!done.isSuccess()) {
-                        unreached.warn(now(), address + ": " + done.cause().getMessage());
-                        link.drop();
-                    }
-                });
+    LinkOpener opener() {
+        return opener;
     }
 
     /** The connector for sockets. */
@@ -252,7 +231,7 @@
         int timeoutMs = timeout > 0 ? (int) Math.ceil(timeout * 1e3) : CONNECT_TIMEOUT_MS;
         return (setUp, address) -> new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(Sockets.connecting())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.AUTO_READ, false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
@@ -329,8 +308,8 @@
 
     public void count(ObjLongConsumer<String> to) {
         to.accept("server_links", links());
-        to.accept("server_links_opened", opened);
-        to.accept("server_links_failed", unreached.count());
+        to.accept("server_links_opened", opener.opened());
+        to.accept("server_links_failed", opener.failed());
         to.accept("server_input_malformed", spoilt.count());
         to.accept("server_reports", reports.received());
         to.accept("server_reports_malformed", reports.malformed());
--- a/router/src/main/java/stagepier/shadow/ShadowLinks.java
+++ b/router/src/main/java/stagepier/shadow/ShadowLinks.java
@@ -1,6 +1,8 @@
 package stagepier.shadow;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
@@ -70,20 +72,25 @@
     private void open(long server, InetSocketAddress address) {
         ShadowLink link = new ShadowLink(this, server, room);
         links.add(link);
-        connector
-                .connect(
-                        new ChannelInitializer<Channel>() {
-                            @Override
-                            protected void initChannel(Channel channel) {
-                                link.attach(channel);
-                            }
-                        },
-                        address)
-                .addListener(done -> {
-                    if (!done.isSuccess()) {
-                        link.drop();
-                    }
-                });
+        ChannelFuture up;
+        try {
+            up = connector.connect(
+                    new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            link.attach(channel);
+                        }
+                    },
+                    address);
+        } catch (ChannelException e) {
+            link.drop();
+            return;
+        }
+        up.addListener(done -> {
+            if (!done.isSuccess()) {
+                link.drop();
+            }
+        });
     }
 
     /** Sends a copy; when its time is up, its connection goes with it. */
--- a/router/src/test/java/stagepier/ArchitectureTest.java
+++ b/router/src/test/java/stagepier/ArchitectureTest.java
@@ -7,6 +7,9 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import io.netty.bootstrap.AbstractBootstrap;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 
 /** Which package may know which. */
 @AnalyzeClasses(packages = "stagepier", importOptions = DoNotIncludeTests.class)
@@ -90,6 +93,18 @@
             .dependOnClassesThat()
             .resideInAPackage("stagepier.app..");
 
+    /** A bootstrap that opens a socket itself tells of a failure on another thread than the event loop. */
+    @ArchTest
+    static final ArchRule SOCKETS_ARE_OPENED_IN_ONE_PLACE = noClasses()
+            .that()
+            .haveNameNotMatching("stagepier\\.link\\.(Sockets|Interruptible.*)")
+            .should()
+            .callMethod(AbstractBootstrap.class, "channel", Class.class)
+            .orShould()
+            .callConstructor(NioSocketChannel.class)
+            .orShould()
+            .callConstructor(NioServerSocketChannel.class);
+
     /** What is static is shared by all deployments in a process; {@link StaticStateTest} looks into what it holds. */
     @ArchTest
     static final ArchRule WHAT_IS_STATIC_IS_FINAL =
--- a/router/src/test/java/stagepier/app/RouterProcess.java
+++ b/router/src/test/java/stagepier/app/RouterProcess.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -106,6 +107,16 @@
         return Files.readString(folder.resolve("log"));
     }
 
+    void awaitLog(String text) throws InterruptedException {
+        StandInAgent.await(() -> {
+            try {
+                return log().contains(text);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
     void signal(String name) throws Exception {
         if (new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                         .start()
--- a/router/src/test/java/stagepier/app/SystemCallFaultTest.java
+++ b/router/src/test/java/stagepier/app/SystemCallFaultTest.java
@@ -7,12 +7,15 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import stagepier.app.SyscallFaults.Call;
 import stagepier.app.SyscallFaults.Failure;
 
@@ -24,6 +27,8 @@
     private static final int WAIT_MS = 1900;
     /** Milliseconds by which a deadline that is passed on may be longer than what is left to the client. */
     private static final int SLACK_MS = 150;
+
+    private static final String EVENT_LOOP = "[multiThreadIoEventLoopGroup-2-1] ";
     /** More failures than any test lasts. */
     private static final int LASTING = 1_000_000;
 
@@ -108,6 +113,54 @@
         }
     }
 
+    /** Netty tells of a socket that could not be opened on a thread of its own. */
+    @Test
+    void aSocketThatCannotBeOpenedIsHandledOnTheEventLoop() throws Exception {
+        start();
+        faults.next(Call.SOCKET, Failure.ENFILE, 1);
+        router.ask(read("a"));
+        faults.awaitMade(Call.SOCKET, 1);
+        router.awaitLog("no connection to a cache server");
+        List<String> elsewhere = router.log()
+                .lines()
+                .filter(line -> line.contains("no connection to a cache server") && !line.startsWith(EVENT_LOOP))
+                .toList();
+        assertEquals(List.of(), elsewhere);
+    }
+
+    @Test
+    void discoveryIsHeardAfterSocketsCouldNotBeOpenedDuringAReload() throws Exception {
+        start();
+        agent.awaitCalls(1);
+        try (StandInAgent other = new StandInAgent();
+                StandInAgent last = new StandInAgent()) {
+            faults.next(Call.SOCKET, Failure.ENFILE, LASTING);
+            router.configure(other);
+            router.signal("HUP");
+            faults.awaitMade(Call.SOCKET, 1);
+            router.configure(last);
+            router.signal("HUP");
+            router.awaitLog("discovery at /127.0.0.1:" + last.port());
+            faults.next(Call.SOCKET, Failure.ENFILE, 0);
+            last.awaitCalls(1);
+        }
+    }
+
+    /** Its end is that of a client or server that is unreachable, and nothing else's. */
+    @ParameterizedTest
+    @EnumSource(names = {"ETIMEDOUT", "EHOSTUNREACH"})
+    void aBrokenConnectionIsTheEndOfThatConnectionOnly(Failure failure) throws Exception {
+        start();
+        try (Socket broken = router.connect()) {
+            Rehearsal.write(broken, "mn\r\n");
+            assertEquals(READY, Rehearsal.reader(broken).readLine());
+            faults.next(Call.READ, failure, 1);
+            Rehearsal.write(broken, "mn\r\n");
+            faults.awaitMade(Call.READ, 1);
+        }
+        assertServed("a");
+    }
+
     @Test
     void readsAndWritesOfSingleBytesLoseNothing() throws Exception {
         start();
