Connect again while it is this machine that cannot, and blame no server for it

Cause: a socket that this machine does not have (ENFILE, ENOBUFS) and a connect that it cannot begin (EADDRNOTAVAIL, ENETUNREACH) ended executions as 'could not connect', which the module holds against the server: all attempts were spent within a millisecond and the servers' circuits opened. Change: LinkOpener tells a failure of this machine from one of the server (refused, timed out, no route to the host) and tries again after 2, 4, .. 32 ms within the settings' connect time; what waits on the link ends as not sent if its time is up meanwhile.

--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -43,7 +43,16 @@
     private long queuedBytes;
     private long writtenBytes;
 
-    /** Gives the link its channel, once, while that is set up. The channel must not read by itself. */
+    /** A link goes on to another channel where the one before could not be connected. */
+    @Override
+    public final boolean isSharable() {
+        return true;
+    }
+
+    /**
+     * Gives the link its channel while that is set up: once, or anew after a channel that was never up. The channel must not read by
+     * itself.
+     */
     public final void attach(Channel own) {
         channel = own;
         own.config().setAutoRead(false);
--- a/router/src/main/java/stagepier/server/Execution.java
+++ b/router/src/main/java/stagepier/server/Execution.java
@@ -62,8 +62,15 @@
             return;
         }
         timedOut = true;
-        // Behind a value that its client does not read, the server's answer cannot come: it is not to blame.
-        giveUp(link != null && link.isHeldUp() ? Api.Outcome.CANCELLED : Api.Outcome.TIMEOUT);
+        giveUp(whenTimeIsUp());
+    }
+
+    private Api.Outcome whenTimeIsUp() {
+        if (link != null && link.isHeldUp()) {
+            // Behind a value that its client does not read, the server's answer cannot come: it is not to blame.
+            return Api.Outcome.CANCELLED;
+        }
+        return link != null && link.isHeldUpHere() ? Api.Outcome.NOT_SENT : Api.Outcome.TIMEOUT;
     }
 
     void link(ServerLink on) {
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -23,6 +23,9 @@
 
     private final double openedAt;
     private boolean up;
+    /** It is this machine that could not connect it so far. */
+    private boolean heldUpHere;
+
     private boolean awaitsList;
     /** Takes nothing new, and ends once nobody waits for an answer on it. */
     private boolean retired;
@@ -169,7 +172,7 @@
      * begun goes on. Guards against answers that are on their way here and would be cut off with it.
      */
     void drain() {
-        waiting.endAll();
+        waiting.endAll(Api.Outcome.CONNECT_FAILED);
         if (up && !nothingQueued() && takenBytes() <= beganAt) {
             close();
         }
@@ -199,6 +202,7 @@
     @Override
     protected void onUp() {
         up = true;
+        heldUpHere = false;
         activity.begins(pool.pools().now());
         pump();
     }
@@ -210,7 +214,7 @@
         }
         if (pool.isRetired()) {
             // The last point before bytes go out: whatever brought it here, nothing new goes to a server that drains.
-            waiting.endAll();
+            waiting.endAll(Api.Outcome.CONNECT_FAILED);
         }
         waiting.endBelated();
         waiting.cancelUnwanted(this::nothingQueued);
@@ -516,6 +520,21 @@
         close();
     }
 
+    /** It is this machine that could not connect it by now. */
+    void holdUpHere() {
+        heldUpHere = true;
+    }
+
+    /** Whether it is this machine that keeps it from coming up. */
+    boolean isHeldUpHere() {
+        return heldUpHere;
+    }
+
+    /** Whether it has ended. */
+    boolean isOver() {
+        return isClosed();
+    }
+
     /** Closes from this side. */
     void drop() {
         close();
@@ -537,7 +556,7 @@
             // Not a byte of these was sent: they go to another link of the server.
             waiting.moveTo(pool::take);
         } else {
-            waiting.endAll();
+            waiting.endAll(heldUpHere ? Api.Outcome.NOT_SENT : Api.Outcome.CONNECT_FAILED);
         }
     }
 }
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -113,7 +113,8 @@
         this.clock = clock;
         this.delay = delay;
         this.host = host;
-        opener = new LinkOpener(clock, connector);
+        double connectTimeout = settings.limits().connectTimeout();
+        opener = new LinkOpener(loop, clock, connector, connectTimeout > 0 ? connectTimeout : CONNECT_TIMEOUT_MS / 1e3);
         idleMost = idleClose > 0 ? idleClose * IDLE_PART : Double.POSITIVE_INFINITY;
         sweeps = loop.scheduleWithFixedDelay(this::sweep, 1, 1, TimeUnit.SECONDS);
     }
--- a/router/src/main/java/stagepier/server/UnsentExecutions.java
+++ b/router/src/main/java/stagepier/server/UnsentExecutions.java
@@ -35,10 +35,10 @@
         return queue.size();
     }
 
-    /** Ends all as ones that could not be sent. */
-    void endAll() {
+    /** Ends all, with an outcome that says that they never ran. */
+    void endAll(Api.Outcome outcome) {
         List<Execution> ended = takeAll();
-        ended.forEach(execution -> execution.end(Api.Outcome.CONNECT_FAILED));
+        ended.forEach(execution -> execution.end(outcome));
     }
 
     /** Hands all on to somebody else. */
--- a/router/src/test/java/stagepier/app/SystemCallFaultTest.java
+++ b/router/src/test/java/stagepier/app/SystemCallFaultTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import stagepier.app.SyscallFaults.Call;
 import stagepier.app.SyscallFaults.Failure;
@@ -128,6 +129,21 @@
         assertEquals(List.of(), elsewhere);
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "SOCKET, ENFILE",
+        "SOCKET, ENOBUFS",
+        "CONNECT, EADDRNOTAVAIL",
+        "CONNECT, ENETUNREACH",
+        "CONNECT, ENOBUFS"
+    })
+    void aRequestIsServedThoughThisMachineCannotConnectForAMoment(Call call, Failure failure) throws Exception {
+        start();
+        faults.next(call, failure, 5);
+        assertServed("a");
+        assertEquals(5, faults.made(call));
+    }
+
     @Test
     void discoveryIsHeardAfterSocketsCouldNotBeOpenedDuringAReload() throws Exception {
         start();
