Take an interrupted read for one that has read nothing, not for the end of a connection

Callers saw: connections closed under their requests while system calls were interrupted. Cause: the JDK returns -3 (IOStatus.INTERRUPTED) from a read that does not block and got EINTR; Netty takes any number below 0 for the end of the stream and closes the channel. On client links that loses the request, on server links it ends as reset. Change: channels of our own for connections that are made and accepted; only -1 is the end. A write that is interrupted was waited for before; accept and epoll_wait are repeated by the JDK.

--- a/router/src/main/java/stagepier/link/Sockets.java
+++ b/router/src/main/java/stagepier/link/Sockets.java
@@ -21,17 +21,17 @@
 
     /** A TCP socket that is to be connected. */
     public static ChannelFactory<NioSocketChannel> connecting() {
-        return opened(NioSocketChannel::new);
+        return opened(InterruptibleSocketChannel::new);
     }
 
     /** A TCP socket that is to listen. */
     public static ChannelFactory<NioServerSocketChannel> listening() {
-        return opened(NioServerSocketChannel::new);
+        return opened(InterruptibleServerSocketChannel::new);
     }
 
     /** A TCP socket that listens already, for which nothing is opened. */
     public static ChannelFactory<NioServerSocketChannel> listening(ServerSocketChannel socket) {
-        return () -> new NioServerSocketChannel(socket);
+        return () -> new InterruptibleServerSocketChannel(socket);
     }
 
     /** A UDP socket for IPv4. */
--- a/router/src/test/java/stagepier/app/SystemCallFaultTest.java
+++ b/router/src/test/java/stagepier/app/SystemCallFaultTest.java
@@ -162,6 +162,21 @@
         }
     }
 
+    @Test
+    void anInterruptedReadDoesNotEndAConnection() throws Exception {
+        start();
+        try (Socket client = router.connect()) {
+            BufferedReader in = Rehearsal.reader(client);
+            for (String id : List.of("a", "b", "c")) {
+                faults.next(Call.READ, Failure.EINTR, 3);
+                Rehearsal.write(client, read(id) + "\r\n");
+                assertEquals("VA 2 O" + id, in.readLine());
+                assertEquals("hi", in.readLine());
+            }
+        }
+        assertTrue(faults.made(Call.READ) > 3);
+    }
+
     /** Its end is that of a client or server that is unreachable, and nothing else's. */
     @ParameterizedTest
     @EnumSource(names = {"ETIMEDOUT", "EHOSTUNREACH"})
