Start and reload though sockets, selectors or the file are refused for a moment

Cause: one refused socket() for the listening socket ended the process with 74, one refused epoll_create1 with an uncaught exception, one unreadable moment of the configuration with 78; a reload whose file could not be read for a moment was logged and dropped. Change: TransientFailures repeats what the system refused (not a file that is missing or forbidden, nor one that makes no sense) every 20 ms for up to 10 s, on the threads of start and SIGHUP; the listening socket is tried again every 50 ms on the event loop. A port that is taken ends the process with 74 as before.

--- a/router/src/main/java/stagepier/app/Config.java
+++ b/router/src/main/java/stagepier/app/Config.java
@@ -47,7 +47,11 @@
         private static final long serialVersionUID = 1L;
 
         BadConfigException(String message) {
-            super(message.replaceAll("\\s+", " "));
+            this(message, null);
+        }
+
+        BadConfigException(String message, IOException cause) {
+            super(message.replaceAll("\\s+", " "), cause);
         }
     }
 
@@ -58,7 +62,7 @@
         try {
             return parse(Files.readString(Path.of(path)), System.getenv());
         } catch (IOException e) {
-            throw new BadConfigException("GW_CONFIG: cannot read " + path);
+            throw new BadConfigException("GW_CONFIG: cannot read " + path, e);
         }
     }
 
--- a/router/src/main/java/stagepier/app/Main.java
+++ b/router/src/main/java/stagepier/app/Main.java
@@ -67,7 +67,7 @@
                     .warn("SIGHUP is ignored by what started this process: the configuration is read only now");
         }
         try {
-            Router router = new Router(Config.read(path));
+            Router router = TransientFailures.repeat(() -> new Router(Config.read(path)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router), "stop"));
             CompletableFuture<Void> ready = router.start();
             built.complete(router);
@@ -95,7 +95,7 @@
      */
     private static synchronized void reload(Router router, String path) {
         try {
-            router.reload(Config.read(path));
+            router.reload(TransientFailures.repeat(() -> Config.read(path)));
         } catch (Config.BadConfigException e) {
             LoggerFactory.getLogger(Main.class).error("the configuration in force stays: {}", e.getMessage());
         }
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.DefaultSelectStrategyFactory;
 import io.netty.channel.EventLoop;
@@ -39,6 +40,7 @@
 final class Router {
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
     private static final int POLL_MS = 10;
+    private static final int LISTEN_AGAIN_MS = 50;
     /** Files, selectors, the listening socket, discovery, and sockets that are accepted just before the listener is full. */
     static final int OWN_DESCRIPTORS = 48;
 
@@ -271,6 +273,10 @@
         } catch (IOException e) {
             ready.completeExceptionally(e);
             return;
+        } catch (ChannelException e) {
+            LOG.warn("no socket to listen on yet: {}", e.getMessage());
+            loop.schedule(this::listen, LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
+            return;
         }
         up.addListener(done -> {
             if (done.isSuccess()) {
--- a/router/src/test/java/stagepier/app/SystemCallFaultTest.java
+++ b/router/src/test/java/stagepier/app/SystemCallFaultTest.java
@@ -162,6 +162,26 @@
         }
     }
 
+    @Test
+    void aReloadIsNotLostThoughItsFileCannotBeReadForAMoment() throws Exception {
+        start();
+        try (StandInAgent other = new StandInAgent()) {
+            router.configure(other);
+            faults.next(Call.OPEN, Failure.EIO, 3);
+            router.signal("HUP");
+            other.awaitCalls(1);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"SOCKET, ENFILE", "EPOLL_CREATE, ENFILE", "OPEN, EIO"})
+    void aStartSurvivesCallsThatFailForAMoment(Call call, Failure failure) throws Exception {
+        faults.next(call, failure, 20);
+        start();
+        assertEquals(20, faults.made(call));
+        assertServed("a");
+    }
+
     @Test
     void anInterruptedReadDoesNotEndAConnection() throws Exception {
         start();
