Take the age of cache servers by this process' clock, whatever the wall clock says

Cause: starts in lists are Unix time, and the clock here is anchored once to this machine's wall clock at the process' start. Where that was stepped before (a restart after a step), a server that joins counted as an hour old, so warm at once, or as cold for an hour. Ruled out: a step while the process runs, for all spans are monotonic. Change: StartTimes keeps each start by the clock here: none lies in the future, and one newly listed while lists are followed is no older than the list before by more than 1 s. Times of staff's RESTORE are bounded the same way. With a right clock a server that is listed over 1 s after its start is warmed up a little longer. Left: of what the first list names, a clock that is ahead cannot be told from servers that are old.

--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -94,7 +94,7 @@
         Api.Settings settings = config.settings().settings();
         double drainGrace = settings.protection().drainGrace();
         delay = new LoopDelay(drainGrace);
-        hosts = new HostGroup(config.settings().names());
+        hosts = new HostGroup(config.settings().names(), clock);
         host = new ModuleHost(loop, clock, delay, config.settings());
         servers = new ServerPools(
                 loop,
--- a/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -350,7 +350,7 @@
                 asksWhole = !mayBeBehind();
                 throw new IllegalArgumentException("its version goes back");
             }
-            change = group.apply(message);
+            change = group.applyFresh(message);
         } catch (IllegalArgumentException | JsonParseException e) {
             // The last list stays in force: a bad message must not take servers away.
             failed(e.getMessage());
--- a/router/src/main/java/stagepier/discovery/HostGroup.java
+++ b/router/src/main/java/stagepier/discovery/HostGroup.java
@@ -18,6 +18,7 @@
 import stagepier.Api;
 import stagepier.bans.Ban;
 import stagepier.bans.Bans;
+import stagepier.exchange.Clock;
 import stagepier.exchange.Ids;
 import stagepier.settings.SettingsParser;
 
@@ -42,6 +43,7 @@
     private static final int NAMES_MOST = 4096;
 
     private final SettingsParser.Names names;
+    private final StartTimes startTimes;
     private final Bans bans = new Bans();
     private final Set<String> everListed = new LinkedHashSet<>();
     private final Map<Long, Host> hosts = new LinkedHashMap<>();
@@ -49,8 +51,9 @@
     /** Null where nothing is ever held. */
     private Admission admission;
 
-    public HostGroup(SettingsParser.Names names) {
+    public HostGroup(SettingsParser.Names names, Clock clock) {
         this.names = names;
+        startTimes = new StartTimes(clock);
     }
 
     /** Version of the list; -1 where there is none yet. */
@@ -82,6 +85,7 @@
                 | NumberFormatException e) {
             throw new IllegalArgumentException("not a host group: " + e.getMessage(), e);
         }
+        listed.replaceAll(this::withOwnStart);
         Map<Long, Host> before = new LinkedHashMap<>(hosts);
         if (admission != null && generation >= 0) {
             listed = admitted(listed, complete);
@@ -105,6 +109,22 @@
                 complete ? List.copyOf(before.values()) : List.of());
     }
 
+    /**
+     * Takes a message that discovery has just sent.
+     *
+     * @throws IllegalArgumentException where it makes no sense; the list is then as before
+     */
+    Change applyFresh(JsonElement message) {
+        Change change = apply(message);
+        startTimes.listTaken();
+        return change;
+    }
+
+    private Host withOwnStart(Host host) {
+        double listed = host.member().startedAt();
+        return as(host, host.member().state(), startTimes.of(host.member().id(), listed));
+    }
+
     /**
      * Whether a message is older than the list here, so that it must not be taken. Changes up to an older version follow on
      * another list than this one: taken, they would bring back servers or leave others unknown. A whole list may be older
@@ -220,7 +240,7 @@
         }
         boolean out = bans.isOut(host.name());
         // Staff restart what they take out. Guards against a list that tells that late or never.
-        double started = Math.max(m.startedAt(), bans.backSince(host.name()));
+        double started = Math.max(m.startedAt(), startTimes.notInFuture(bans.backSince(host.name())));
         return new Host(
                 host.name(),
                 new Api.Member(
--- a/router/src/test/java/stagepier/app/TopologyGateTest.java
+++ b/router/src/test/java/stagepier/app/TopologyGateTest.java
@@ -10,13 +10,14 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import stagepier.discovery.HostGroup;
+import stagepier.exchange.Clock;
 import stagepier.freeze.Change;
 import stagepier.settings.SettingsParser;
 
 /** Guards against a freeze that lets a change of topology through, or that keeps back what a rule needs. */
 class TopologyGateTest {
-    private final HostGroup group =
-            new HostGroup(new SettingsParser.Names(List.of("c"), List.of(), List.of("a", "b"), List.of("m")));
+    private final HostGroup group = new HostGroup(
+            new SettingsParser.Names(List.of("c"), List.of(), List.of("a", "b"), List.of("m")), new Clock());
     private final Map<String, Runnable> held = new LinkedHashMap<>();
     private final List<String> asked = new ArrayList<>();
     private boolean frozen;
--- a/router/src/test/java/stagepier/discovery/HostGroupTest.java
+++ b/router/src/test/java/stagepier/discovery/HostGroupTest.java
@@ -12,12 +12,13 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import stagepier.Api;
 import stagepier.bans.Ban;
+import stagepier.exchange.Clock;
 import stagepier.settings.SettingsParser;
 
 /** Guards against a message of discovery that takes servers away since it was misread. */
 class HostGroupTest {
     private final HostGroup group =
-            new HostGroup(new SettingsParser.Names(List.of("c"), List.of(), List.of("a"), List.of("m")));
+            new HostGroup(new SettingsParser.Names(List.of("c"), List.of(), List.of("a"), List.of("m")), new Clock());
 
     private HostGroup.Change tell(long generation, boolean reset, String... entries) {
         return group.apply(JsonParser.parseString("{\"generation\":" + generation + ",\"reset\":" + reset
--- a/router/src/test/java/stagepier/discovery/WatchBench.java
+++ b/router/src/test/java/stagepier/discovery/WatchBench.java
@@ -20,6 +20,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongPredicate;
 import stagepier.Api;
+import stagepier.exchange.Clock;
 import stagepier.settings.SettingsParser;
 
 /**
@@ -59,7 +60,7 @@
     final ManualIoEventLoop loop =
             new ManualIoEventLoop(null, Thread.currentThread(), NioIoHandler.newFactory(), ticker);
     final HostGroup group =
-            new HostGroup(new SettingsParser.Names(List.of("c"), List.of(), List.of("a"), List.of("m")));
+            new HostGroup(new SettingsParser.Names(List.of("c"), List.of(), List.of("a"), List.of("m")), new Clock());
     final List<Agent> agents = new ArrayList<>();
     final DiscoveryWatch watch;
     /** When the drain became known to the router; -1 before. In milliseconds. */
