Keep a ban that could not be written, and read bans again that could not be read

Cause: a ban whose file could not be written was answered with OK and never written again, so that the next process (an upgrade) used the server; one failed read of the folder was taken for a reading, so that bans in it were unknown until the folder changed. Change: BanFiles writes again at each look until it can, unless another process has said something newer; a failed reading is repeated. Half-written files have a name of their own and are never read. A failed reading is not played.

--- a/router/src/main/java/stagepier/app/StaffCalls.java
+++ b/router/src/main/java/stagepier/app/StaffCalls.java
@@ -1,7 +1,6 @@
 package stagepier.app;
 
 import io.netty.channel.EventLoop;
-import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -115,15 +114,7 @@
             return Result.no(server + " stays out: " + frozen);
         }
         Ban ban = new Ban(server, out, hosts.bans().stamp(server, clock.now()));
-        String kept = "";
-        if (files != null) {
-            try {
-                files.write(ban);
-            } catch (IOException e) {
-                LOG.warn("a ban is not kept for other processes: {}", e.toString());
-                kept = ", but other processes are not told";
-            }
-        }
+        String kept = files == null || files.keep(ban) ? "" : ", but other processes are not told yet";
         report(hosts.apply(List.of(ban)));
         return Result.yes(server + (out ? " is out" : " is back") + kept);
     }
--- a/router/src/main/java/stagepier/bans/BanFiles.java
+++ b/router/src/main/java/stagepier/bans/BanFiles.java
@@ -10,8 +10,10 @@
 import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -27,6 +29,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(BanFiles.class);
     private static final String FOLDER = "stagepier-bans-1";
     private static final String END = ".ban";
+    /** End of the name of a file that is being written; one that a kill left behind is never read. */
+    private static final String PART = ".part";
+
     private static final Pattern FORM =
             Pattern.compile("stagepier ban 1 (out|back) ([0-9]{1,12}\\.[0-9]{6}) ([!-~]{1,128})\n");
     private static final int LARGEST = 256;
@@ -35,6 +40,9 @@
 
     private final Path folder;
     private final Set<Path> complained = new HashSet<>();
+    /** Bans that could not be written yet, the last of each server. */
+    private final Map<String, Ban> unwritten = new LinkedHashMap<>();
+
     private FileTime readAs;
     private boolean readLate;
 
@@ -43,14 +51,38 @@
         folder = shared.resolve(FOLDER);
     }
 
-    /**
-     * Keeps it for other processes.
-     *
-     * @throws IOException where that cannot be
-     */
-    public void write(Ban ban) throws IOException {
+    /** Keeps it for other processes; where that cannot be now, as soon as it can. Returns whether it is kept. */
+    public boolean keep(Ban ban) {
+        unwritten.remove(ban.server());
+        try {
+            write(ban);
+            return true;
+        } catch (IOException e) {
+            LOG.warn("a ban is not kept for other processes yet: {}", e.toString());
+            unwritten.put(ban.server(), ban);
+            return false;
+        }
+    }
+
+    /** Writes what could not be written before, unless another process has said something newer since. */
+    private void writeAgain() {
+        for (Ban ban : List.copyOf(unwritten.values())) {
+            try {
+                Ban kept = read(file(ban.server()));
+                if (kept == null || kept.since() < ban.since()) {
+                    write(ban);
+                }
+                unwritten.remove(ban.server());
+                LOG.info("a ban is kept for other processes now: {}", ban.server());
+            } catch (IOException e) {
+                LOG.debug("a ban is still not kept: {}", e.toString());
+            }
+        }
+    }
+
+    private void write(Ban ban) throws IOException {
         Files.createDirectories(folder);
-        Path part = Files.createTempFile(folder, "part", "");
+        Path part = Files.createTempFile(folder, "part", PART);
         try {
             Files.writeString(
                     part,
@@ -80,6 +112,7 @@
 
     /** All bans that are kept, if any may be new since this was asked last; none otherwise. */
     public List<Ban> news() {
+        writeAgain();
         List<Ban> all = new ArrayList<>();
         try {
             FileTime changed = Files.getLastModifiedTime(folder);
@@ -99,6 +132,8 @@
         } catch (NoSuchFileException e) {
             return all;
         } catch (IOException | java.nio.file.DirectoryIteratorException e) {
+            // Read again next time, though nothing in the folder may change until then.
+            readAs = null;
             LOG.warn("bans cannot be read: {}", e.toString());
         }
         return all;
--- a/router/src/test/java/stagepier/bans/BansTest.java
+++ b/router/src/test/java/stagepier/bans/BansTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -44,10 +45,10 @@
         assertEquals(List.of(), other.news(), "there is no folder yet");
         double stamp = new Bans().stamp("s-1/x", 1764616000.123456789);
         Ban ban = new Ban("s-1/x", true, stamp);
-        one.write(ban);
+        one.keep(ban);
         assertEquals(List.of(ban), other.news());
         Ban back = new Ban("s-1/x", false, stamp + 1);
-        other.write(back);
+        other.keep(back);
         assertEquals(List.of(back), new BanFiles(shared).news(), "the later one has taken its place");
         one.drop(ban);
         assertEquals(List.of(back), new BanFiles(shared).news(), "another process has said something since");
@@ -55,10 +56,25 @@
         assertEquals(List.of(), new BanFiles(shared).news());
     }
 
+    @Test
+    void aBanThatCannotBeWrittenIsKeptAsSoonAsItCanBe() throws Exception {
+        BanFiles files = new BanFiles(shared);
+        Path blocked = Files.createFile(shared.resolve("stagepier-bans-1"));
+        Ban ban = new Ban("a", true, 10);
+        assertFalse(files.keep(ban));
+        assertFalse(files.keep(new Ban("b", true, 10)));
+        Files.delete(blocked);
+        Ban newer = new Ban("b", false, 11);
+        new BanFiles(shared).keep(newer);
+        files.news();
+        assertEquals(
+                Set.of(ban, newer), Set.copyOf(new BanFiles(shared).news()), "the newer one of another process stays");
+    }
+
     @Test
     void whatIsTornOrForeignIsIgnored() throws Exception {
         BanFiles files = new BanFiles(shared);
-        files.write(new Ban("good", true, 5));
+        files.keep(new Ban("good", true, 5));
         Path folder;
         try (var all = Files.list(shared)) {
             folder = all.findFirst().orElseThrow();
