--- a/router/src/main/java/stagepier/link/PatientBind.java
+++ b/router/src/main/java/stagepier/link/PatientBind.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -46,13 +47,24 @@
         }
         bound.addListener((ChannelFuture done) -> {
             if (done.isSuccess()) {
-                channel = done.channel();
+                bound(done.channel());
             } else {
                 again(done.cause());
             }
         });
     }
 
+    /** Guards against a socket that an error has closed, and that nobody would miss. */
+    private void bound(Channel own) {
+        channel = own;
+        own.closeFuture().addListener(closed -> {
+            if (!stopped && !loop.isShuttingDown()) {
+                channel = null;
+                again(new ClosedChannelException());
+            }
+        });
+    }
+
     private void again(Throwable cause) {
         if (!waitReported) {
             waitReported = true;
