Log the last counters before a stop completes, so that a late loop is no crash

Cause, found by reading: after all was answered, SIGTERM's thread asked the event loop for the counters and ended the process with 1, a crash, where it did not answer within a second. Change: the event loop logs them itself as the last thing before the stop completes.

--- a/router/src/main/java/stagepier/app/Main.java
+++ b/router/src/main/java/stagepier/app/Main.java
@@ -106,7 +106,6 @@
         Logger log = LoggerFactory.getLogger(Main.class);
         try {
             router.stop().get(STOP_MOST_S, TimeUnit.SECONDS);
-            log.info("{}", router.counters().get(1, TimeUnit.SECONDS));
         } catch (InterruptedException | ExecutionException | TimeoutException e) {
             log.error("did not stop in order", e);
             Runtime.getRuntime().halt(1);
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -372,6 +372,7 @@
             if (fleet != null) {
                 fleet.stop();
             }
+            LOG.info("{}", countersLine());
             stopped.complete(null);
         } else {
             loop.schedule(this::awaitEnd, POLL_MS, TimeUnit.MILLISECONDS);
@@ -410,14 +411,16 @@
         return runtime.totalMemory() - runtime.freeMemory();
     }
 
-    /** All counters in one line for the log. On the event loop. */
+    /** All counters in one line, taken on the event loop. */
     CompletableFuture<String> counters() {
         CompletableFuture<String> line = new CompletableFuture<>();
-        loop.execute(() -> {
-            StringBuilder text = new StringBuilder("counters:");
-            count((name, value) -> text.append(' ').append(name).append('=').append(value));
-            line.complete(text.toString());
-        });
+        loop.execute(() -> line.complete(countersLine()));
         return line;
     }
+
+    private String countersLine() {
+        StringBuilder text = new StringBuilder("counters:");
+        count((name, value) -> text.append(' ').append(name).append('=').append(value));
+        return text.toString();
+    }
 }
