--- a/router/src/test/java/stagepier/app/StandInCache.java
+++ b/router/src/test/java/stagepier/app/StandInCache.java
@@ -26,7 +26,7 @@
     private volatile int slowMs;
     private int waiting;
     private final List<Connection> connections = new CopyOnWriteArrayList<>();
-    private final List<String> commands = new CopyOnWriteArrayList<>();
+    private final List<Received> commands = new CopyOnWriteArrayList<>();
 
     StandInCache() throws IOException {
         listening = Rehearsal.listen();
@@ -47,8 +47,16 @@
         return connections.stream().mapToLong(c -> c.answered).sum();
     }
 
-    /** First lines of all commands that came. */
-    List<String> commands() {
+    /**
+     * A command that came.
+     *
+     * @param line    its first line
+     * @param atNanos when, as {@link System#nanoTime} tells it
+     */
+    record Received(String line, long atNanos) {}
+
+    /** All commands that came, in order. */
+    List<Received> commands() {
         return commands;
     }
 
@@ -106,14 +114,18 @@
         c.socket.setTcpNoDelay(true);
         BufferedReader in = Rehearsal.reader(c.socket);
         for (String line = in.readLine(); line != null; line = in.readLine()) {
-            commands.add(line);
+            commands.add(new Received(line, System.nanoTime()));
             String id = line.substring(line.indexOf(" O"), line.indexOf(" P"));
+            boolean write = line.startsWith("ms ");
+            if (write) {
+                in.readLine();
+            }
             if (!c.silent) {
                 pass();
                 if (slowMs > 0) {
                     pause(slowMs);
                 }
-                Rehearsal.write(c.socket, "VA 2" + id + " h1\r\nhi\r\n");
+                Rehearsal.write(c.socket, write ? "HD" + id + " cab\r\n" : "VA 2" + id + " h1\r\nhi\r\n");
                 c.answered++;
             }
         }
--- a/router/src/test/java/stagepier/app/SystemCallFaultTest.java
+++ b/router/src/test/java/stagepier/app/SystemCallFaultTest.java
@@ -108,7 +108,7 @@
             long waited = millisSince(from);
             faults.next(Call.ACCEPT, Failure.ENFILE, 0);
             assertEquals("VA 2 Olate", Rehearsal.reader(client).readLine());
-            String forwarded = cache.commands().get(0);
+            String forwarded = cache.commands().get(0).line();
             long told = Long.parseLong(forwarded.replaceAll(".*[,P]d=(\\d+).*", "$1"));
             assertTrue(told <= WAIT_MS - waited + SLACK_MS, forwarded);
         }
