Wait for the first list as long as its call may take, and read once more before giving up

Cause: as supposed there, now traced by load: the wait of 200 ms (a part of the drain grace, meant for a process that stood still) counts from the start, so that connecting and asking on a busy core took all of it, and its timer released without reading what had come. Change: a process that begins waits for its first list for the time of one call that is answered at once (connect and answer, 0.6 s with a grace of a second or more); either wait reads once more before it ends. At a shared service, whose first call is held, it is as long as before. Where discovery is silent a start takes 0.4 s longer.

--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -217,8 +217,7 @@
         if (fleet != null) {
             fleet.start(loop, hosts, config.settings().names().zones(), host -> changed(hosts.admit(host)));
         }
-        watch.start();
-        watch.refresh(() -> {
+        watch.start(() -> {
             asked = true;
             listenOnce();
         });
--- a/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -87,6 +87,7 @@
     private boolean asksNow;
 
     private final FreshListWaiters waitersForFresh;
+    private final FreshListWaiters waitersForFirst;
 
     private boolean stopped;
     private long calls;
@@ -112,7 +113,8 @@
         this.random = random;
         this.loop = loop;
         connector = new DiscoveryConnector(loop, times.connectWithin(), Pieces::new, Answers::new);
-        waitersForFresh = new FreshListWaiters(loop, times.freshWithin());
+        waitersForFresh = new FreshListWaiters(loop, times.freshWithin(), this::readNow);
+        waitersForFirst = new FreshListWaiters(loop, times.firstWithin(), this::readNow);
         this.address = address;
         this.group = group;
         this.changed = changed;
@@ -161,7 +163,21 @@
         stopped = true;
         dropConnecting();
         dropWatch();
+        releaseWaiters();
+    }
+
+    /**
+     * Begins the watch, and runs that once it has the list as it is now, but no later than {@link WatchTimes#firstWithin} from now.
+     * Guards against a process that is slow as it begins, and would decide by the list of its configuration.
+     */
+    public void start(Runnable then) {
+        waitersForFirst.add(then);
+        start();
+    }
+
+    private void releaseWaiters() {
         waitersForFresh.release();
+        waitersForFirst.release();
     }
 
     /**
@@ -374,7 +390,7 @@
             next(HttpUtil.isKeepAlive(response) && channel != null && channel.isActive());
         }
         if (isFresh) {
-            waitersForFresh.release();
+            releaseWaiters();
         }
     }
 
--- a/router/src/main/java/stagepier/discovery/FreshListWaiters.java
+++ b/router/src/main/java/stagepier/discovery/FreshListWaiters.java
@@ -10,23 +10,33 @@
 final class FreshListWaiters {
     private final EventLoop loop;
     private final int mostMs;
+    private final Runnable lastLook;
     private final List<Runnable> waiting = new ArrayList<>();
     /** Null while nothing waits. */
     private Future<?> timer;
 
-    /** @param mostMs milliseconds after which all that waits is run, whatever the list is */
-    FreshListWaiters(EventLoop loop, int mostMs) {
+    /**
+     * @param mostMs   milliseconds after which all that waits is run, whatever the list is
+     * @param lastLook reads what has come of the list by that moment, which may be the fresh one
+     */
+    FreshListWaiters(EventLoop loop, int mostMs, Runnable lastLook) {
         this.loop = loop;
         this.mostMs = mostMs;
+        this.lastLook = lastLook;
     }
 
     void add(Runnable then) {
         waiting.add(then);
         if (timer == null) {
-            timer = loop.schedule(this::release, mostMs, TimeUnit.MILLISECONDS);
+            timer = loop.schedule(this::timeIsUp, mostMs, TimeUnit.MILLISECONDS);
         }
     }
 
+    private void timeIsUp() {
+        lastLook.run();
+        release();
+    }
+
     /** Runs all that waits. */
     void release() {
         if (timer != null) {
--- a/router/src/main/java/stagepier/discovery/WatchTimes.java
+++ b/router/src/main/java/stagepier/discovery/WatchTimes.java
@@ -29,6 +29,11 @@
         int retryMost,
         double retryLeast,
         int freshWithin) {
+    /** How long a process that begins waits for its first list: the whole time of a call that is answered at once. */
+    int firstWithin() {
+        return asksFirst ? connectWithin + listWithin : freshWithin;
+    }
+
     private static final int HOLD = 3000;
     private static final int HOLD_SPREAD = 500;
     private static final int SLACK = 1000;
