--- a/router/src/main/java/stagepier/app/Main.java
+++ b/router/src/main/java/stagepier/app/Main.java
@@ -74,6 +74,8 @@
             ready.join();
         } catch (Config.BadConfigException | IllegalArgumentException e) {
             exit(BAD_CONFIG, "stagepier: " + e.getMessage());
+        } catch (IllegalStateException e) {
+            exit(IO_ERROR, "stagepier: cannot start: " + e.getMessage());
         } catch (CompletionException e) {
             exit(IO_ERROR, "stagepier: cannot listen: " + e.getCause().getMessage());
         }
--- a/router/src/test/java/stagepier/app/SystemCallFaultTest.java
+++ b/router/src/test/java/stagepier/app/SystemCallFaultTest.java
@@ -7,7 +7,9 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -197,6 +199,23 @@
         assertTrue(faults.made(Call.READ) > 3);
     }
 
+    @Test
+    void theLogOfRequestsFollowsOneByItsIdThroughAFailure() throws Exception {
+        Map<String, String> environment = new HashMap<>(faults.environment());
+        environment.put("JAVA_TOOL_OPTIONS", "-Dorg.slf4j.simpleLogger.log.stagepier.requests=debug");
+        router = new RouterProcess(folder, agent, environment, StandInAgent.entry(1, cache.port(), "up"));
+        assertEquals(READY, router.ask("mn"));
+        faults.next(Call.SOCKET, Failure.ENFILE, 1);
+        assertServed("a");
+        router.awaitLog("id=a answered");
+        List<String> events = router.log()
+                .lines()
+                .filter(line -> line.contains(" id=a "))
+                .map(line -> line.replaceAll(".* id=a (?:attempt=0 )?(\\w+).*", "$1"))
+                .toList();
+        assertEquals(List.of("taken", "sent", "ended", "answered"), events);
+    }
+
     /** Its end is that of a client or server that is unreachable, and nothing else's. */
     @ParameterizedTest
     @EnumSource(names = {"ETIMEDOUT", "EHOSTUNREACH"})
