--- a/router/src/test/java/stagepier/app/StaffTest.java
+++ b/router/src/test/java/stagepier/app/StaffTest.java
@@ -85,27 +85,12 @@
 
     private static boolean serves(int console) {
         try {
-            return call(console, "STATUS").startsWith("OK");
+            return ConsoleCaller.call(console, "STATUS").startsWith("OK");
         } catch (IOException e) {
             return false;
         }
     }
 
-    private static String call(int console, String line) throws IOException {
-        return raw(console, line + "\n");
-    }
-
-    private static String raw(int console, String bytes) throws IOException {
-        try (Socket caller = new Socket(LOOPBACK, console)) {
-            caller.setSoTimeout(1000);
-            Rehearsal.write(caller, bytes);
-            BufferedReader in = Rehearsal.reader(caller);
-            String answer = in.readLine();
-            assertNull(in.readLine(), "one line, and the end");
-            return answer;
-        }
-    }
-
     private Socket client() throws Exception {
         Socket client = new Socket(LOOPBACK, platform.port());
         client.setSoTimeout(WAIT_MS);
@@ -137,8 +122,8 @@
             silent.add(s);
             Rehearsal.write(s, i % 2 == 0 ? "" : "STAT");
         }
-        assertEquals("OK serving", call(console, "STATUS"));
-        assertEquals("OK serving", raw(console, "STATUS\r\nmore that nobody asked for\r\n"));
+        assertEquals("OK serving", ConsoleCaller.call(console, "STATUS"));
+        assertEquals("OK serving", ConsoleCaller.raw(console, "STATUS\r\nmore that nobody asked for\r\n"));
         for (String bad : List.of(
                 "\n",
                 "status\n",
@@ -148,7 +133,7 @@
                 "x".repeat(600),
                 "SUSPEND s-00000009\n",
                 "RESTORE s-00000009\n")) {
-            assertTrue(raw(console, bad).startsWith("ERR "), bad);
+            assertTrue(ConsoleCaller.raw(console, bad).startsWith("ERR "), bad);
         }
         askMany(1);
         for (Socket s : silent) {
@@ -162,8 +147,8 @@
         long old = start(console);
         askMany(40);
         assertTrue(one.answered() > 0 && other.answered() > 0);
-        assertEquals("OK s-00000001 is out", call(console, "SUSPEND s-00000001"));
-        assertEquals("OK s-00000001 is out already", call(console, "SUSPEND s-00000001"));
+        assertEquals("OK s-00000001 is out", ConsoleCaller.call(console, "SUSPEND s-00000001"));
+        assertEquals("OK s-00000001 is out already", ConsoleCaller.call(console, "SUSPEND s-00000001"));
         long before = one.answered();
         askMany(20);
         // The list says again that it is up, and then all anew.
@@ -178,8 +163,8 @@
         assertEquals(0, platform.end(old).get(10, TimeUnit.SECONDS));
         askMany(20);
         assertEquals(before, one.answered(), "it got something new");
-        assertEquals("OK s-00000001 is back", call(next, "RESTORE s-00000001"));
-        assertEquals("OK s-00000001 is not out", call(next, "RESTORE s-00000001"));
+        assertEquals("OK s-00000001 is back", ConsoleCaller.call(next, "RESTORE s-00000001"));
+        assertEquals("OK s-00000001 is not out", ConsoleCaller.call(next, "RESTORE s-00000001"));
         for (int i = 0; one.answered() == before; i++) {
             assertTrue(i < 400, "still unused");
             askMany(1);
@@ -194,14 +179,14 @@
         int next = Rehearsal.freePort();
         start(console);
         start(next);
-        assertEquals("OK s-00000001 is out", call(next, "SUSPEND s-00000001"));
+        assertEquals("OK s-00000001 is out", ConsoleCaller.call(next, "SUSPEND s-00000001"));
         awaitAnswer(console, "SUSPEND s-00000001", "OK s-00000001 is out already");
-        assertEquals("OK s-00000001 is back", call(console, "RESTORE s-00000001"));
+        assertEquals("OK s-00000001 is back", ConsoleCaller.call(console, "RESTORE s-00000001"));
         awaitAnswer(next, "RESTORE s-00000001", "OK s-00000001 is not out");
     }
 
     private static void awaitAnswer(int console, String line, String answer) throws Exception {
-        for (int i = 0; !call(console, line).equals(answer); i++) {
+        for (int i = 0; !ConsoleCaller.call(console, line).equals(answer); i++) {
             assertTrue(i < 40, "never heard of it");
             Thread.sleep(25);
         }
@@ -221,8 +206,8 @@
             Rehearsal.write(busy, "mg k v Ob1 Pc=read,d=1900\r\n");
             Rehearsal.write(half, "mg k v Ob2 Pc=re");
             one.awaitHeld(other);
-            assertTrue(call(console, "PAUSE").startsWith("OK"));
-            assertTrue(call(console, "STATUS").startsWith("ERR paused"));
+            assertTrue(ConsoleCaller.call(console, "PAUSE").startsWith("OK"));
+            assertTrue(ConsoleCaller.call(console, "STATUS").startsWith("ERR paused"));
             try (Socket front = client()) {
                 Rehearsal.write(front, "mn\r\n");
                 assertEquals("SERVER_ERROR draining", Rehearsal.reader(front).readLine());
@@ -236,10 +221,10 @@
             assertEquals("hi", answers.readLine());
             assertNull(answers.readLine(), "closed after its answer");
         }
-        assertTrue(call(console, "PAUSE").startsWith("OK"));
-        assertEquals("OK clients may come", call(console, "RESUME"));
-        assertEquals("OK clients may come", call(console, "RESUME"));
-        assertEquals("OK serving", call(console, "STATUS"));
+        assertTrue(ConsoleCaller.call(console, "PAUSE").startsWith("OK"));
+        assertEquals("OK clients may come", ConsoleCaller.call(console, "RESUME"));
+        assertEquals("OK clients may come", ConsoleCaller.call(console, "RESUME"));
+        assertEquals("OK serving", ConsoleCaller.call(console, "STATUS"));
         try (Socket front = client()) {
             Rehearsal.write(front, "mn\r\n");
             assertEquals("MN", Rehearsal.reader(front).readLine());
@@ -336,6 +321,6 @@
         ProcessHandle.of(killed).orElseThrow().destroyForcibly();
         assertEquals(-9, platform.end(killed).get(20, TimeUnit.SECONDS));
         askMany(20);
-        assertEquals("OK serving", call(console, "STATUS"));
+        assertEquals("OK serving", ConsoleCaller.call(console, "STATUS"));
     }
 }
