Tell why each connection is closed, each change of state and each request turned away

Change: every link closes for a CloseReason; one line an end at debug level under stagepier.connections, and for clients a counter each (client_links_closed_<reason>). Drain tells listeners of each change of state, and the router logs it. A request that a drain turns away is logged with its id under stagepier.requests, where attempts, retries and answers are already. What the module refuses is logged as an answer THROTTLE, without the module's reason: that is still missing.

--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -120,6 +120,7 @@
             host.connectPeers(
                     new PeerReports(settings, config.settings().names().zones().size(), config.seed()), peers::send);
         }
+        drain.listen((from, to) -> LOG.info("state {} -> {}", from, to));
         staff = config.console() == null
                 ? null
                 : new StaffCalls(clock, drain, hosts, this::changed, clients::sendAway, fleet);
--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -6,6 +6,7 @@
 import stagepier.exchange.Exchange;
 import stagepier.exchange.Reply;
 import stagepier.exchange.ReplyListener;
+import stagepier.link.CloseReason;
 import stagepier.link.Link;
 import stagepier.memcache.Command;
 import stagepier.memcache.CommandParser;
@@ -91,7 +92,8 @@
     /** Memory of which the listener knows. */
     private int counted;
 
-    private boolean leaving;
+    /** Why it takes no more commands and closes once all that was taken has been answered; null while it does not. */
+    private CloseReason leavesFor;
     /** What comes from now on is turned away. */
     private boolean ending;
     /** Closes as soon as an answer is written and nothing else is open on it. */
@@ -127,7 +129,7 @@
 
     private boolean mayTake() {
         // Behind a value that comes by and by nothing is taken: if it breaks off, the connection has to be closed.
-        return flows == 0 && slots.size() < PIPELINED_MOST && answerBytes < ANSWERS_MOST && !leaving;
+        return flows == 0 && slots.size() < PIPELINED_MOST && answerBytes < ANSWERS_MOST && leavesFor == null;
     }
 
     @Override
@@ -187,13 +189,13 @@
         }
         if (behaviour != Behaviour.PART && behaviour != Behaviour.SLOW) {
             if (isIdle()) {
-                return closeIfIdle();
+                return closeIfIdle(CloseReason.SLOT_GIVEN_UP);
             }
             // It does not read what it was given.
-            abort();
-        } else if (!leaving) {
+            abort(CloseReason.SLOT_GIVEN_UP);
+        } else if (leavesFor == null) {
             owner.malformed();
-            leaving = true;
+            leavesFor = CloseReason.SLOT_GIVEN_UP;
             say("CLIENT_ERROR command not finished in time");
         }
         return true;
@@ -201,7 +203,7 @@
 
     /** Ends its lingering. */
     void cutShort() {
-        abort();
+        abort(CloseReason.SLOT_GIVEN_UP);
     }
 
     /** Reads on if it had stopped for want of memory. */
@@ -248,7 +250,7 @@
                 if (objection != null) {
                     say("CLIENT_ERROR " + objection);
                 } else if (ending || owner.turnsAway()) {
-                    owner.turnedAway();
+                    owner.turnedAway(command);
                     say(TURNED_AWAY);
                 } else {
                     ask(command);
@@ -256,7 +258,7 @@
             }
             case ALIVE -> say(owner.alive());
             case STATS -> say(owner.stats());
-            case QUIT -> leave();
+            case QUIT -> leave(CloseReason.DONE);
             case BAD -> say("CLIENT_ERROR " + command.words().get(0));
             case UNKNOWN -> say("ERROR");
         }
@@ -305,7 +307,7 @@
             pump();
         } else if (slot.answer.isBegun()) {
             // Only so can the client see that it is not whole.
-            close();
+            close(CloseReason.VALUE_BROKEN);
         } else {
             flows--;
             answerBytes -= slot.answer.length();
@@ -345,14 +347,14 @@
     @Override
     protected void onWritten() {
         activeAt = owner.now();
-        if (leaving) {
-            leave();
+        if (leavesFor != null) {
+            leave(leavesFor);
         } else {
             // Room for more commands: those that wait in the ring first.
             digest();
             readOn();
             if (ending || leavesWhenIdle && owner.sendsLinksAway()) {
-                closeIfIdle();
+                closeIfIdle(CloseReason.DRAINED);
             }
         }
     }
@@ -360,7 +362,7 @@
     @Override
     protected void onMalformed(MalformedException e) {
         owner.malformed();
-        leaving = true;
+        leavesFor = CloseReason.MALFORMED;
         say("CLIENT_ERROR " + e.getMessage());
     }
 
@@ -371,7 +373,7 @@
 
     /** Closes if nothing is open on it and nothing has come; returns whether it did. */
     boolean leaveIfIdle(double now) {
-        return !isFresh(now) && closeIfIdle();
+        return !isFresh(now) && closeIfIdle(CloseReason.DRAINED);
     }
 
     /**
@@ -392,7 +394,7 @@
     }
 
     /** What has come by now is taken first; what comes later is never read as a command, and the client sees the end. */
-    private boolean closeIfIdle() {
+    private boolean closeIfIdle(CloseReason reason) {
         if (isClosed() || !isIdle()) {
             return false;
         }
@@ -400,7 +402,7 @@
         if (!isIdle() || isClosed()) {
             return false;
         }
-        close();
+        close(reason);
         return true;
     }
 
@@ -420,16 +422,16 @@
             }
             ending = true;
         }
-        if (!closeIfIdle() && !isClosed() && behaviour() == Behaviour.PART) {
+        if (!closeIfIdle(CloseReason.DRAINED) && !isClosed() && behaviour() == Behaviour.PART) {
             giveUp(Behaviour.PART);
         }
     }
 
     /** Takes no more commands; closes as soon as all that was taken has been answered. */
-    private void leave() {
-        leaving = true;
+    private void leave(CloseReason reason) {
+        leavesFor = reason;
         if (slots.isEmpty() && nothingQueued()) {
-            close();
+            close(reason);
         }
     }
 
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -22,6 +22,7 @@
 import stagepier.drain.Drain;
 import stagepier.exchange.Clock;
 import stagepier.exchange.ModuleHost;
+import stagepier.link.CloseReason;
 import stagepier.memcache.Command;
 import stagepier.overload.ConnectionSlots;
 import stagepier.overload.LoopDelay;
@@ -37,6 +38,9 @@
     private static final long BYTES_MOST = 8 << 20;
 
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
+    /** What becomes of single requests, at debug level. */
+    private static final Logger REQUESTS = LoggerFactory.getLogger("stagepier.requests");
+
     private static final double LOG_EVERY = 1;
     /** While clients are sent away, their links are looked through so often. */
     private static final long SEND_AWAY_MS = 5;
@@ -59,6 +63,7 @@
     private final ListeningSocket socket;
     private final ArrayDeque<ClientLink> arrived = new ArrayDeque<>();
     private final long[] ended = new long[ConnectionSlots.Behaviour.values().length];
+    private final long[] closes = new long[CloseReason.values().length];
     private boolean sendingAway;
     /** Since when clients are turned away; NaN before. */
     private double lastSince = Double.NaN;
@@ -339,6 +344,7 @@
 
     /** Nothing is taken or answered on it any more; it keeps its slot until it is given back. */
     void closed(ClientLink link) {
+        closes[link.closeReason().ordinal()]++;
         if (links.remove(link)) {
             lingering.put(link, clock.now());
         }
@@ -361,8 +367,9 @@
         return clock.now();
     }
 
-    void turnedAway() {
+    void turnedAway(Command command) {
         turnedAway++;
+        REQUESTS.debug("id={} turned away drain={}", command.id(), drain.state());
     }
 
     void malformed() {
@@ -381,6 +388,9 @@
         for (Command.Kind kind : Command.Kind.values()) {
             to.accept("client_commands_" + kind.name().toLowerCase(Locale.ROOT), commands[kind.ordinal()]);
         }
+        for (CloseReason reason : CloseReason.values()) {
+            to.accept("client_links_closed_" + reason.name().toLowerCase(Locale.ROOT), closes[reason.ordinal()]);
+        }
         for (ConnectionSlots.Behaviour behaviour : ConnectionSlots.Behaviour.values()) {
             to.accept("client_links_given_up_" + behaviour.name().toLowerCase(Locale.ROOT), ended[behaviour.ordinal()]);
         }
--- a/router/src/main/java/stagepier/console/ConsoleLink.java
+++ b/router/src/main/java/stagepier/console/ConsoleLink.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import stagepier.link.CloseReason;
 import stagepier.link.Link;
 import stagepier.memcache.MalformedException;
 import stagepier.memcache.RingBuffer;
@@ -48,7 +49,7 @@
     @Override
     protected void onEndOfStream() {
         if (unread() == 0) {
-            close();
+            close(CloseReason.PEER_ENDED);
         } else {
             refuse("a line without its end");
         }
@@ -64,7 +65,7 @@
     /** Makes room for another caller. */
     void leave() {
         if (isClosed()) {
-            abort();
+            abort(CloseReason.SLOT_GIVEN_UP);
         } else {
             refuse("too many callers");
         }
@@ -73,7 +74,7 @@
     /** Its one answer, and the end; what the caller still sends behind its line is discarded. */
     private void say(String line) {
         queue(line.getBytes(StandardCharsets.ISO_8859_1));
-        close();
+        close(CloseReason.DONE);
     }
 
     @Override
--- a/router/src/main/java/stagepier/drain/Drain.java
+++ b/router/src/main/java/stagepier/drain/Drain.java
@@ -1,5 +1,8 @@
 package stagepier.drain;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * Whether this process serves, and how far a drain has come: the one owner of that for PAUSE, SIGTERM and the old side of
  * an upgrade. Free of I/O and clock; all times in seconds.
@@ -22,6 +25,12 @@
         ENDING
     }
 
+    /** Is told of each change of state, after it. */
+    @FunctionalInterface
+    public interface Listener {
+        void changed(State from, State to);
+    }
+
     /** How far a drain has come. */
     public enum Phase {
         NONE,
@@ -40,6 +49,7 @@
     /** Part of the phase in which links leave over which they are spread. */
     private static final double SPREAD = 0.7;
 
+    private final List<Listener> listeners = new ArrayList<>();
     private State state = State.STARTING;
     private boolean pausedEarly;
     /** When the drain that is on began. */
@@ -51,7 +61,7 @@
     /** Clients can be served from now on. */
     public void started() {
         if (state == State.STARTING) {
-            state = pausedEarly ? State.PAUSED : State.SERVING;
+            become(pausedEarly ? State.PAUSED : State.SERVING);
         }
     }
 
@@ -60,8 +70,8 @@
         if (state == State.STARTING) {
             pausedEarly = true;
         } else if (state == State.SERVING) {
-            state = State.PAUSED;
             begin(now, PAUSE_LINGERS, PAUSE_LASTS_FROM);
+            become(State.PAUSED);
         }
         return true;
     }
@@ -70,7 +80,7 @@
     public boolean resume() {
         pausedEarly = false;
         if (state == State.PAUSED) {
-            state = State.SERVING;
+            become(State.SERVING);
         }
         return state != State.ENDING;
     }
@@ -85,8 +95,19 @@
             return;
         }
         boolean goesOn = state == State.PAUSED;
-        state = State.ENDING;
         begin(now, handedOver || goesOn ? 0 : END_LINGERS, END_LINGERS);
+        become(State.ENDING);
+    }
+
+    /** Tells of each change from now on; in the order in which listeners came. */
+    public void listen(Listener listener) {
+        listeners.add(listener);
+    }
+
+    private void become(State next) {
+        State before = state;
+        state = next;
+        listeners.forEach(listener -> listener.changed(before, next));
     }
 
     private void begin(double now, double linger, double last) {
--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -26,6 +26,9 @@
  */
 public abstract class Link extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = LoggerFactory.getLogger(Link.class);
+    /** One line at debug level for the end of each connection, under a name of its own, so that it can be turned on alone. */
+    private static final Logger ENDS = LoggerFactory.getLogger("stagepier.connections");
+
     private static final int READ_MOST = 8192;
 
     private final RingBuffer in = new RingBuffer();
@@ -36,6 +39,8 @@
     private boolean closed;
     /** Nothing more comes, and what has come is still to be taken. */
     private boolean inputOver;
+    /** Why it was closed; null before that. */
+    private CloseReason closeReason;
     /** On its way out, or null. */
     private LingeringClose lingering;
 
@@ -166,7 +171,7 @@
 
     /** The other side sends no more, and may still read. */
     protected void onEndOfStream() {
-        close();
+        close(CloseReason.PEER_ENDED);
     }
 
     @Override
@@ -180,7 +185,7 @@
             nothingMoreComes();
         } else {
             LOG.error("a link failed", cause);
-            abort();
+            abort(CloseReason.FAULT);
         }
     }
 
@@ -190,7 +195,7 @@
      */
     private void nothingMoreComes() {
         if (closed || in.size() == 0 || !takesLater()) {
-            abort();
+            abort(CloseReason.PEER_ENDED);
         } else if (!inputOver) {
             inputOver = true;
             channel.close();
@@ -215,17 +220,17 @@
      * Ends the link in the way of its kind: the one place where that is chosen. Nothing that comes after this is taken. A link
      * that lingers writes what is queued, ends its sending and reads on for a while; any other gives its channel back at once.
      */
-    protected final void close() {
+    protected final void close(CloseReason reason) {
         if (closed) {
             return;
         }
-        lingering = lingers() ? LingeringClose.of(channel, this::abort) : null;
+        lingering = lingers() ? LingeringClose.of(channel, () -> abort(reason)) : null;
         if (lingering == null) {
-            abort();
+            abort(reason);
             return;
         }
         in.skip(in.size());
-        end();
+        end(reason);
         if (out.size() == 0) {
             lingering.allWritten();
         } else {
@@ -240,11 +245,11 @@
     }
 
     /** Gives the channel back at once, whatever is on its way. */
-    protected final void abort() {
+    protected final void abort(CloseReason reason) {
         if (channel != null) {
             channel.close();
         }
-        end();
+        end(reason);
         if (!givenBack) {
             givenBack = true;
             if (lingering != null) {
@@ -258,13 +263,32 @@
         return channel != null && channel.isActive();
     }
 
-    private void end() {
+    private void end(CloseReason reason) {
         if (!closed) {
             closed = true;
+            closeReason = reason;
+            logEnd();
             onClosed();
         }
     }
 
+    private void logEnd() {
+        if (ENDS.isDebugEnabled()) {
+            ENDS.debug(
+                    "{} {} closed reason={} unread={} queued={}",
+                    getClass().getSimpleName(),
+                    channel,
+                    closeReason,
+                    in.size(),
+                    out.size());
+        }
+    }
+
+    /** Why it was closed; null before that. */
+    public final CloseReason closeReason() {
+        return closeReason;
+    }
+
     /** Nothing is taken or answered any more. */
     protected final boolean isClosed() {
         return closed;
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import stagepier.Api;
 import stagepier.exchange.ValueFlow;
+import stagepier.link.CloseReason;
 import stagepier.link.Link;
 import stagepier.memcache.Answer;
 import stagepier.memcache.AnswerParser;
@@ -123,7 +124,7 @@
     void retire() {
         retired = true;
         if (!hasLive()) {
-            close();
+            close(CloseReason.SERVER_RETIRED);
         }
     }
 
@@ -163,7 +164,7 @@
         boolean alone = !isWanted() && waiting.isEmpty() && sent.stream().allMatch(e -> e == execution || e.isOver());
         if (alone && execution.endsAt() > takenBytes()) {
             execution.cancel();
-            close();
+            close(CloseReason.UNUSED);
         }
     }
 
@@ -174,7 +175,7 @@
     void drain() {
         waiting.endAll(Api.Outcome.CONNECT_FAILED);
         if (up && !nothingQueued() && takenBytes() <= beganAt) {
-            close();
+            close(CloseReason.SERVER_RETIRED);
         }
     }
 
@@ -193,7 +194,7 @@
             return;
         }
         if (isRestedOut(now)) {
-            close();
+            close(CloseReason.RESTED);
         } else if (activity.hasRested(now)) {
             readNow();
         }
@@ -437,7 +438,7 @@
             throw new MalformedException("bytes that nothing asked for");
         }
         if (retired && !hasLive()) {
-            close();
+            close(CloseReason.UNUSED);
         } else if (isInside()) {
             awaitRest();
         }
@@ -517,7 +518,7 @@
         behind.removeIf(x -> x.endsAt() > writtenBytes());
         sent.removeAll(behind);
         behind.forEach(x -> x.end(Api.Outcome.CANCELLED));
-        close();
+        close(CloseReason.MALFORMED);
     }
 
     /** It is this machine that could not connect it by now. */
@@ -537,7 +538,7 @@
 
     /** Closes from this side. */
     void drop() {
-        close();
+        close(CloseReason.UNUSED);
     }
 
     @Override
--- a/router/src/main/java/stagepier/shadow/ShadowLink.java
+++ b/router/src/main/java/stagepier/shadow/ShadowLink.java
@@ -1,6 +1,7 @@
 package stagepier.shadow;
 
 import stagepier.Api;
+import stagepier.link.CloseReason;
 import stagepier.link.Link;
 import stagepier.memcache.Answer;
 import stagepier.memcache.AnswerParser;
@@ -70,7 +71,7 @@
     void drop() {
         ShadowRequest ended = out;
         out = null;
-        close();
+        close(CloseReason.UNUSED);
         if (ended != null) {
             ended.end(Api.Outcome.CANCELLED, owner.now());
         }
@@ -120,7 +121,7 @@
     protected void onMalformed(MalformedException e) {
         ShadowRequest ended = out;
         out = null;
-        close();
+        close(CloseReason.MALFORMED);
         if (ended != null) {
             ended.end(Api.Outcome.ERROR, owner.now());
         }
