Send clients away by the state of the drain, not by the call that asked for it

Cause: ClientListener.sendAway was begun by the call and ended itself at its first look, since a process that starts is not draining yet. When the process then started paused, nothing began it again. Ruled out: the call is not lost (STATUS says paused), and the phase of the drain is right (LAST).

Change: ClientDrain, out of ClientListener, listens to the Drain and looks through the links as long as its state asks for it, whatever brought that about. Staff calls and SIGTERM only change the state.

--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -121,9 +121,7 @@
                     new PeerReports(settings, config.settings().names().zones().size(), config.seed()), peers::send);
         }
         drain.listen((from, to) -> LOG.info("state {} -> {}", from, to));
-        staff = config.console() == null
-                ? null
-                : new StaffCalls(clock, drain, hosts, this::changed, clients::sendAway, fleet);
+        staff = config.console() == null ? null : new StaffCalls(clock, drain, hosts, this::changed, fleet);
         if (fleet != null) {
             fleet.tryCandidate(
                     new ShadowWork.Own(loop, clock, config.settings(), config.sockets(), host, pressure, drain));
@@ -336,7 +334,6 @@
         loop.execute(() -> {
             if (drain.state() != Drain.State.ENDING) {
                 drain.end(clock.now(), config.passed());
-                clients.sendAway();
                 if (fleet != null) {
                     fleet.leave();
                 }
--- a/router/src/main/java/stagepier/app/StaffCalls.java
+++ b/router/src/main/java/stagepier/app/StaffCalls.java
@@ -27,25 +27,17 @@
     private final Drain drain;
     private final HostGroup hosts;
     private final Consumer<HostGroup.Change> changed;
-    private final Runnable sendAway;
     /** Null where this router decides nothing together with others. */
     private final FleetWork fleet;
     /** Null where there is no folder to share. */
     private final BanFiles files;
 
-    StaffCalls(
-            Clock clock,
-            Drain drain,
-            HostGroup hosts,
-            Consumer<HostGroup.Change> changed,
-            Runnable sendAway,
-            FleetWork fleet) {
+    StaffCalls(Clock clock, Drain drain, HostGroup hosts, Consumer<HostGroup.Change> changed, FleetWork fleet) {
         this.fleet = fleet;
         this.clock = clock;
         this.drain = drain;
         this.hosts = hosts;
         this.changed = changed;
-        this.sendAway = sendAway;
         String shared = System.getenv("TMPDIR");
         files = shared == null || shared.isEmpty() ? null : new BanFiles(Path.of(shared));
         if (files == null) {
@@ -82,7 +74,6 @@
         }
         if (command instanceof ConsoleCommand.Pause) {
             drain.pause(clock.now());
-            sendAway.run();
             return Result.yes("clients are sent away");
         }
         if (command instanceof ConsoleCommand.Resume) {
--- /dev/null
+++ b/router/src/main/java/stagepier/client/ClientDrain.java
@@ -0,0 +1,81 @@
+package stagepier.client;
+
+import io.netty.channel.EventLoop;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleConsumer;
+import stagepier.drain.Drain;
+import stagepier.exchange.Clock;
+
+/**
+ * Sends clients away while a drain is on. Follows the state of the {@link Drain}, not the calls that change it: whatever brought a drain
+ * about, and whenever that was, links are closed as its phase says until it ends. On the event loop.
+ */
+final class ClientDrain {
+    /** Links are looked through so often. */
+    private static final long LOOK_MS = 5;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Drain drain;
+    private final Collection<ClientLink> links;
+    private final DoubleConsumer acceptLast;
+    private boolean looking;
+
+    /**
+     * @param links      all that there are, as they come and go
+     * @param acceptLast accepts who waits to be accepted by a process that is about to end
+     */
+    ClientDrain(EventLoop loop, Clock clock, Drain drain, Collection<ClientLink> links, DoubleConsumer acceptLast) {
+        this.loop = loop;
+        this.clock = clock;
+        this.drain = drain;
+        this.links = links;
+        this.acceptLast = acceptLast;
+        drain.listen((from, to) -> follow());
+    }
+
+    /** Does what the state of the drain asks for; harmless at any time. */
+    void follow() {
+        if (!drain.isOn()) {
+            links.forEach(ClientLink::stay);
+        } else if (!looking) {
+            looking = true;
+            look();
+        }
+    }
+
+    /** Looks through the links once and, while the drain is on, again. */
+    private void look() {
+        looking = drain.isOn();
+        if (looking) {
+            loop.schedule(this::look, sendAway(clock.now()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** Closes what the phase allows; returns microseconds until the next look. */
+    private long sendAway(double now) {
+        if (drain.isEndingNow(now)) {
+            acceptLast.accept(now);
+        }
+        if (drain.phase(now) == Drain.Phase.LAST) {
+            // A link that has just come is left for a moment: its first request is on the way.
+            List.copyOf(links).stream().filter(link -> !link.isFresh(now)).forEach(ClientLink::finish);
+        } else if (drain.phase(now) == Drain.Phase.LEAVE && sendOneAway(now)) {
+            return (long) (drain.nextIn(now, links.size()) * 1e6);
+        }
+        return TimeUnit.MILLISECONDS.toMicros(LOOK_MS);
+    }
+
+    /**
+     * Closes one idle link or, if none is idle, has one close after its next answer; returns whether there was one. Guards against
+     * closing on a request that has just come: of each it is looked whether something has come right before it is closed, and all
+     * sockets are read between one and the next.
+     */
+    private boolean sendOneAway(double now) {
+        List<ClientLink> all = List.copyOf(links);
+        return all.stream().anyMatch(link -> link.leaveIfIdle(now))
+                || all.stream().anyMatch(link -> link.leaveWhenIdle(now));
+    }
+}
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -42,8 +42,6 @@
     private static final Logger REQUESTS = LoggerFactory.getLogger("stagepier.requests");
 
     private static final double LOG_EVERY = 1;
-    /** While clients are sent away, their links are looked through so often. */
-    private static final long SEND_AWAY_MS = 5;
     /** With all slots taken a link lingers no longer than this, in seconds: those who wait for a slot come first. */
     private static final double LINGERS_WHEN_FULL = 0.02;
     /** For so long at the most, in seconds, connections are accepted after the last moment at which clients are served. */
@@ -64,7 +62,6 @@
     private final ArrayDeque<ClientLink> arrived = new ArrayDeque<>();
     private final long[] ended = new long[ConnectionSlots.Behaviour.values().length];
     private final long[] closes = new long[CloseReason.values().length];
-    private boolean sendingAway;
     /** Since when clients are turned away; NaN before. */
     private double lastSince = Double.NaN;
 
@@ -99,6 +96,7 @@
         socket = new ListeningSocket(clock, this::adopt);
         this.host = host;
         this.stats = stats;
+        new ClientDrain(loop, clock, drain, links, this::acceptLast);
     }
 
     /** How many connections are accepted in a row from now on. */
@@ -238,55 +236,15 @@
         socket.stop();
     }
 
-    /** The drain has begun: links are closed as it says until it ends. */
-    public void sendAway() {
-        if (!sendingAway) {
-            sendingAway = true;
-            sendNextAway();
-        }
-    }
-
-    /**
-     * Closes one idle link at a time. Guards against closing on a request that has just come: of each it is looked whether
-     * something has come right before it is closed, and all sockets are read between one and the next.
-     */
-    private void sendNextAway() {
-        double now = clock.now();
-        Drain.Phase phase = drain.phase(now);
-        if (phase == Drain.Phase.NONE) {
-            sendingAway = false;
-            links.forEach(ClientLink::stay);
-            return;
-        }
-        boolean sentAway = false;
-        if (turnsAway()) {
-            acceptLast(now);
-        }
-        if (phase == Drain.Phase.LAST) {
-            List.copyOf(links).stream().filter(link -> !link.isFresh(now)).forEach(ClientLink::finish);
-        } else if (phase == Drain.Phase.LEAVE) {
-            sentAway = sendOneAway(now);
-        }
-        long next = sentAway ? (long) (drain.nextIn(now, links.size()) * 1e6) : SEND_AWAY_MS * 1000;
-        loop.schedule(this::sendNextAway, next, TimeUnit.MICROSECONDS);
-    }
-
-    /** Closes one idle link or, if none is idle, has one close after its next answer; returns whether there was one. */
-    private boolean sendOneAway(double now) {
-        List<ClientLink> all = List.copyOf(links);
-        return all.stream().anyMatch(link -> link.leaveIfIdle(now))
-                || all.stream().anyMatch(link -> link.leaveWhenIdle(now));
-    }
-
     /** Whether idle links are closed now. */
     boolean sendsLinksAway() {
         Drain.Phase phase = drain.phase(clock.now());
         return phase == Drain.Phase.LEAVE || phase == Drain.Phase.LAST;
     }
 
-    /** Whether this process is about to end and serves nothing new. */
+    /** Whether nothing new is served. */
     boolean turnsAway() {
-        return drain.state() == Drain.State.ENDING && drain.phase(clock.now()) == Drain.Phase.LAST;
+        return drain.isEndingNow(clock.now());
     }
 
     /**
--- a/router/src/main/java/stagepier/drain/Drain.java
+++ b/router/src/main/java/stagepier/drain/Drain.java
@@ -129,6 +129,16 @@
         return state;
     }
 
+    /** Whether clients are sent away: paused or about to end. */
+    public boolean isOn() {
+        return state == State.PAUSED || state == State.ENDING;
+    }
+
+    /** Whether this process is about to end and serves nothing new. */
+    public boolean isEndingNow(double now) {
+        return state == State.ENDING && phase(now) == Phase.LAST;
+    }
+
     /** Whether clients may be sent here. */
     public boolean isReady() {
         return state == State.SERVING;
@@ -140,7 +150,7 @@
     }
 
     public Phase phase(double now) {
-        if (state == State.STARTING || state == State.SERVING) {
+        if (!isOn()) {
             return Phase.NONE;
         }
         double on = now - since;
--- a/router/src/test/java/stagepier/client/SendAwayTest.java
+++ b/router/src/test/java/stagepier/client/SendAwayTest.java
@@ -87,7 +87,6 @@
 
     private void pause() {
         drain.pause(clock.now());
-        clients.sendAway();
         pass(LEAVING_MS);
     }
 
