Serve again after RESUME on the links that the drain had caught

What callers saw: a request on a connection that had an open one when PAUSE was 1.2 s old got SERVER_ERROR busy 1 after RESUME, and the connection was closed.

Cause: ClientLink.finish marks a link so that what comes is turned away, and the end of a drain took back only the other mark.

Change: ClientLink.stay, which the end of a drain calls at once on every link, takes back both.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -388,9 +388,10 @@
         return first;
     }
 
-    /** Goes on as before {@link #leaveWhenIdle}. */
+    /** The drain is over: goes on as before {@link #leaveWhenIdle} and {@link #finish}. */
     void stay() {
         leavesWhenIdle = false;
+        ending = false;
     }
 
     /** What has come by now is taken first; what comes later is never read as a command, and the client sees the end. */
