End the links of clients that go on sending before the time of a drain is over

What callers saw: a client that always has part of its next command there (pieces that end one command and begin the next) was held for as long as it went on, past 4 s after PAUSE; and a process that was told to end did not, until it was killed.

Cause: a drain closed a link only at a moment at which it is idle. Such a link never is: each command that ends is turned away, and the bytes behind it keep it from closing. There was no last moment. Ruled out: the look through the links goes on (other links close).

Change: Drain knows by when nobody may be held (4 s after PAUSE, also where SIGTERM follows; the longest deadline and 0.7 s after SIGTERM) and from 0.6 s before that ClientLink.endTaking turns away what is there, tells of the command that is not finished, and closes as soon as nothing is owed. Requests that are open are answered as before.

--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -73,7 +73,7 @@
     /** Null where routers don't tell each other anything. */
     private final PeerSocket peers;
 
-    private final Drain drain = new Drain();
+    private final Drain drain;
     /** Null where no console is named. */
     private final ConsoleListener console;
     /** Null where no console is named. */
@@ -94,6 +94,7 @@
         Api.Settings settings = config.settings().settings();
         double drainGrace = settings.protection().drainGrace();
         delay = new LoopDelay(drainGrace);
+        drain = new Drain(longestDeadline(settings));
         hosts = new HostGroup(config.settings().names(), clock);
         host = new ModuleHost(loop, clock, delay, config.settings());
         servers = new ServerPools(
@@ -129,6 +130,13 @@
         console = config.console() == null ? null : new ConsoleListener(loop, config.console(), staff);
     }
 
+    private static double longestDeadline(Api.Settings settings) {
+        return settings.classes().stream()
+                .mapToDouble(Api.RequestClass::deadline)
+                .max()
+                .orElseThrow();
+    }
+
     /** The usual way to look for input, which tells when it does. */
     private SelectStrategy looking() {
         SelectStrategy usual = DefaultSelectStrategyFactory.INSTANCE.newSelectStrategy();
--- a/router/src/main/java/stagepier/client/ClientDrain.java
+++ b/router/src/main/java/stagepier/client/ClientDrain.java
@@ -59,15 +59,21 @@
         if (drain.isEndingNow(now)) {
             acceptLast.accept(now);
         }
-        if (drain.phase(now) == Drain.Phase.LAST) {
-            // A link that has just come is left for a moment: its first request is on the way.
-            List.copyOf(links).stream().filter(link -> !link.isFresh(now)).forEach(ClientLink::finish);
+        if (drain.closesAll(now)) {
+            settled(now).forEach(ClientLink::endTaking);
+        } else if (drain.phase(now) == Drain.Phase.LAST) {
+            settled(now).forEach(ClientLink::finish);
         } else if (drain.phase(now) == Drain.Phase.LEAVE && sendOneAway(now)) {
             return (long) (drain.nextIn(now, links.size()) * 1e6);
         }
         return TimeUnit.MILLISECONDS.toMicros(LOOK_MS);
     }
 
+    /** All links but those that have just come: the first request is on the way. */
+    private List<ClientLink> settled(double now) {
+        return links.stream().filter(link -> !link.isFresh(now)).toList();
+    }
+
     /**
      * Closes one idle link or, if none is idle, has one close after its next answer; returns whether there was one. Guards against
      * closing on a request that has just come: of each it is looked whether something has come right before it is closed, and all
--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -37,6 +37,8 @@
     private static final int ALWAYS_HELD = 4096;
     /** Who was seen to be there within so many seconds is there. */
     private static final double LOOKED_LATELY = 0.02;
+
+    private static final String NOT_FINISHED = "CLIENT_ERROR command not finished in time";
     /** To whom is turned away because this process ends: another router serves at once, this one never. */
     private static final String TURNED_AWAY = "SERVER_ERROR busy 1";
 
@@ -196,7 +198,7 @@
         } else if (leavesFor == null) {
             owner.malformed();
             leavesFor = CloseReason.SLOT_GIVEN_UP;
-            say("CLIENT_ERROR command not finished in time");
+            say(NOT_FINISHED);
         }
         return true;
     }
@@ -428,6 +430,31 @@
         }
     }
 
+    /**
+     * Turns away what is there, and ends the link as soon as nothing is owed on it. Guards against a client that goes on sending, so
+     * that its link is never idle.
+     */
+    void endTaking() {
+        finish();
+        if (isWaiting) {
+            workOff();
+        }
+        if (isClosed() || leavesFor != null || isOwed()) {
+            return;
+        }
+        if (unread() > 0) {
+            leavesFor = CloseReason.DRAIN_TIME_OVER;
+            say(NOT_FINISHED);
+        } else {
+            leave(CloseReason.DRAIN_TIME_OVER);
+        }
+    }
+
+    /** Whether an answer is still to come, or to be passed on. */
+    private boolean isOwed() {
+        return flows > 0 || slots.stream().anyMatch(slot -> slot.answer == null);
+    }
+
     /** Takes no more commands; closes as soon as all that was taken has been answered. */
     private void leave(CloseReason reason) {
         leavesFor = reason;
--- a/router/src/main/java/stagepier/drain/Drain.java
+++ b/router/src/main/java/stagepier/drain/Drain.java
@@ -14,7 +14,7 @@
  *
  * A drain goes through three phases. While it LINGERs all is served as before, for new clients still come. Then links
  * LEAVE: each is closed once nothing is open on it. At LAST the links that are there take no more commands, finish
- * what they took, and close.
+ * what they took, and close. A client that goes on sending can put off the end of its link only until {@link #closesAll}.
  */
 public final class Drain {
     /** What this process does. */
@@ -43,21 +43,40 @@
     private static final double PAUSE_LINGERS = 0.3;
     /** Clients have to be gone 4 s after the call, and requests may take 2.5 s. */
     private static final double PAUSE_LASTS_FROM = 1.2;
+    /** After a call to pause nobody may be held for longer, idle or with a request of the last 2 s. */
+    private static final double PAUSE_GONE_BY = 4;
     /** After the word to stop, clients still come and ask for so long. */
     private static final double END_LINGERS = 0.7;
+    /** The longest deadline is taken as this where it is longer, when it is reckoned how soon a process may be killed. */
+    private static final double DEADLINE_MOST = 3;
+    /** Links of clients that go on sending are ended so long before nobody may be held: for the way, and a late look. */
+    private static final double CLOSES_BEFORE = 0.6;
 
     /** Part of the phase in which links leave over which they are spread. */
     private static final double SPREAD = 0.7;
 
     private final List<Listener> listeners = new ArrayList<>();
     private State state = State.STARTING;
+    private final double endGoneBy;
     private boolean pausedEarly;
+    /** When the call to pause came that holds; NaN where there is none. */
+    private double pausedAt = Double.NaN;
     /** When the drain that is on began. */
     private double since;
 
     private double lingers;
     private double lastFrom;
 
+    /** One for settings that allow the longest deadline that counts. */
+    public Drain() {
+        this(DEADLINE_MOST);
+    }
+
+    /** @param longestDeadline of any class: a process that ends may be killed so long after its last moment of service */
+    public Drain(double longestDeadline) {
+        endGoneBy = END_LINGERS + Math.min(longestDeadline, DEADLINE_MOST);
+    }
+
     /** Clients can be served from now on. */
     public void started() {
         if (state == State.STARTING) {
@@ -67,6 +86,9 @@
 
     /** Sends clients away; again is the same. Returns whether that holds. */
     public boolean pause(double now) {
+        if (Double.isNaN(pausedAt)) {
+            pausedAt = now;
+        }
         if (state == State.STARTING) {
             pausedEarly = true;
         } else if (state == State.SERVING) {
@@ -79,6 +101,9 @@
     /** Ends a pause, or confirms that there is none. Returns whether that holds: a process that ends does not come back. */
     public boolean resume() {
         pausedEarly = false;
+        if (state != State.ENDING) {
+            pausedAt = Double.NaN;
+        }
         if (state == State.PAUSED) {
             become(State.SERVING);
         }
@@ -139,6 +164,28 @@
         return state == State.ENDING && phase(now) == Phase.LAST;
     }
 
+    /** When nobody may be held any more who is idle or has asked lately; infinite while no drain is on. */
+    public double goneBy() {
+        return Math.min(goneByPause(), goneByEnd());
+    }
+
+    private double goneByPause() {
+        return Double.isNaN(pausedAt) ? Double.POSITIVE_INFINITY : pausedAt + PAUSE_GONE_BY;
+    }
+
+    private double goneByEnd() {
+        return state == State.ENDING ? since + endGoneBy : Double.POSITIVE_INFINITY;
+    }
+
+    /** Whether links are ended whatever their clients still send, as soon as nothing is owed on them. */
+    public boolean closesAll(double now) {
+        return switch (phase(now)) {
+            case NONE, LINGER -> false;
+            case LEAVE -> now >= goneByPause() - CLOSES_BEFORE;
+            case LAST -> now >= goneBy() - CLOSES_BEFORE;
+        };
+    }
+
     /** Whether clients may be sent here. */
     public boolean isReady() {
         return state == State.SERVING;
--- a/router/src/test/java/stagepier/app/DrainTimeLimitTest.java
+++ b/router/src/test/java/stagepier/app/DrainTimeLimitTest.java
@@ -24,6 +24,8 @@
 @Timeout(60)
 class DrainTimeLimitTest {
     private static final int GONE_WITHIN_MS = 4000;
+    /** After SIGTERM a process may be killed: the longest deadline of these settings and 0.7 s. */
+    private static final int KILLED_AFTER_MS = 2700;
     /** Between two pieces of a client that writes slowly. */
     private static final int PIECE_MS = 100;
 
@@ -157,6 +159,20 @@
         }
     }
 
+    @Test
+    void aProcessThatEndsIsGoneBeforeItMayBeKilledThoughAClientGoesOnSending() throws Exception {
+        startServing();
+        try (Socket client = router.connect()) {
+            Rehearsal.write(client, read("a"));
+            assertEquals("VA 2 Oa", Rehearsal.reader(client).readLine());
+            long at = System.nanoTime();
+            router.signal("TERM");
+            assertTrue(endsWhileItWrites(client, at, "hel", "lo\r\nhel"));
+            assertEquals(0, router.exitCode());
+            assertTrue(millisSince(at) <= KILLED_AFTER_MS, "ended after " + millisSince(at) + " ms");
+        }
+    }
+
     @Test
     void aRequestOnAConnectionThatIsAcceptedLateIsNotHeldPastTheTimeAllowed() throws Exception {
         startServing();
--- a/router/src/test/java/stagepier/drain/DrainTest.java
+++ b/router/src/test/java/stagepier/drain/DrainTest.java
@@ -62,6 +62,46 @@
         assertEquals(Phase.LAST, drain.phase(20), "said again, it goes on from where it is");
     }
 
+    @Test
+    void linksOfClientsThatGoOnSendingAreEndedBeforeTheTimeOfAPauseIsOver() {
+        drain.started();
+        assertEquals(Double.POSITIVE_INFINITY, drain.goneBy());
+        drain.pause(10);
+        drain.pause(13);
+        assertEquals(14, drain.goneBy(), "said again, it is not put off");
+        assertFalse(drain.closesAll(13.3));
+        assertTrue(drain.closesAll(13.5));
+        drain.resume();
+        assertFalse(drain.closesAll(13.5));
+        assertEquals(Double.POSITIVE_INFINITY, drain.goneBy());
+    }
+
+    @Test
+    void aProcessThatEndsEndsThemBeforeItMayBeKilled() {
+        Drain shortDeadlines = new Drain(0.4);
+        shortDeadlines.started();
+        shortDeadlines.end(10, false);
+        assertEquals(11.1, shortDeadlines.goneBy(), 1e-9);
+        assertFalse(shortDeadlines.closesAll(10.69), "it still serves");
+        assertTrue(shortDeadlines.closesAll(10.71));
+        Drain longDeadlines = new Drain(9);
+        longDeadlines.started();
+        longDeadlines.end(10, true);
+        assertEquals(13.7, longDeadlines.goneBy(), 1e-9);
+        assertFalse(longDeadlines.closesAll(13));
+        assertTrue(longDeadlines.closesAll(13.2));
+    }
+
+    @Test
+    void anEndDoesNotPutOffTheTimeOfThePauseBeforeIt() {
+        drain.started();
+        drain.pause(10);
+        drain.end(13.3, false);
+        assertEquals(14, drain.goneBy());
+        assertEquals(Phase.LEAVE, drain.phase(13.5));
+        assertTrue(drain.closesAll(13.5));
+    }
+
     @Test
     void linksLeaveSpreadOverThePhaseAndAllBeforeItsEnd() {
         drain.started();
