Say no from a PAUSE on, also where SIGTERM comes before or after it

What callers saw: after PAUSE, answered OK, and SIGTERM in either order, mn was answered MN, so the front goes on sending clients to a process that was told to drain (the answer has to be no until RESUME).

Cause: Drain.saysYes took 'ending' for yes whatever came before or after, since a process that only ends serves on for a moment.

Change: the call to pause is remembered through the end, and the answer is no while it holds.

--- a/router/src/main/java/stagepier/drain/Drain.java
+++ b/router/src/main/java/stagepier/drain/Drain.java
@@ -191,9 +191,9 @@
         return state == State.SERVING;
     }
 
-    /** What a client is told that asks whether this router is alive: the one that ends serves on for those that come. */
+    /** What a client is told that asks whether this router is alive: one that only ends serves on for those that come. */
     public boolean saysYes() {
-        return isReady() || state == State.ENDING;
+        return isReady() || state == State.ENDING && Double.isNaN(pausedAt);
     }
 
     public Phase phase(double now) {
--- a/router/src/test/java/stagepier/app/DrainTimeLimitTest.java
+++ b/router/src/test/java/stagepier/app/DrainTimeLimitTest.java
@@ -147,6 +147,38 @@
         }
     }
 
+    @Test
+    void aPausedProcessThatIsToldToEndStillSaysNo() throws Exception {
+        startServing();
+        cache.hold(true);
+        try (Socket busy = router.connect()) {
+            Rehearsal.write(busy, read("a"));
+            StandInAgent.await(() -> !cache.commands().isEmpty());
+            pause();
+            router.signal("TERM");
+            StandInAgent.await(() -> says("STATUS").startsWith("ERR ending"));
+            assertEquals("SERVER_ERROR draining", router.ask("mn"));
+            cache.hold(false);
+            assertEquals("VA 2 Oa", Rehearsal.reader(busy).readLine());
+        }
+    }
+
+    @Test
+    void aProcessThatEndsSaysNoOnceItIsPaused() throws Exception {
+        startServing();
+        cache.hold(true);
+        try (Socket busy = router.connect()) {
+            Rehearsal.write(busy, read("a"));
+            StandInAgent.await(() -> !cache.commands().isEmpty());
+            router.signal("TERM");
+            StandInAgent.await(() -> says("STATUS").startsWith("ERR ending"));
+            pause();
+            assertEquals("SERVER_ERROR draining", router.ask("mn"));
+            cache.hold(false);
+            assertEquals("VA 2 Oa", Rehearsal.reader(busy).readLine());
+        }
+    }
+
     @Test
     void aClientWithPartOfItsNextCommandAlwaysThereIsSentAway() throws Exception {
         startServing();
--- a/router/src/test/java/stagepier/drain/DrainTest.java
+++ b/router/src/test/java/stagepier/drain/DrainTest.java
@@ -92,6 +92,21 @@
         assertTrue(longDeadlines.closesAll(13.2));
     }
 
+    @Test
+    void aPauseIsNotTakenBackByAnEndNorIgnoredAfterOne() {
+        drain.started();
+        drain.pause(10);
+        drain.end(11, false);
+        assertFalse(drain.saysYes());
+        Drain ending = new Drain();
+        ending.started();
+        ending.end(10, false);
+        ending.pause(10.1);
+        assertFalse(ending.saysYes());
+        assertFalse(ending.resume(), "a process that ends does not come back");
+        assertFalse(ending.saysYes());
+    }
+
     @Test
     void anEndDoesNotPutOffTheTimeOfThePauseBeforeIt() {
         drain.started();
