Turn away what comes in the last two seconds of a pause, on new connections too

What callers saw: a connection that comes 2.2 s after PAUSE (it waited in the backlog, or its client came late) has its request served for its whole deadline, so 4 s after the call it is held with a request of the last 2 s.

Cause: what comes late was turned away only on links that the drain had seen open before; a new one's first request was taken as usual. In a process that ends all are turned away, in a paused one not.

Change: Drain.turnsAway says it for both; in a pause from 1.9 s after the call on.

--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -244,7 +244,7 @@
 
     /** Whether nothing new is served. */
     boolean turnsAway() {
-        return drain.isEndingNow(clock.now());
+        return drain.turnsAway(clock.now());
     }
 
     /**
--- a/router/src/main/java/stagepier/drain/Drain.java
+++ b/router/src/main/java/stagepier/drain/Drain.java
@@ -43,8 +43,10 @@
     private static final double PAUSE_LINGERS = 0.3;
     /** Clients have to be gone 4 s after the call, and requests may take 2.5 s. */
     private static final double PAUSE_LASTS_FROM = 1.2;
-    /** After a call to pause nobody may be held for longer, idle or with a request of the last 2 s. */
+    /** After a call to pause nobody may be held for longer who is idle or has asked lately. */
     private static final double PAUSE_GONE_BY = 4;
+    /** A request of the last 2 s counts as asked lately; a little more, for its way here. */
+    private static final double ASKED_LATELY = 2.1;
     /** After the word to stop, clients still come and ask for so long. */
     private static final double END_LINGERS = 0.7;
     /** The longest deadline is taken as this where it is longer, when it is reckoned how soon a process may be killed. */
@@ -177,6 +179,11 @@
         return state == State.ENDING ? since + endGoneBy : Double.POSITIVE_INFINITY;
     }
 
+    /** Whether a request that comes now is turned away, on whatever link: its answer could come after the drain's last moment. */
+    public boolean turnsAway(double now) {
+        return isEndingNow(now) || now >= goneByPause() - ASKED_LATELY;
+    }
+
     /** Whether links are ended whatever their clients still send, as soon as nothing is owed on them. */
     public boolean closesAll(double now) {
         return switch (phase(now)) {
--- a/router/src/test/java/stagepier/app/DrainTimeLimitTest.java
+++ b/router/src/test/java/stagepier/app/DrainTimeLimitTest.java
@@ -205,6 +205,19 @@
         }
     }
 
+    @Test
+    void aRequestOfTheLastTwoSecondsOnANewConnectionIsTurnedAway() throws Exception {
+        startServing();
+        cache.hold(true);
+        long at = pause();
+        StandInAgent.await(() -> millisSince(at) > REQUEST_AFTER_MS);
+        try (Socket client = router.connect()) {
+            Rehearsal.write(client, read("late"));
+            StandInAgent.await(() -> millisSince(at) > GONE_WITHIN_MS);
+            assertTrue(isEnded(client), "held with a request of the last 2 s");
+        }
+    }
+
     @Test
     void aRequestOnAConnectionThatIsAcceptedLateIsNotHeldPastTheTimeAllowed() throws Exception {
         startServing();
--- a/router/src/test/java/stagepier/drain/DrainTest.java
+++ b/router/src/test/java/stagepier/drain/DrainTest.java
@@ -69,6 +69,8 @@
         drain.pause(10);
         drain.pause(13);
         assertEquals(14, drain.goneBy(), "said again, it is not put off");
+        assertFalse(drain.turnsAway(11.8), "it can be answered in time");
+        assertTrue(drain.turnsAway(12));
         assertFalse(drain.closesAll(13.3));
         assertTrue(drain.closesAll(13.5));
         drain.resume();
