Go on with what is repeated after a fault in one step of it

Cause: an event loop keeps an exception of a scheduled task to itself. A chain that schedules its next step at the end of this one has no next step then, and a fixed delay is never run again. Nothing is logged.

Change: GuardedTask for each of these; a client link on which something fails is aborted (CloseReason.FAULT) and the others go on.

The exception is planted by the test: none was seen in any run of a process.

--- a/router/src/main/java/stagepier/app/FleetWork.java
+++ b/router/src/main/java/stagepier/app/FleetWork.java
@@ -29,6 +29,7 @@
 import stagepier.settings.SettingsException;
 import stagepier.shadow.CandidateException;
 import stagepier.shadow.CandidateFile;
+import stagepier.tasks.GuardedTask;
 import stagepier.tasks.LiveTasks;
 import stagepier.tasks.Tasks;
 
@@ -143,7 +144,8 @@
             shadow.start();
         }
         calls.start();
-        loop.scheduleWithFixedDelay(() -> look(hosts), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                new GuardedTask("look at the fleet", () -> look(hosts)), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
     private void look(HostGroup hosts) {
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -35,6 +35,7 @@
 import stagepier.peers.PeerReports;
 import stagepier.peers.PeerSocket;
 import stagepier.server.ServerPools;
+import stagepier.tasks.GuardedTask;
 
 /** One running router: puts the parts together on one event loop, starts them and stops them. */
 final class Router {
@@ -232,7 +233,7 @@
             peers.start();
         }
         long beat = (long) (LoopDelay.BEAT * 1e6);
-        loop.scheduleWithFixedDelay(this::beat, beat, beat, TimeUnit.MICROSECONDS);
+        loop.scheduleWithFixedDelay(new GuardedTask("heartbeat", this::beat), beat, beat, TimeUnit.MICROSECONDS);
     }
 
     private void changed(HostGroup.Change change) {
--- a/router/src/main/java/stagepier/app/StaffCalls.java
+++ b/router/src/main/java/stagepier/app/StaffCalls.java
@@ -16,6 +16,7 @@
 import stagepier.drain.Drain;
 import stagepier.exchange.Clock;
 import stagepier.freeze.Change;
+import stagepier.tasks.GuardedTask;
 
 /** Does what staff ask of the running router. On the event loop. */
 final class StaffCalls implements Operations {
@@ -49,7 +50,11 @@
     void start(EventLoop loop) {
         if (files != null) {
             look();
-            loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(
+                    new GuardedTask("look for bans of other processes", this::look),
+                    LOOK_MS,
+                    LOOK_MS,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
--- a/router/src/main/java/stagepier/client/ClientDrain.java
+++ b/router/src/main/java/stagepier/client/ClientDrain.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleConsumer;
+import java.util.function.Predicate;
 import stagepier.drain.Drain;
 import stagepier.exchange.Clock;
+import stagepier.tasks.GuardedTask;
 
 /**
  * Sends clients away while a drain is on. Follows the state of the {@link Drain}, not the calls that change it: whatever brought a drain
@@ -21,7 +23,10 @@
     private final Drain drain;
     private final Collection<ClientLink> links;
     private final DoubleConsumer acceptLast;
+    private final GuardedTask step;
     private boolean looking;
+    /** In microseconds. */
+    private long nextLook;
 
     /**
      * @param links      all that there are, as they come and go
@@ -33,6 +38,7 @@
         this.drain = drain;
         this.links = links;
         this.acceptLast = acceptLast;
+        step = new GuardedTask("look through the links of a drain", () -> sendAway(clock.now()));
         drain.listen((from, to) -> follow());
     }
 
@@ -49,24 +55,26 @@
     /** Looks through the links once and, while the drain is on, again. */
     private void look() {
         looking = drain.isOn();
-        if (looking) {
-            loop.schedule(this::look, sendAway(clock.now()), TimeUnit.MICROSECONDS);
+        if (!looking) {
+            return;
         }
+        nextLook = TimeUnit.MILLISECONDS.toMicros(LOOK_MS);
+        step.run();
+        loop.schedule(this::look, nextLook, TimeUnit.MICROSECONDS);
     }
 
-    /** Closes what the phase allows; returns microseconds until the next look. */
-    private long sendAway(double now) {
+    /** Closes what the phase allows. */
+    private void sendAway(double now) {
         if (drain.isEndingNow(now)) {
             acceptLast.accept(now);
         }
         if (drain.closesAll(now)) {
-            settled(now).forEach(ClientLink::endTaking);
+            settled(now).forEach(link -> ClientListener.act(link, ClientLink::endTaking));
         } else if (drain.phase(now) == Drain.Phase.LAST) {
-            settled(now).forEach(ClientLink::finish);
+            settled(now).forEach(link -> ClientListener.act(link, ClientLink::finish));
         } else if (drain.phase(now) == Drain.Phase.LEAVE && sendOneAway(now)) {
-            return (long) (drain.nextIn(now, links.size()) * 1e6);
+            nextLook = (long) (drain.nextIn(now, links.size()) * 1e6);
         }
-        return TimeUnit.MILLISECONDS.toMicros(LOOK_MS);
     }
 
     /** All links but those that have just come: the first request is on the way. */
@@ -81,7 +89,14 @@
      */
     private boolean sendOneAway(double now) {
         List<ClientLink> all = List.copyOf(links);
-        return all.stream().anyMatch(link -> link.leaveIfIdle(now))
-                || all.stream().anyMatch(link -> link.leaveWhenIdle(now));
+        return all.stream().anyMatch(link -> succeeds(link, one -> one.leaveIfIdle(now)))
+                || all.stream().anyMatch(link -> succeeds(link, one -> one.leaveWhenIdle(now)));
+    }
+
+    /** The same as the action says; no where it fails. */
+    private static boolean succeeds(ClientLink link, Predicate<ClientLink> action) {
+        boolean[] done = new boolean[1];
+        ClientListener.act(link, one -> done[0] = action.test(one));
+        return done[0];
     }
 }
--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -208,6 +208,11 @@
         abort(CloseReason.SLOT_GIVEN_UP);
     }
 
+    /** A fault of this program has shown on it: nothing that is done with it can be relied on. */
+    void fail() {
+        abort(CloseReason.FAULT);
+    }
+
     /** Reads on if it had stopped for want of memory. */
     void resume() {
         readOn();
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -26,6 +27,7 @@
 import stagepier.memcache.Command;
 import stagepier.overload.ConnectionSlots;
 import stagepier.overload.LoopDelay;
+import stagepier.tasks.GuardedTask;
 
 /**
  * Accepts clients; owns the listening socket and knows all client links. Keeps them to a number of slots, so that
@@ -66,6 +68,7 @@
     private double lastSince = Double.NaN;
 
     private ConnectionSlots.Level level = ConnectionSlots.Level.PLENTY;
+    private final GuardedTask slotsLook = new GuardedTask("look through the client links", this::look);
     private boolean working;
     private long held;
     private double loggedAt = Double.NEGATIVE_INFINITY;
@@ -129,7 +132,7 @@
     private void lookAgain() {
         loop.schedule(
                 () -> {
-                    look();
+                    slotsLook.run();
                     lookAgain();
                 },
                 (long) (ConnectionSlots.lookAgain(level) * 1e6),
@@ -149,9 +152,9 @@
             ConnectionSlots.Behaviour behaviour = link.behaviour();
             // What a link has said may lie unread: it is no fault of the link that this router is late.
             if (now - link.since(behaviour) > ConnectionSlots.patience(behaviour, level) + late) {
-                ended[behaviour.ordinal()] += link.giveUp(behaviour) ? 1 : 0;
+                act(link, impatient -> ended[behaviour.ordinal()] += impatient.giveUp(behaviour) ? 1 : 0);
             } else {
-                link.resume();
+                act(link, ClientLink::resume);
             }
         }
         if (socket.isPaused()) {
@@ -207,7 +210,7 @@
     public void workOff() {
         for (int n = WORKED_OFF_IN_A_ROW; n > 0 && !arrived.isEmpty(); n--) {
             ClientLink link = arrived.remove();
-            link.workOff();
+            act(link, ClientLink::workOff);
             count(link);
         }
         working = !arrived.isEmpty();
@@ -217,6 +220,16 @@
         }
     }
 
+    /** Guards against a fault on one link keeping all others from being served or closed. */
+    static void act(ClientLink link, Consumer<ClientLink> action) {
+        try {
+            action.accept(link);
+        } catch (RuntimeException e) {
+            LOG.error("a client link failed", e);
+            link.fail();
+        }
+    }
+
     private void count(ClientLink link) {
         held += link.grown();
     }
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -27,6 +27,7 @@
 import stagepier.overload.LinkShare;
 import stagepier.overload.LoopDelay;
 import stagepier.overload.SharedRoom;
+import stagepier.tasks.GuardedTask;
 
 /** The server side: a pool of links for each cache server of the list. */
 public final class ServerPools implements ServerTransport {
@@ -116,7 +117,8 @@
         double connectTimeout = settings.limits().connectTimeout();
         opener = new LinkOpener(loop, clock, connector, connectTimeout > 0 ? connectTimeout : CONNECT_TIMEOUT_MS / 1e3);
         idleMost = idleClose > 0 ? idleClose * IDLE_PART : Double.POSITIVE_INFINITY;
-        sweeps = loop.scheduleWithFixedDelay(this::sweep, 1, 1, TimeUnit.SECONDS);
+        sweeps = loop.scheduleWithFixedDelay(
+                new GuardedTask("sweep of server links", this::sweep), 1, 1, TimeUnit.SECONDS);
     }
 
     double now() {
--- a/router/src/test/java/stagepier/client/SendAwayTest.java
+++ b/router/src/test/java/stagepier/client/SendAwayTest.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import stagepier.Api;
 import stagepier.drain.Drain;
 import stagepier.exchange.EventsAdapter;
@@ -29,6 +31,10 @@
     private static final int PLACES = 20;
     /** From a pause on, links leave after 0.3 s and until 1.2 s. */
     private static final int LEAVING_MS = 400;
+    /** So long after a pause the idle links have left one by one. */
+    private static final int MOSTLY_GONE_MS = 1150;
+    /** Links that have not left by then take nothing more. */
+    private static final int LAST_MS = 1300;
 
     private static final String SETTINGS = """
             {"Classes":[{"Name":"read","Deadline":5,"GoalTime":1,"Repeat":"idempotent","Worth":1}],"Areas":["a"],
@@ -58,13 +64,35 @@
         host = new ModuleHost(time.eventLoop(), clock, delay, SettingsParser.parse(SETTINGS));
         host.connect(new WaitingModule(), new TransportAdapter() {});
         clients = new ClientListener(time.eventLoop(), clock, delay, PLACES, host, () -> "END", drain);
-        client = new EmbeddedChannel(new ChannelInitializer<Channel>() {
+        client = new EmbeddedChannel(adopting());
+        drain.started();
+    }
+
+    private ChannelInitializer<Channel> adopting() {
+        return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
                 clients.adopt(channel);
             }
-        });
-        drain.started();
+        };
+    }
+
+    /** A client whose channel throws at the next look, once it is told to. */
+    private final class FaultyChannel extends EmbeddedChannel {
+        private boolean fails;
+
+        FaultyChannel() {
+            super(adopting());
+        }
+
+        @Override
+        public boolean isActive() {
+            if (fails) {
+                fails = false;
+                throw new IllegalStateException("a fault that a test makes");
+            }
+            return super.isActive();
+        }
     }
 
     private void pass(int milliseconds) {
@@ -135,6 +163,20 @@
         assertFalse(client.isOpen());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {MOSTLY_GONE_MS, LAST_MS})
+    void aLinkOnWhichALookFailsKeepsNoOtherClient(int drainedFor) {
+        FaultyChannel faulty = new FaultyChannel();
+        EmbeddedChannel other = new EmbeddedChannel(adopting());
+        pass(LAST_MS);
+        faulty.fails = true;
+        drain.pause(clock.now());
+        pass(drainedFor);
+        assertFalse(client.isOpen());
+        assertFalse(other.isOpen());
+        assertFalse(faulty.isOpen(), "nobody looks after it any more");
+    }
+
     @Test
     void afterTheDrainItsLinkStays() {
         ask("a");
