Leave the first watch to the start where the configuration is read again before it

What callers saw: none; SIGHUP during the start opened a watch at once, and the start a second one beside it.

Cause: DiscoveryWatch.moveTo began a connection whatever the state of the watch, so a command that came before the part it concerns had begun was carried out half: two connections, and lists before the one of the configuration was taken up. The same class as PAUSE during the start.

Change: before its start a move only changes the address at which the watch begins.

RouterProcess has a console.

--- a/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
+++ b/router/src/main/java/stagepier/discovery/DiscoveryWatch.java
@@ -89,6 +89,7 @@
     private final FreshListWaiters waitersForFresh;
     private final FreshListWaiters waitersForFirst;
 
+    private boolean begun;
     private boolean stopped;
     private long calls;
     private long failures;
@@ -123,6 +124,7 @@
 
     /** Begins the watch from the list that the group has. */
     public void start() {
+        begun = true;
         ChannelFuture connect;
         try {
             connect = connector.connect(address);
@@ -148,6 +150,10 @@
             return;
         }
         address = to;
+        if (!begun) {
+            // It begins there.
+            return;
+        }
         isFresh = false;
         moved = true;
         if (behindTimer != null) {
--- a/router/src/test/java/stagepier/app/DrainTimeLimitTest.java
+++ b/router/src/test/java/stagepier/app/DrainTimeLimitTest.java
@@ -9,8 +9,6 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.file.Path;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -38,14 +36,11 @@
     @TempDir
     private Path folder;
 
-    private final int console = Rehearsal.freePort();
     private StandInAgent agent;
     private StandInCache cache;
     private SyscallFaults faults;
     private RouterProcess router;
 
-    DrainTimeLimitTest() throws IOException {}
-
     @BeforeEach
     void start() throws Exception {
         agent = new StandInAgent();
@@ -61,29 +56,18 @@
     }
 
     private void startRouter() throws IOException {
-        Map<String, String> environment = new HashMap<>(faults.environment());
-        environment.put("GW_CONSOLE", "127.0.0.1:" + console);
-        router = new RouterProcess(folder, agent, environment, StandInAgent.entry(1, cache.port(), "up"));
+        router = new RouterProcess(folder, agent, faults.environment(), StandInAgent.entry(1, cache.port(), "up"));
     }
 
     private void startServing() throws Exception {
         startRouter();
-        StandInAgent.await(() -> says("STATUS").startsWith("OK"));
-    }
-
-    /** What the console answers, or nothing while nobody is there. */
-    private String says(String line) {
-        try {
-            return ConsoleCaller.call(console, line);
-        } catch (IOException e) {
-            return "";
-        }
+        StandInAgent.await(() -> router.says("STATUS").startsWith("OK"));
     }
 
     /** When it was told to, as {@link System#nanoTime} has it. */
     private long pause() throws IOException {
         long at = System.nanoTime();
-        assertTrue(ConsoleCaller.call(console, "PAUSE").startsWith("OK"));
+        assertTrue(ConsoleCaller.call(router.console(), "PAUSE").startsWith("OK"));
         return at;
     }
 
@@ -136,10 +120,10 @@
     void aProcessPausedWhileItStartsSendsAwayWhoComesOnceItListens() throws Exception {
         agent.silent(true);
         startRouter();
-        StandInAgent.await(() -> says("PAUSE").startsWith("OK"));
-        assertEquals("ERR starting", says("STATUS"), "the call came before it listened");
+        StandInAgent.await(() -> router.says("PAUSE").startsWith("OK"));
+        assertEquals("ERR starting", router.says("STATUS"), "the call came before it listened");
         agent.silent(false);
-        StandInAgent.await(() -> says("STATUS").startsWith("ERR paused"));
+        StandInAgent.await(() -> router.says("STATUS").startsWith("ERR paused"));
         try (Socket client = router.connect()) {
             client.setSoTimeout(GONE_WITHIN_MS);
             Rehearsal.write(client, "mn\r\n");
@@ -158,7 +142,7 @@
             StandInAgent.await(() -> !cache.commands().isEmpty());
             pause();
             router.signal("TERM");
-            StandInAgent.await(() -> says("STATUS").startsWith("ERR ending"));
+            StandInAgent.await(() -> router.says("STATUS").startsWith("ERR ending"));
             assertEquals("SERVER_ERROR draining", router.ask("mn"));
             cache.hold(false);
             assertEquals("VA 2 Oa", Rehearsal.reader(busy).readLine());
@@ -173,7 +157,7 @@
             Rehearsal.write(busy, read("a"));
             StandInAgent.await(() -> !cache.commands().isEmpty());
             router.signal("TERM");
-            StandInAgent.await(() -> says("STATUS").startsWith("ERR ending"));
+            StandInAgent.await(() -> router.says("STATUS").startsWith("ERR ending"));
             pause();
             assertEquals("SERVER_ERROR draining", router.ask("mn"));
             cache.hold(false);
@@ -224,7 +208,7 @@
     void aRequestOnAConnectionThatIsAcceptedLateIsNotHeldPastTheTimeAllowed() throws Exception {
         startServing();
         cache.hold(true);
-        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), console)) {
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), router.console())) {
             // Whoever came before it was accepted by the time of this answer.
             assertEquals("MN", router.ask("mn"));
             faults.next(Call.ACCEPT, Failure.ENFILE, Integer.MAX_VALUE);
@@ -253,7 +237,7 @@
             long at = pause();
             // Past the moment from which on a drain turns away what comes.
             StandInAgent.await(() -> millisSince(at) > 1400);
-            assertEquals("OK clients may come", ConsoleCaller.call(console, "RESUME"));
+            assertEquals("OK clients may come", ConsoleCaller.call(router.console(), "RESUME"));
             Rehearsal.write(client, read("b"));
             cache.hold(false);
             assertEquals("VA 2 Oa", answers.readLine());
--- a/router/src/test/java/stagepier/app/RouterProcess.java
+++ b/router/src/test/java/stagepier/app/RouterProcess.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -23,8 +24,11 @@
             "Areas":["a"],"Flavors":["m"],"Limits":{"MaxAttempts":3,"MaxRetryAfter":1.2,"DialTimeout":0.25,
             "IdleClose":60},"Obligations":{"DrainGrace":1}}""";
 
+    private static final String CONSOLE = "GW_CONSOLE";
+
     private final Path folder;
     private final int port;
+    private final int console = Rehearsal.freePort();
     private final String known;
     private final Process process;
 
@@ -39,7 +43,9 @@
         this.folder = folder;
         port = Rehearsal.freePort();
         known = StandInAgent.known(entries);
-        process = launch(folder, config(agent), environment);
+        Map<String, String> all = new HashMap<>(environment);
+        all.put(CONSOLE, "127.0.0.1:" + console);
+        process = launch(folder, config(agent), all);
     }
 
     private String config(StandInAgent agent) {
@@ -73,6 +79,19 @@
         return builder.start();
     }
 
+    /** What its console answers, or nothing while nobody is there. */
+    String says(String line) {
+        try {
+            return ConsoleCaller.call(console, line);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    int console() {
+        return console;
+    }
+
     /** A connection, as soon as there can be one. */
     Socket connect() throws Exception {
         while (true) {
