Know the servers of the configuration's list before the console takes calls

What callers saw: SUSPEND of a listed cache server during the start was answered 'no cache server was ever listed', and the server was used once the process served.

Cause: the known list was taken up after the warm-up, the console opened before it. The same class: a command that comes in another state than the one it was written for.

Change: bans of other processes, then the known list, then the console.

--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -193,8 +193,12 @@
     /** Completes once clients can be served. */
     CompletableFuture<Void> start() {
         loop.execute(() -> {
-            if (console != null) {
+            if (console == null) {
+                takeUpKnownList();
+            } else {
+                // In this order: bans before the first list, and that list before a call that names one of its servers.
                 staff.start(loop);
+                takeUpKnownList();
                 console.start();
             }
         });
@@ -210,11 +214,7 @@
         return ready;
     }
 
-    /**
-     * All is warm: takes up the list as it was known last, and goes on with the one that is. Guards against requests that
-     * are decided by a known list which was old when this process began: clients come once discovery was asked.
-     */
-    private void serve() {
+    private void takeUpKnownList() {
         try {
             if (config.known() != null) {
                 changed(hosts.apply(config.known()));
@@ -222,6 +222,13 @@
         } catch (IllegalArgumentException e) {
             LOG.warn("the known list is of no use: {}", e.getMessage());
         }
+    }
+
+    /**
+     * All is warm: goes on from the list as it was known last with the one that is. Guards against requests that
+     * are decided by a known list which was old when this process began: clients come once discovery was asked.
+     */
+    private void serve() {
         if (fleet != null) {
             fleet.start(loop, hosts, config.settings().names().zones(), host -> changed(hosts.admit(host)));
         }
--- a/router/src/test/java/stagepier/app/CommandsWhileStartingTest.java
+++ b/router/src/test/java/stagepier/app/CommandsWhileStartingTest.java
@@ -1,6 +1,7 @@
 package stagepier.app;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -51,6 +52,19 @@
         StandInAgent.await(() -> router.says(line).startsWith(answer));
     }
 
+    @Test
+    void aServerThatIsTakenOutWhileTheProcessStartsGetsNothing() throws Exception {
+        awaitSays("STATUS", "ERR starting");
+        assertEquals("OK s-00000001 is out", router.says("SUSPEND s-00000001"));
+        assertEquals("ERR starting", router.says("STATUS"));
+        agent.silent(false);
+        awaitSays("STATUS", "OK serving");
+        for (int n = 0; n < 20; n++) {
+            assertTrue(router.ask("mg k" + n + " v Oq" + n + " Pc=read,d=1900").startsWith("VA 2 "));
+        }
+        assertEquals(0, one.commands().size());
+    }
+
     @Test
     void aConfigurationThatIsReadAgainWhileTheProcessStartsLeavesOneWatch() throws Exception {
         awaitSays("STATUS", "ERR starting");
