Check eight invariants while a router runs, and let attempts begin at one guard only

Need: the broken rule, and its kin, are to be seen by the process itself, in service and in soaks.

Change: package invariants. InvariantMonitor counts violations (violations_* in stats and at exit) and logs the first twenty of each at error. - Sending: SendGuard, the last look before an attempt's first byte: client there, server listed, in time. What fails it is not sent. - Repeating: RepeatGuard reckons by class, window and outcomes, apart from the module; what it forbids is not sent. - Closing: no client connection is closed by choice with a request open; at the end of a drain's time nobody is held who is idle or has asked in the last 2 s (checked once a drain). Answering: once. Starting: no request before the process says that it serves.

--- a/router/src/main/java/stagepier/app/WarmUp.java
+++ b/router/src/main/java/stagepier/app/WarmUp.java
@@ -69,7 +69,9 @@
             pools.ready(i, new InetSocketAddress(i), 0);
         }
         host.members(true, members);
-        listener = new ClientListener(loop, clock, delay, PLACES, host, () -> "END", new Drain());
+        Drain serving = new Drain();
+        serving.started();
+        listener = new ClientListener(loop, clock, delay, PLACES, host, () -> "END", serving);
         client = new EmbeddedChannel(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
--- a/router/src/main/java/stagepier/client/ClientDrain.java
+++ b/router/src/main/java/stagepier/client/ClientDrain.java
@@ -8,6 +8,8 @@
 import java.util.function.Predicate;
 import stagepier.drain.Drain;
 import stagepier.exchange.Clock;
+import stagepier.invariants.Invariant;
+import stagepier.invariants.InvariantMonitor;
 import stagepier.tasks.GuardedTask;
 
 /**
@@ -17,13 +19,21 @@
 final class ClientDrain {
     /** Links are looked through so often. */
     private static final long LOOK_MS = 5;
+    /** Time limits are longer by this, in seconds. */
+    private static final double SLACK = 0.05;
+    /** A request counts as a late one if it came within so many seconds before the end of a drain's time. */
+    private static final double LATELY = 2;
 
     private final EventLoop loop;
     private final Clock clock;
     private final Drain drain;
     private final Collection<ClientLink> links;
     private final DoubleConsumer acceptLast;
+    private final InvariantMonitor invariants;
     private final GuardedTask step;
+    /** The end of the time of a drain that was checked last. */
+    private double checked = Double.NEGATIVE_INFINITY;
+
     private boolean looking;
     /** In microseconds. */
     private long nextLook;
@@ -32,12 +42,19 @@
      * @param links      all that there are, as they come and go
      * @param acceptLast accepts who waits to be accepted by a process that is about to end
      */
-    ClientDrain(EventLoop loop, Clock clock, Drain drain, Collection<ClientLink> links, DoubleConsumer acceptLast) {
+    ClientDrain(
+            EventLoop loop,
+            Clock clock,
+            Drain drain,
+            Collection<ClientLink> links,
+            DoubleConsumer acceptLast,
+            InvariantMonitor invariants) {
         this.loop = loop;
         this.clock = clock;
         this.drain = drain;
         this.links = links;
         this.acceptLast = acceptLast;
+        this.invariants = invariants;
         step = new GuardedTask("look through the links of a drain", () -> sendAway(clock.now()));
         drain.listen((from, to) -> follow());
     }
@@ -65,6 +82,7 @@
 
     /** Closes what the phase allows. */
     private void sendAway(double now) {
+        checkThatAllAreGone(now);
         if (drain.isEndingNow(now)) {
             acceptLast.accept(now);
         }
@@ -77,6 +95,21 @@
         }
     }
 
+    /** Once for each drain, at the end of its time. */
+    private void checkThatAllAreGone(double now) {
+        double goneBy = drain.goneBy();
+        if (now < goneBy + SLACK || checked == goneBy) {
+            return;
+        }
+        checked = goneBy;
+        for (ClientLink link : settled(now)) {
+            invariants.check(
+                    Invariant.GONE_BY_END_OF_DRAIN,
+                    !link.isHeldPast(goneBy - LATELY),
+                    () -> drain.state() + ", a link that is " + link.behaviour());
+        }
+    }
+
     /** All links but those that have just come: the first request is on the way. */
     private List<ClientLink> settled(double now) {
         return links.stream().filter(link -> !link.isFresh(now)).toList();
--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -6,6 +6,7 @@
 import stagepier.exchange.Exchange;
 import stagepier.exchange.Reply;
 import stagepier.exchange.ReplyListener;
+import stagepier.invariants.Invariant;
 import stagepier.link.CloseReason;
 import stagepier.link.Link;
 import stagepier.memcache.Command;
@@ -83,6 +84,8 @@
     private double emptyAt = Double.NEGATIVE_INFINITY;
 
     private boolean asked;
+    /** When a request was taken last; before that, never. */
+    private double askedAt = Double.NEGATIVE_INFINITY;
     /** Requests that went to the module. */
     private int requests;
     /** When it can have connected at the earliest: it may have waited in the backlog. */
@@ -272,6 +275,8 @@
     }
 
     private void ask(Command command) {
+        owner.invariants().check(Invariant.SERVED_ONLY_AFTER_START, owner.hasStarted(), () -> "id=" + command.id());
+        askedAt = owner.now();
         Slot slot = new Slot();
         slots.add(slot);
         requests++;
@@ -455,6 +460,11 @@
         }
     }
 
+    /** Whether it is held as no link may be at the end of a drain: idle, or with a request that was taken after that time. */
+    boolean isHeldPast(double latestRequest) {
+        return !isClosed() && (isIdle() || isOwed() && askedAt > latestRequest);
+    }
+
     /** Whether an answer is still to come, or to be passed on. */
     private boolean isOwed() {
         return flows > 0 || slots.stream().anyMatch(slot -> slot.answer == null);
@@ -476,6 +486,11 @@
 
     @Override
     protected void onClosed() {
+        owner.invariants()
+                .check(
+                        Invariant.CLOSED_ONLY_WHEN_ANSWERED,
+                        !closeReason().isOwnChoice() || slots.stream().allMatch(slot -> slot.exchange == null),
+                        () -> "closed for " + closeReason());
         for (Slot slot : slots) {
             if (slot.exchange != null) {
                 owner.host().clientGone(slot.exchange);
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -23,6 +23,7 @@
 import stagepier.drain.Drain;
 import stagepier.exchange.Clock;
 import stagepier.exchange.ModuleHost;
+import stagepier.invariants.InvariantMonitor;
 import stagepier.link.CloseReason;
 import stagepier.memcache.Command;
 import stagepier.overload.ConnectionSlots;
@@ -99,7 +100,7 @@
         socket = new ListeningSocket(clock, this::adopt);
         this.host = host;
         this.stats = stats;
-        new ClientDrain(loop, clock, drain, links, this::acceptLast);
+        new ClientDrain(loop, clock, drain, links, this::acceptLast, host.invariants());
     }
 
     /** How many connections are accepted in a row from now on. */
@@ -290,6 +291,15 @@
         return host;
     }
 
+    InvariantMonitor invariants() {
+        return host.invariants();
+    }
+
+    /** Whether this process has said that it serves. */
+    boolean hasStarted() {
+        return drain.state() != Drain.State.STARTING;
+    }
+
     /** The answer to {@code mn}. */
     String alive() {
         return drain.saysYes() ? "MN" : "SERVER_ERROR draining";
--- a/router/src/main/java/stagepier/exchange/Exchange.java
+++ b/router/src/main/java/stagepier/exchange/Exchange.java
@@ -16,6 +16,7 @@
     private final double takenAt;
     private final double deadlineAt;
     private final List<ServerTransport.Transmission> sendings = new ArrayList<>(2);
+    private final AttemptHistory attempts = new AttemptHistory();
     private int outstanding;
     private boolean finished;
     private Future<?> backstop;
@@ -60,6 +61,10 @@
         return sendings;
     }
 
+    AttemptHistory attempts() {
+        return attempts;
+    }
+
     /** Counts executions begun and ended; returns how many are out. */
     int outstanding(int change) {
         outstanding += change;
--- a/router/src/main/java/stagepier/exchange/ModuleHost.java
+++ b/router/src/main/java/stagepier/exchange/ModuleHost.java
@@ -12,6 +12,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.Api;
+import stagepier.invariants.Invariant;
+import stagepier.invariants.InvariantMonitor;
 import stagepier.memcache.Command;
 import stagepier.overload.LoopDelay;
 import stagepier.peers.PeerReport;
@@ -56,6 +58,8 @@
     private final RequestCounters counters = new RequestCounters();
     private final RequestLog log = new RequestLog();
     private final RequestIds ids;
+    private final InvariantMonitor invariants = new InvariantMonitor();
+    private final RepeatGuard repeats;
     private Api.Events module;
     private ServerTransport transport;
     /** Null where nothing is tried beside the real requests. */
@@ -73,6 +77,7 @@
         names = parsed.names();
         settings = parsed.settings();
         events = new EventQueue(clock, delay);
+        repeats = new RepeatGuard(settings);
         ids = new RequestIds(settings.classes().stream()
                 .mapToDouble(Api.RequestClass::deadline)
                 .max()
@@ -106,6 +111,11 @@
         transport = servers;
     }
 
+    /** What holds in every run, and how often it was violated. */
+    public InvariantMonitor invariants() {
+        return invariants;
+    }
+
     // ---- from the client side -----------------------------------------------------------------------------
     /** Why a command cannot become an exchange, or null where it can. */
     public String objection(Command command) {
@@ -199,6 +209,12 @@
     }
 
     private void answer(Exchange x, Reply reply) {
+        if (!invariants.check(
+                Invariant.ANSWERED_ONCE,
+                !x.isFinished(),
+                () -> "answered again: id=" + x.command().id())) {
+            return;
+        }
         counters.answered(reply.kind());
         log.answered(x, reply.kind(), clock.now());
         if (tap != null) {
@@ -239,6 +255,7 @@
 
     private void end(
             Exchange x, int attempt, long server, Api.Outcome outcome, double sentAt, ResponseInfo info, Reply served) {
+        x.attempts().ended(attempt, outcome);
         events.post(() -> {
             double now = clock.now();
             double elapsed = now - sentAt;
@@ -327,12 +344,11 @@
         double now = clock.now();
         double left = x.deadlineAt() - now;
         double latestStart = now + startWithin - wayToServer(x);
+        String objection = objection(x, attempt, left, latestStart, now);
         x.outstanding(1);
-        if (x.isFinished()
-                || left <= 0
-                || latestStart < now
-                || attempt >= settings.limits().maxAttempts()) {
-            log.notSent(x, attempt, server, x.isFinished() ? "finished" : left <= 0 ? "time is up" : "out of bounds");
+        x.attempts().began(now);
+        if (objection != null) {
+            log.notSent(x, attempt, server, objection);
             x.sendings().add(() -> {});
             ended(x, attempt, server, Api.Outcome.NOT_SENT, now, ResponseInfo.NONE, null);
         } else if (timeout < 0) {
@@ -349,6 +365,24 @@
         }
     }
 
+    /** Why an attempt may not begin; null where it may. */
+    private String objection(Exchange x, int attempt, double left, double latestStart, double now) {
+        if (x.isFinished()) {
+            return "finished";
+        }
+        if (left <= 0) {
+            return "time is up";
+        }
+        if (latestStart < now || attempt >= settings.limits().maxAttempts()) {
+            return "out of bounds";
+        }
+        boolean allowed = invariants.check(
+                Invariant.REPEATED_ONLY_AS_CLASS_ALLOWS,
+                repeats.allows(x, classIndex(x.command()), now),
+                () -> "id=" + x.command().id() + " attempt=" + attempt);
+        return allowed ? null : "its class allows no repeat";
+    }
+
     /**
      * What is kept back of a window for repeats: a repeat has to arrive within it. How long the way to a cache server is, is
      * not known here, for a handshake and an answer hold the server's own work; it grows with what a site takes for long.
@@ -465,6 +499,7 @@
             peers.count(to);
         }
         counters.count(to);
+        invariants.count(to);
         to.accept("loop_stood_still", events.standstills());
         to.accept("loop_turns", delay.turns());
         to.accept("loop_late_mean_us", Math.round(delay.mean() * 1e6));
--- a/router/src/main/java/stagepier/link/CloseReason.java
+++ b/router/src/main/java/stagepier/link/CloseReason.java
@@ -23,5 +23,13 @@
     /** Nobody waits for anything on it any more. */
     UNUSED,
     /** It has rested so long that the other side may close it at any time. */
-    RESTED
+    RESTED;
+
+    /** Whether this process chose to end it, and could as well have waited. */
+    public boolean isOwnChoice() {
+        return switch (this) {
+            case DONE, SLOT_GIVEN_UP, DRAINED, DRAIN_TIME_OVER, UNUSED, RESTED -> true;
+            case PEER_ENDED, MALFORMED, FAULT, VALUE_BROKEN, SERVER_RETIRED -> false;
+        };
+    }
 }
--- a/router/src/main/java/stagepier/server/Execution.java
+++ b/router/src/main/java/stagepier/server/Execution.java
@@ -134,6 +134,13 @@
         return exchange == null;
     }
 
+    /** For the log. */
+    @Override
+    public String toString() {
+        String what = isProbe() ? "a probe" : "id=" + exchange.command().id() + " attempt=" + attempt;
+        return what + " server=" + server;
+    }
+
     /** The bytes for the server, with the time that is left. */
     byte[] message() {
         long left = Math.max(1, Math.round((startedAt + timeout - pools.now()) * 1e3));
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -226,6 +226,11 @@
         // One at a time: what waits here can still be withdrawn, what is in the ring, or waits at the server, can not.
         if (nothingQueued() && !waiting.isEmpty() && sent.size() < pool.pools().streams()) {
             Execution next = waiting.next();
+            Api.Outcome objection = pool.pools().sendGuard().objection(next, pool);
+            if (objection != null) {
+                next.end(objection);
+                return;
+            }
             if (sent.isEmpty()) {
                 activity.begins(pool.pools().now());
                 next.alone();
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -66,6 +66,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final ModuleHost host;
+    private final SendGuard sendGuard;
     private final LinkOpener opener;
     private final Future<?> sweeps;
     private final double idleMost;
@@ -117,6 +118,7 @@
         double connectTimeout = settings.limits().connectTimeout();
         opener = new LinkOpener(loop, clock, connector, connectTimeout > 0 ? connectTimeout : CONNECT_TIMEOUT_MS / 1e3);
         idleMost = idleClose > 0 ? idleClose * IDLE_PART : Double.POSITIVE_INFINITY;
+        sendGuard = new SendGuard(host.invariants());
         sweeps = loop.scheduleWithFixedDelay(
                 new GuardedTask("sweep of server links", this::sweep), 1, 1, TimeUnit.SECONDS);
     }
@@ -177,6 +179,10 @@
         return host;
     }
 
+    SendGuard sendGuard() {
+        return sendGuard;
+    }
+
     /** A server that may be sent to. */
     public void ready(long server, InetSocketAddress address, double startedAt) {
         pools.computeIfAbsent(server, id -> new ServerPool(this)).update(address, startedAt);
