--- a/router/src/main/java/stagepier/client/ClientDrain.java
+++ b/router/src/main/java/stagepier/client/ClientDrain.java
@@ -21,8 +21,6 @@
     private static final long LOOK_MS = 5;
     /** Time limits are longer by this, in seconds. */
     private static final double SLACK = 0.05;
-    /** A request counts as a late one if it came within so many seconds before the end of a drain's time. */
-    private static final double LATELY = 2;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -105,7 +103,7 @@
         for (ClientLink link : settled(now)) {
             invariants.check(
                     Invariant.GONE_BY_END_OF_DRAIN,
-                    !link.isHeldPast(goneBy - LATELY),
+                    !link.isHeldPast(goneBy),
                     () -> drain.state() + ", a link that is " + link.behaviour());
         }
     }
--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -34,6 +34,8 @@
     private static final double PIECES_WITHIN = 0.8;
     /** A link on which nothing was said yet is not sent away before this, in seconds: its first request is on the way. */
     private static final double FIRST_WORD_MOST = 0.4;
+    /** A request that came within so many seconds before the end of a drain's time may not be open at that time. */
+    private static final double ASKED_LATELY = 2;
     /** Bytes of a command that a link may always hold; for more there must be memory. */
     private static final int ALWAYS_HELD = 4096;
     /** Who was seen to be there within so many seconds is there. */
@@ -460,9 +462,10 @@
         }
     }
 
-    /** Whether it is held as no link may be at the end of a drain: idle, or with a request that was taken after that time. */
-    boolean isHeldPast(double latestRequest) {
-        return !isClosed() && (isIdle() || isOwed() && askedAt > latestRequest);
+    /** Whether it is held as no link may be at the end of a drain's time: idle, or with a request that was taken lately. */
+    boolean isHeldPast(double goneBy) {
+        boolean settled = openedAt < goneBy - FIRST_WORD_MOST;
+        return settled && !isClosed() && (isIdle() || isOwed() && askedAt > goneBy - ASKED_LATELY);
     }
 
     /** Whether an answer is still to come, or to be passed on. */
