Let a fault in one that waits for the list keep no other waiting

What callers would see: with one exception in what waits for a fresh list, all others that wait are forgotten; requests held for it stay so.

Cause: FreshListWaiters.release and EventQueue.listIsFresh ran what waits in a row, and an exception ended the row.

The exception is planted: none was seen in a process.

--- a/router/src/main/java/stagepier/discovery/FreshListWaiters.java
+++ b/router/src/main/java/stagepier/discovery/FreshListWaiters.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import stagepier.tasks.GuardedTask;
 
 /** What waits until the list of servers is known to be up to date, and for how long at the most. Owns its one timer. */
 final class FreshListWaiters {
@@ -37,7 +38,7 @@
         release();
     }
 
-    /** Runs all that waits. */
+    /** Runs all that waits; a fault in one keeps no other waiting. */
     void release() {
         if (timer != null) {
             timer.cancel(false);
@@ -45,6 +46,6 @@
         }
         List<Runnable> due = List.copyOf(waiting);
         waiting.clear();
-        due.forEach(Runnable::run);
+        due.forEach(one -> new GuardedTask("work that waited for the list", one).run());
     }
 }
--- a/router/src/main/java/stagepier/exchange/EventQueue.java
+++ b/router/src/main/java/stagepier/exchange/EventQueue.java
@@ -7,6 +7,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.overload.LoopDelay;
+import stagepier.tasks.GuardedTask;
 
 /**
  * The module's events in the order in which they arose, one at a time: what an action brings about at once is queued, for
@@ -103,7 +104,7 @@
         listMayBeOld = false;
         List<Runnable> due = List.copyOf(onFreshList);
         onFreshList.clear();
-        due.forEach(Runnable::run);
+        due.forEach(one -> new GuardedTask("work that waited for the list", one).run());
         if (!running) {
             drain();
         }
