Count clients in the middle of a command among those held past a drain's time

Need: the check of the invariant took a link with part of a command on it for one that is not idle, and so did not see the very clients that the release held by their pieces.

Change: whoever is owed nothing counts, whatever lies unread. Two tests: the loop stands still past the time of a drain, and both the idle client and the one in a command are counted; a drain that takes its time counts nobody.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -462,10 +462,15 @@
         }
     }
 
-    /** Whether it is held as no link may be at the end of a drain's time: idle, or with a request that was taken lately. */
+    /**
+     * Whether it is held as no link may be at the end of a drain's time: with nothing owed, though its client may be in the middle of a
+     * command, or with a request that was taken lately.
+     */
     boolean isHeldPast(double goneBy) {
-        boolean settled = openedAt < goneBy - FIRST_WORD_MOST;
-        return settled && !isClosed() && (isIdle() || isOwed() && askedAt > goneBy - ASKED_LATELY);
+        if (isClosed() || openedAt >= goneBy - FIRST_WORD_MOST) {
+            return false;
+        }
+        return isOwed() ? askedAt > goneBy - ASKED_LATELY : slots.isEmpty() && nothingQueued();
     }
 
     /** Whether an answer is still to come, or to be passed on. */
--- a/router/src/test/java/stagepier/client/SendAwayTest.java
+++ b/router/src/test/java/stagepier/client/SendAwayTest.java
@@ -23,6 +23,7 @@
 import stagepier.exchange.HandClock;
 import stagepier.exchange.ModuleHost;
 import stagepier.exchange.TransportAdapter;
+import stagepier.invariants.Invariant;
 import stagepier.overload.LoopDelay;
 import stagepier.settings.SettingsParser;
 
@@ -177,6 +178,32 @@
         assertFalse(faulty.isOpen(), "nobody looks after it any more");
     }
 
+    @Test
+    void clientsThatAreStillThereAtTheEndOfADrainsTimeAreCounted() {
+        EmbeddedChannel inACommand = new EmbeddedChannel(adopting());
+        inACommand.writeInbound(Unpooled.copiedBuffer("hello\r\nhel", StandardCharsets.ISO_8859_1));
+        ask("a");
+        refuseNext();
+        pass(LAST_MS);
+        drain.pause(clock.now());
+        // The loop stands still, past the time of the drain.
+        clock.pass(4.2);
+        time.advanceTimeBy(4200, TimeUnit.MILLISECONDS);
+        time.runScheduledPendingTasks();
+        assertEquals(2, host.invariants().violations(Invariant.GONE_BY_END_OF_DRAIN));
+        pass(1);
+        assertFalse(client.isOpen() || inACommand.isOpen());
+    }
+
+    @Test
+    void noClientIsCountedWhereADrainTakesItsTime() {
+        ask("a");
+        pause();
+        refuseNext();
+        pass(5000);
+        assertEquals(0, host.invariants().violations(Invariant.GONE_BY_END_OF_DRAIN));
+    }
+
     @Test
     void afterTheDrainItsLinkStays() {
         ask("a");
