Share the list of harmless system call faults, and start a console only where a test calls it

Need: two soaks held the list twice; and every process of the tests had been given a console, so that older tests started another way.

Change: SyscallFaults.HARMLESS, in the order that SystemCallFaultSoakTest had, so its seeds draw as before; RouterProcess.withConsole.

--- a/router/src/test/java/stagepier/app/CommandsWhileStartingTest.java
+++ b/router/src/test/java/stagepier/app/CommandsWhileStartingTest.java
@@ -31,7 +31,7 @@
         one = new StandInCache();
         two = new StandInCache();
         agent.silent(true);
-        router = new RouterProcess(
+        router = RouterProcess.withConsole(
                 folder,
                 agent,
                 Map.of("TMPDIR", folder.toString()),
--- a/router/src/test/java/stagepier/app/DrainTimeLimitTest.java
+++ b/router/src/test/java/stagepier/app/DrainTimeLimitTest.java
@@ -56,7 +56,8 @@
     }
 
     private void startRouter() throws IOException {
-        router = new RouterProcess(folder, agent, faults.environment(), StandInAgent.entry(1, cache.port(), "up"));
+        router = RouterProcess.withConsole(
+                folder, agent, faults.environment(), StandInAgent.entry(1, cache.port(), "up"));
     }
 
     private void startServing() throws Exception {
--- a/router/src/test/java/stagepier/app/FleetFaultSoakTest.java
+++ b/router/src/test/java/stagepier/app/FleetFaultSoakTest.java
@@ -15,8 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import stagepier.app.SyscallFaults.Call;
-import stagepier.app.SyscallFaults.Failure;
+import stagepier.app.SyscallFaults.Fault;
 
 /**
  * Ten real processes or more, whose drains, restarts, signals, system calls, cache servers and discovery fail at times that overlap and are
@@ -31,20 +30,6 @@
     private static final int FAULT_EVERY_MS = 60;
     private static final int CLOCK_STEP_MOST_S = 3600;
 
-    /** A kind of fault after which no connection is broken. */
-    private record Fault(Call call, Failure failure) {}
-
-    private static final List<Fault> FAULTS = List.of(
-            new Fault(Call.ACCEPT, Failure.ENFILE),
-            new Fault(Call.ACCEPT, Failure.ECONNABORTED),
-            new Fault(Call.SOCKET, Failure.ENOBUFS),
-            new Fault(Call.CONNECT, Failure.EADDRNOTAVAIL),
-            new Fault(Call.CONNECT, Failure.ENETUNREACH),
-            new Fault(Call.WAIT, Failure.EINTR),
-            new Fault(Call.READ, Failure.EINTR),
-            new Fault(Call.READ, Failure.SHORT),
-            new Fault(Call.WRITE, Failure.SHORT));
-
     /** Lines of a log that no process may write. */
     private static final List<String> FAULTS_OF_LOG =
             List.of(" ERROR ", "globalEventExecutor", "had no answer in time", "xceptionCaught", "xception was thrown");
@@ -126,7 +111,7 @@
             case 1 -> caches.get(random.nextInt(caches.size())).hold(random.nextInt(3) == 0);
             case 2 -> router.faults().stepWallClock(random.nextInt(2 * CLOCK_STEP_MOST_S) - CLOCK_STEP_MOST_S);
             default -> {
-                Fault fault = FAULTS.get(random.nextInt(FAULTS.size()));
+                Fault fault = SyscallFaults.HARMLESS.get(random.nextInt(SyscallFaults.HARMLESS.size()));
                 router.faults().next(fault.call(), fault.failure(), 1 + random.nextInt(FAULTS_MOST));
             }
         }
--- a/router/src/test/java/stagepier/app/RouterProcess.java
+++ b/router/src/test/java/stagepier/app/RouterProcess.java
@@ -29,7 +29,9 @@
 
     private final Path folder;
     private final int port;
-    private final int console = Rehearsal.freePort();
+    /** 0 where it has none. */
+    private final int console;
+
     private final String known;
     private final Process process;
 
@@ -41,12 +43,26 @@
     /** @param environment variables of the process beside those of this one */
     RouterProcess(Path folder, StandInAgent agent, Map<String, String> environment, String... entries)
             throws IOException {
+        this(folder, agent, environment, 0, entries);
+    }
+
+    /** One with a console. */
+    static RouterProcess withConsole(
+            Path folder, StandInAgent agent, Map<String, String> environment, String... entries) throws IOException {
+        int console = Rehearsal.freePort();
+        Map<String, String> all = new HashMap<>(environment);
+        all.put(CONSOLE, "127.0.0.1:" + console);
+        return new RouterProcess(folder, agent, all, console, entries);
+    }
+
+    private RouterProcess(
+            Path folder, StandInAgent agent, Map<String, String> environment, int console, String... entries)
+            throws IOException {
         this.folder = folder;
+        this.console = console;
         port = Rehearsal.freePort();
         known = StandInAgent.known(entries);
-        Map<String, String> all = new HashMap<>(environment);
-        all.put(CONSOLE, "127.0.0.1:" + console);
-        process = launch(folder, config(agent), all);
+        process = launch(folder, config(agent), environment);
     }
 
     private String config(StandInAgent agent) {
--- a/router/src/test/java/stagepier/app/SoakRouter.java
+++ b/router/src/test/java/stagepier/app/SoakRouter.java
@@ -95,8 +95,8 @@
 
     private void begin() throws IOException {
         Path own = Files.createDirectories(folder.resolve(Integer.toString(all.size())));
-        Incarnation next =
-                new Incarnation(all.size(), new RouterProcess(own, agent, faults.environment(), entries), folder);
+        Incarnation next = new Incarnation(
+                all.size(), RouterProcess.withConsole(own, agent, faults.environment(), entries), folder);
         all.add(next);
         current.set(next);
     }
--- a/router/src/test/java/stagepier/app/SyscallFaults.java
+++ b/router/src/test/java/stagepier/app/SyscallFaults.java
@@ -7,6 +7,7 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -53,6 +54,23 @@
         }
     }
 
+    /** A kind of call and how it fails. */
+    record Fault(Call call, Failure failure) {}
+
+    /** Faults after which no connection is broken. */
+    static final List<Fault> HARMLESS = List.of(
+            new Fault(Call.ACCEPT, Failure.ENFILE),
+            new Fault(Call.ACCEPT, Failure.ECONNABORTED),
+            new Fault(Call.ACCEPT, Failure.ENOBUFS),
+            new Fault(Call.SOCKET, Failure.ENFILE),
+            new Fault(Call.SOCKET, Failure.ENOBUFS),
+            new Fault(Call.CONNECT, Failure.EADDRNOTAVAIL),
+            new Fault(Call.CONNECT, Failure.ENETUNREACH),
+            new Fault(Call.WAIT, Failure.EINTR),
+            new Fault(Call.READ, Failure.EINTR),
+            new Fault(Call.READ, Failure.SHORT),
+            new Fault(Call.WRITE, Failure.SHORT));
+
     private static final Path SOURCE = Path.of("src/test/native/syscall_faults.c");
     private static final int REMAINING = 0;
     private static final int ERROR = 4;
--- a/router/src/test/java/stagepier/app/SystemCallFaultSoakTest.java
+++ b/router/src/test/java/stagepier/app/SystemCallFaultSoakTest.java
@@ -22,8 +22,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import stagepier.app.SyscallFaults.Call;
-import stagepier.app.SyscallFaults.Failure;
+import stagepier.app.SyscallFaults.Fault;
 
 /**
  * A real process under clients that stay, leave and come, while faults of system calls are drawn by a seed. Two seeds in a build; more by
@@ -41,22 +40,6 @@
     /** An attempt begins no later than 100 ms after its client left; the rest is for the threads of this test. */
     private static final int BEGINS_AFTER_LEAVING_MOST_MS = 400;
 
-    /** A kind of fault after which no connection is broken. */
-    private record Fault(Call call, Failure failure) {}
-
-    private static final List<Fault> FAULTS = List.of(
-            new Fault(Call.ACCEPT, Failure.ENFILE),
-            new Fault(Call.ACCEPT, Failure.ECONNABORTED),
-            new Fault(Call.ACCEPT, Failure.ENOBUFS),
-            new Fault(Call.SOCKET, Failure.ENFILE),
-            new Fault(Call.SOCKET, Failure.ENOBUFS),
-            new Fault(Call.CONNECT, Failure.EADDRNOTAVAIL),
-            new Fault(Call.CONNECT, Failure.ENETUNREACH),
-            new Fault(Call.WAIT, Failure.EINTR),
-            new Fault(Call.READ, Failure.EINTR),
-            new Fault(Call.READ, Failure.SHORT),
-            new Fault(Call.WRITE, Failure.SHORT));
-
     @TempDir
     private Path folder;
 
@@ -118,7 +101,7 @@
         }
         try {
             for (int round = 0; round < ROUNDS; round++) {
-                Fault fault = FAULTS.get(random.nextInt(FAULTS.size()));
+                Fault fault = SyscallFaults.HARMLESS.get(random.nextInt(SyscallFaults.HARMLESS.size()));
                 faults.next(fault.call(), fault.failure(), 1 + random.nextInt(FAULTS_MOST));
                 List<Future<?>> done = new ArrayList<>();
                 for (Client client : all) {
