Give each process of the tests ports that nobody else takes before it binds them

Cause: a free port was found by binding and closing it; a process binds its clients' port seconds later, and meanwhile the system had given it to another process' console. A fault of the test alone: the log says so.

Change: TestPorts gives each port once in a JVM, below the range from which the system takes ports.

--- a/router/src/test/java/stagepier/app/RouterProcess.java
+++ b/router/src/test/java/stagepier/app/RouterProcess.java
@@ -49,7 +49,7 @@
     /** One with a console. */
     static RouterProcess withConsole(
             Path folder, StandInAgent agent, Map<String, String> environment, String... entries) throws IOException {
-        int console = Rehearsal.freePort();
+        int console = TestPorts.next();
         Map<String, String> all = new HashMap<>(environment);
         all.put(CONSOLE, "127.0.0.1:" + console);
         return new RouterProcess(folder, agent, all, console, entries);
@@ -60,7 +60,7 @@
             throws IOException {
         this.folder = folder;
         this.console = console;
-        port = Rehearsal.freePort();
+        port = TestPorts.next();
         known = StandInAgent.known(entries);
         process = launch(folder, config(agent), environment);
     }
