--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")"
 mkdir -p target/rig
 javac --release 17 -Xlint:all,-try -d target/rig rig/*.java
-cc -O1 -Wall -o target/hold rig/hold.c
+# The cases do without this one.
+cc -O1 -Wall -o target/hold rig/hold.c || echo "no target/hold: the play of two processes on one socket cannot run" >&2
