Limit the memory of answers that clients do not read, over all links

What callers saw: clients that send 120 commands at once and read answers of 64,000 bytes at 300 kB/s filled the heap of a router. OutOfMemoryErrors followed, requests of other clients were lost, and at times the router served nobody any more.

Cause: a link took up to 128 commands before the first of their answers came, and nothing limited the answers of all links together. Shown on the unchanged code: at the first OutOfMemoryError a histogram of the heap (62.4 MB) has 909 answers of 64,000 bytes that wait for clients, 58.2 MB, beside 92 open requests; the log says held=8.4 MB at that moment, since the account of a link was brought up to date only when the link had input. Ruled out by the same histogram: values of open requests, and buffers of links to cache servers (164 buffers in all).

Change: ClientMemory accounts for each link as it changes: input, unread answers, open requests and the answers expected to them, each read as the largest value. Input has a limit of its own, half of which links that are owed answers may use, so that slow readers keep nobody from sending. What is held back are later commands of the same client, which wait for its earlier answers in any case.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -14,6 +14,7 @@
 import stagepier.memcache.MalformedException;
 import stagepier.memcache.Protocol;
 import stagepier.memcache.RingBuffer;
+import stagepier.overload.ClientMemory;
 import stagepier.overload.ConnectionSlots;
 import stagepier.overload.ConnectionSlots.Behaviour;
 
@@ -44,6 +45,8 @@
     private static final double RECENT_REQUEST = 2;
     /** Bytes of a command that a link may hold in any case; for more, the memory limit applies. */
     private static final int MIN_READ_AHEAD = 4096;
+    /** Bytes of an open request apart from its value: its words, its attempts and their timers. */
+    private static final int REQUEST_BYTES = 1024;
     /** In seconds. A client that was found connected within this time is assumed to be still connected. */
     private static final double CONNECTED_CHECK_VALID = 0.02;
 
@@ -52,6 +55,8 @@
      * Rejection while this process ends: another router can serve the request immediately, but this process will not.
      */
     private static final String REJECTED_ENDING = "SERVER_ERROR busy 1";
+    /** Rejection while too much is owed to clients that do not read. */
+    private static final String REJECTED_MEMORY = "SERVER_ERROR busy 1000";
 
     private final AnswerBytes.Sink sink = new AnswerBytes.Sink() {
         @Override
@@ -69,6 +74,10 @@
     private final class PendingAnswer implements ReplyListener {
         private Exchange exchange;
         private AnswerBytes answer;
+        /** Bytes of the request that are held until its answer is known; 0 for a command that is no request. */
+        private int requestBytes;
+        /** Whether its answer may have a value. */
+        private boolean isRead;
 
         @Override
         public void answered(Exchange x, Reply reply) {
@@ -82,6 +91,7 @@
     }
 
     private final ClientListener owner;
+    private final ClientMemory.Account memory;
     private final ArrayDeque<PendingAnswer> pending = new ArrayDeque<>();
     private final double openedAt;
     /** Time of the last client activity: a command was taken, or bytes of an answer were read. */
@@ -110,8 +120,6 @@
     private double arrivedAt = Double.NaN;
     /** Whether it has unprocessed bytes and is queued at the listener. */
     private boolean isQueued;
-    /** Number of buffer bytes that the listener has accounted for. */
-    private int accountedBytes;
 
     /** Reason to close once every command taken has been answered; null while the link takes commands. */
     private CloseReason closingReason;
@@ -121,12 +129,17 @@
     private boolean closesAfterAnswer;
 
     private int answerBytes;
+    /** Bytes of the requests whose answers are not known yet. */
+    private int requestBytes;
+    /** Number of reads whose answers are not known yet. */
+    private int openReads;
     /** Number of pending answers with a streamed value. */
     private int flows;
 
     ClientLink(ClientListener owner, Channel channel, double earliestConnectAt) {
         this.owner = owner;
         this.earliestConnectAt = earliestConnectAt;
+        memory = owner.openMemoryAccount();
         openedAt = owner.now();
         lastActiveAt = openedAt;
         attach(channel);
@@ -139,7 +152,7 @@
 
     @Override
     protected boolean wantsInput() {
-        return unread() < MIN_READ_AHEAD || acceptsCommands() && owner.hasMemory();
+        return unread() < MIN_READ_AHEAD || acceptsCommands() && owner.hasInputMemory(nothingOwed());
     }
 
     /** Limits the bytes that are held behind commands that may not be taken yet. */
@@ -153,7 +166,28 @@
         return flows == 0
                 && pending.size() < PIPELINE_MAX
                 && answerBytes < UNREAD_ANSWER_BYTES_MAX
-                && closingReason == null;
+                && closingReason == null
+                && (nothingOwed() || memory.hasShare(Protocol.LARGEST_VALUE));
+    }
+
+    private boolean nothingOwed() {
+        return pending.isEmpty() && nothingQueued();
+    }
+
+    /**
+     * Bytes of the answers that are expected to open requests. The length of a value is not known before it arrives, so
+     * each read counts as the largest one; the first does not, since a link may always have one.
+     */
+    private int expectedAnswerBytes() {
+        return Math.max(0, openReads - 1) * Protocol.LARGEST_VALUE;
+    }
+
+    private void updateMemory() {
+        if (isGivenBack()) {
+            memory.close();
+        } else {
+            memory.update(inputCapacity(), outputCapacity() + answerBytes, requestBytes + expectedAnswerBytes());
+        }
     }
 
     @Override
@@ -184,7 +218,7 @@
         if (isQueued) {
             return Behaviour.OWED;
         }
-        if (!pending.isEmpty() || !nothingQueued()) {
+        if (!nothingOwed()) {
             return flows > 0 && nothingQueued() || !pending.stream().allMatch(s -> s.answer != null)
                     ? Behaviour.OWED
                     : flows > 0 ? Behaviour.READING : Behaviour.UNREAD;
@@ -253,6 +287,7 @@
         if (Double.isNaN(arrivedAt) && acceptsCommands()) {
             arrivedAt = hadCommand ? arrival : Math.min(arrival, earliestConnectAt);
         }
+        updateMemory();
         if (!isQueued) {
             isQueued = true;
             owner.onBytes(this);
@@ -263,17 +298,10 @@
     void processQueued() {
         isQueued = false;
         digest();
+        updateMemory();
         readOn();
     }
 
-    /** Returns the change in buffer memory since the last call. */
-    int heldBytesChange() {
-        int held = isGivenBack() ? 0 : heldBytes();
-        int heldBytesChange = held - accountedBytes;
-        accountedBytes = held;
-        return heldBytesChange;
-    }
-
     private void handle(Command command) {
         owner.onCommand(command.kind());
         switch (command.kind()) {
@@ -284,6 +312,9 @@
                 } else if (rejecting || owner.rejectsRequests()) {
                     owner.onRejected(command);
                     replyLine(REJECTED_ENDING);
+                } else if (owner.isMemoryExhausted()) {
+                    owner.onRejected(command);
+                    replyLine(REJECTED_MEMORY);
                 } else {
                     submit(command);
                 }
@@ -301,6 +332,7 @@
         lastRequestAt = owner.now();
         PendingAnswer entry = new PendingAnswer();
         pending.add(entry);
+        reserve(entry, command);
         requestCount++;
         // The module may answer synchronously, before take returns.
         Exchange exchange = owner.host().take(entry, command, Double.isNaN(arrivedAt) ? owner.now() : arrivedAt);
@@ -309,6 +341,22 @@
         }
     }
 
+    private void reserve(PendingAnswer entry, Command command) {
+        entry.requestBytes = REQUEST_BYTES + command.value().length;
+        entry.isRead = !command.isWrite();
+        requestBytes += entry.requestBytes;
+        openReads += entry.isRead ? 1 : 0;
+        updateMemory();
+    }
+
+    /** Frees what was reserved for a request, whose answer is known now. */
+    private void free(PendingAnswer entry) {
+        requestBytes -= entry.requestBytes;
+        openReads -= entry.isRead ? 1 : 0;
+        entry.requestBytes = 0;
+        entry.isRead = false;
+    }
+
     /**
      * Whether the client is still connected, judged by all input up to this moment. A connection whose client has shut
      * down its sending side counts as closed, because a client's close looks the same from here. The socket is read
@@ -326,6 +374,7 @@
 
     private void onReply(PendingAnswer entry, Exchange exchange, Reply reply) {
         entry.exchange = null;
+        free(entry);
         if (reply.flow() != null) {
             flows++;
             reply.flow().onChange(() -> onFlowChanged(entry));
@@ -359,11 +408,17 @@
     private void setAnswer(PendingAnswer entry, AnswerBytes bytes) {
         entry.answer = bytes;
         answerBytes += bytes.length();
+        updateMemory();
         pump();
     }
 
     @Override
     protected void fill() {
+        moveAnswers();
+        updateMemory();
+    }
+
+    private void moveAnswers() {
         for (PendingAnswer first = pending.peek(); first != null && first.answer != null; first = pending.peek()) {
             if (!first.answer.moveTo(sink)) {
                 return;
@@ -374,14 +429,10 @@
         }
     }
 
-    @Override
-    public int heldBytes() {
-        return super.heldBytes() + answerBytes;
-    }
-
     @Override
     protected void onWritten() {
         lastActiveAt = owner.now();
+        updateMemory();
         if (closingReason != null) {
             closeWhenAnswered(closingReason);
         } else {
@@ -446,7 +497,7 @@
     }
 
     private boolean isIdle() {
-        return pending.isEmpty() && nothingQueued() && unread() == 0 && !isQueued;
+        return nothingOwed() && unread() == 0 && !isQueued;
     }
 
     /**
@@ -495,9 +546,7 @@
         if (isClosed() || openedAt >= idleCloseDeadline - FIRST_COMMAND_GRACE) {
             return false;
         }
-        return isAnswerOwed()
-                ? lastRequestAt > idleCloseDeadline - RECENT_REQUEST
-                : pending.isEmpty() && nothingQueued();
+        return isAnswerOwed() ? lastRequestAt > idleCloseDeadline - RECENT_REQUEST : nothingOwed();
     }
 
     /** Whether an answer is still pending or being streamed. */
@@ -508,7 +557,7 @@
     /** Takes no more commands, and closes as soon as every command taken has been answered. */
     private void closeWhenAnswered(CloseReason reason) {
         closingReason = reason;
-        if (pending.isEmpty() && nothingQueued()) {
+        if (nothingOwed()) {
             close(reason);
         }
     }
@@ -538,12 +587,16 @@
         }
         pending.clear();
         answerBytes = 0;
+        requestBytes = 0;
+        openReads = 0;
         flows = 0;
+        updateMemory();
         owner.onClosed(this);
     }
 
     @Override
     protected void onGivenBack() {
+        updateMemory();
         owner.onChannelClosed(this);
     }
 }
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -26,6 +26,7 @@
 import stagepier.invariants.InvariantMonitor;
 import stagepier.link.CloseReason;
 import stagepier.memcache.Command;
+import stagepier.overload.ClientMemory;
 import stagepier.overload.ConnectionSlots;
 import stagepier.overload.LoopDelay;
 import stagepier.tasks.GuardedTask;
@@ -40,8 +41,8 @@
      * arrived.
      */
     private static final int LINKS_PER_BATCH = 32;
-    /** Limit for the buffer memory of all client links, in bytes. */
-    private static final long BUFFER_BYTES_MAX = 8 << 20;
+    /** Limit for the buffered input of all client links, in bytes. */
+    private static final long INPUT_BYTES_MAX = 8 << 20;
 
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
     /** Logs the outcome of single requests at debug level. */
@@ -64,6 +65,7 @@
     private final Clock clock;
     private final LoopDelay delay;
     private final ConnectionSlots slots;
+    private final ClientMemory memory = new ClientMemory();
     private final ListeningSocket socket;
     private final ArrayDeque<ClientLink> readyLinks = new ArrayDeque<>();
     private final long[] slotsGivenUp = new long[ConnectionSlots.Behaviour.values().length];
@@ -74,7 +76,6 @@
     private ConnectionSlots.Availability level = ConnectionSlots.Availability.PLENTY;
     private final GuardedTask slotCheck = new GuardedTask("check of client link slots", this::checkSlots);
     private boolean processing;
-    private long heldBytes;
     private double loggedAt = Double.NEGATIVE_INFINITY;
     private final long[] commands = new long[Command.Kind.values().length];
     private long opened;
@@ -99,7 +100,7 @@
         this.loop = loop;
         this.clock = clock;
         this.delay = delay;
-        this.slots = new ConnectionSlots(slots, BUFFER_BYTES_MAX);
+        this.slots = new ConnectionSlots(slots, INPUT_BYTES_MAX);
         socket = new ListeningSocket(clock, this::adopt);
         this.host = host;
         this.stats = stats;
@@ -147,7 +148,7 @@
     private void checkSlots() {
         double now = clock.now();
         ConnectionSlots.Availability previous = level;
-        level = slots.level(now, slotsTaken(), heldBytes);
+        level = slots.level(now, slotsTaken(), memory.inputBytes());
         double inputDelay = delay.unreadFor(now);
         if (level != previous || level != ConnectionSlots.Availability.PLENTY) {
             logPressure(now);
@@ -193,7 +194,8 @@
                 .addKeyValue("links", links.size())
                 .addKeyValue("accepting", !socket.isPaused())
                 .addKeyValue("opened", opened)
-                .addKeyValue("held", heldBytes);
+                .addKeyValue("held", memory.heldBytes())
+                .addKeyValue("reserved", memory.reservedBytes());
         for (ConnectionSlots.Behaviour behaviour : ConnectionSlots.Behaviour.values()) {
             event = event.addKeyValue(behaviour.name(), counts[behaviour.ordinal()]);
         }
@@ -206,7 +208,6 @@
      */
     void onBytes(ClientLink link) {
         readyLinks.add(link);
-        updateHeldBytes(link);
         if (!processing) {
             processing = true;
             loop.execute(this::workOff);
@@ -221,7 +222,6 @@
         for (int n = LINKS_PER_BATCH; n > 0 && !readyLinks.isEmpty(); n--) {
             ClientLink link = readyLinks.remove();
             runGuarded(link, ClientLink::processQueued);
-            updateHeldBytes(link);
         }
         processing = !readyLinks.isEmpty();
         if (processing) {
@@ -243,12 +243,23 @@
         }
     }
 
-    private void updateHeldBytes(ClientLink link) {
-        heldBytes += link.heldBytesChange();
+    /** Returns the memory account of a new link. */
+    ClientMemory.Account openMemoryAccount() {
+        return memory.open();
     }
 
-    boolean hasMemory() {
-        return slots.hasMemory(heldBytes);
+    /**
+     * Whether a link may buffer more than a minimum of input. Links that are owed answers may use half of the limit, so
+     * that their next commands do not keep the first ones of other links from being read.
+     */
+    boolean hasInputMemory(boolean nothingOwed) {
+        long input = memory.inputBytes();
+        return slots.hasMemory(nothingOwed ? input : 2 * input);
+    }
+
+    /** Whether so much is owed to clients that no request can be taken. */
+    boolean isMemoryExhausted() {
+        return memory.isExhausted();
     }
 
     /** The earliest time at which bytes that are read now can have arrived. */
@@ -343,12 +354,10 @@
         if (links.remove(link)) {
             lingering.put(link, clock.now());
         }
-        updateHeldBytes(link);
     }
 
     void onChannelClosed(ClientLink link) {
         lingering.remove(link);
-        updateHeldBytes(link);
         if (socket.isPaused() && slots.hasSlot(slotsTaken())) {
             socket.resume();
         }
@@ -379,7 +388,8 @@
         to.accept("client_places_full", timesSlotsFull);
         to.accept("client_requests_turned_away", rejected);
         to.accept("client_input_malformed", malformed);
-        to.accept("client_bytes_held", heldBytes);
+        to.accept("client_bytes_held", memory.heldBytes());
+        to.accept("client_bytes_reserved", memory.reservedBytes());
         for (Command.Kind kind : Command.Kind.values()) {
             to.accept("client_commands_" + kind.name().toLowerCase(Locale.ROOT), commands[kind.ordinal()]);
         }
--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -360,9 +360,14 @@
         return MAX_READ_BYTES;
     }
 
-    /** Returns the memory used by the buffers in bytes. */
-    public int heldBytes() {
-        return inbound.capacity() + outbound.capacity();
+    /** Returns the memory of the input buffer in bytes. */
+    protected final int inputCapacity() {
+        return inbound.capacity();
+    }
+
+    /** Returns the memory of the output buffer in bytes. */
+    protected final int outputCapacity() {
+        return outbound.capacity();
     }
 
     protected final boolean nothingQueued() {
