Go on serving after an error in one step, such as a lack of memory

What callers saw: after OutOfMemoryErrors the router accepted connections and answered nothing on them, neither requests nor mn, until it was killed; the process went on.

Cause: guards around the steps of links and periodic tasks caught exceptions, not errors. By reading, the same on related paths: the check of slots, of drains and all other guarded tasks were not scheduled again; an error in the step after a write left the link without its answers; one while an answer was written to a client ended the step of the cache server's link that had brought it; a log line that found no memory kept the faulty link from being closed.

Change: Link.runGuarded, GuardedTask and EventQueue catch errors as well; writing, the step after a write and tasks of server links are guarded by their own link; flags and timers are set in finally blocks; FaultLog does not throw.

--- a/router/src/main/java/stagepier/client/ClientDrain.java
+++ b/router/src/main/java/stagepier/client/ClientDrain.java
@@ -75,8 +75,11 @@
             return;
         }
         nextCheckMicros = TimeUnit.MILLISECONDS.toMicros(CHECK_INTERVAL_MS);
-        checkTask.run();
-        loop.schedule(this::check, nextCheckMicros, TimeUnit.MICROSECONDS);
+        try {
+            checkTask.run();
+        } finally {
+            loop.schedule(this::check, nextCheckMicros, TimeUnit.MICROSECONDS);
+        }
     }
 
     /** Closes the links that the phase allows to close. */
@@ -86,9 +89,9 @@
             acceptRemaining.accept(now);
         }
         if (drain.closesAllLinks(now)) {
-            establishedLinks(now).forEach(link -> ClientListener.runGuarded(link, ClientLink::closeUnlessOwed));
+            establishedLinks(now).forEach(link -> link.runGuarded(link::closeUnlessOwed));
         } else if (drain.phase(now) == Drain.Phase.LAST) {
-            establishedLinks(now).forEach(link -> ClientListener.runGuarded(link, ClientLink::rejectLaterCommands));
+            establishedLinks(now).forEach(link -> link.runGuarded(link::rejectLaterCommands));
         } else if (drain.phase(now) == Drain.Phase.CLOSE_IDLE && closeOneLink(now)) {
             nextCheckMicros = (long) (drain.nextCloseIn(now, links.size()) * 1e6);
         }
@@ -128,7 +131,7 @@
     /** Returns the result of the action, or false if the action fails. */
     private static boolean tryOn(ClientLink link, Predicate<ClientLink> action) {
         boolean[] done = new boolean[1];
-        ClientListener.runGuarded(link, one -> done[0] = action.test(one));
+        link.runGuarded(() -> done[0] = action.test(link));
         return done[0];
     }
 }
--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -267,11 +267,6 @@
         abort(CloseReason.SLOT_GIVEN_UP);
     }
 
-    /** Aborts the link after an internal error, since its state is no longer reliable. */
-    void fail() {
-        abort(CloseReason.FAULT);
-    }
-
     /** Continues reading if it had stopped because of the memory limit. */
     void resume() {
         readOn();
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -15,7 +15,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -134,11 +133,15 @@
         new ClientLink(this, channel, socket.earliestArrival());
     }
 
-    private void scheduleSlotCheck() {
+    /** Starts the periodic check of the slots. */
+    void scheduleSlotCheck() {
         loop.schedule(
                 () -> {
-                    slotCheck.run();
-                    scheduleSlotCheck();
+                    try {
+                        slotCheck.run();
+                    } finally {
+                        scheduleSlotCheck();
+                    }
                 },
                 (long) (ConnectionSlots.checkInterval(level) * 1e6),
                 TimeUnit.MICROSECONDS);
@@ -157,9 +160,9 @@
             ConnectionSlots.Behaviour behaviour = link.behaviour();
             // Input of the link may lie unread: the delay of this router must not count against the client.
             if (now - link.since(behaviour) > ConnectionSlots.holdLimit(behaviour, level) + inputDelay) {
-                runGuarded(link, expired -> slotsGivenUp[behaviour.ordinal()] += expired.giveUpSlot(behaviour) ? 1 : 0);
+                link.runGuarded(() -> slotsGivenUp[behaviour.ordinal()] += link.giveUpSlot(behaviour) ? 1 : 0);
             } else {
-                runGuarded(link, ClientLink::resume);
+                link.runGuarded(link::resume);
             }
         }
         if (socket.isPaused()) {
@@ -209,8 +212,8 @@
     void onBytes(ClientLink link) {
         readyLinks.add(link);
         if (!processing) {
-            processing = true;
             loop.execute(this::workOff);
+            processing = true;
         }
     }
 
@@ -219,27 +222,22 @@
      * loop.
      */
     public void workOff() {
-        for (int n = LINKS_PER_BATCH; n > 0 && !readyLinks.isEmpty(); n--) {
-            ClientLink link = readyLinks.remove();
-            runGuarded(link, ClientLink::processQueued);
-        }
-        processing = !readyLinks.isEmpty();
-        if (processing) {
-            // Uses a timer, because a task would run before the sockets are polled again.
-            loop.schedule(this::workOff, 0, TimeUnit.NANOSECONDS);
+        try {
+            for (int n = LINKS_PER_BATCH; n > 0 && !readyLinks.isEmpty(); n--) {
+                ClientLink link = readyLinks.remove();
+                link.runGuarded(link::processQueued);
+            }
+        } finally {
+            processing = false;
+            scheduleNextBatch();
         }
     }
 
-    /**
-     * Runs an action and aborts the link if it fails, so that an error on one link does not keep the others from being
-     * served or closed.
-     */
-    static void runGuarded(ClientLink link, Consumer<ClientLink> action) {
-        try {
-            action.accept(link);
-        } catch (RuntimeException e) {
-            LOG.error("closed a client connection after an internal error", e);
-            link.fail();
+    private void scheduleNextBatch() {
+        if (!readyLinks.isEmpty()) {
+            // Uses a timer, because a task would run before the sockets are polled again.
+            loop.schedule(this::workOff, 0, TimeUnit.NANOSECONDS);
+            processing = true;
         }
     }
 
--- a/router/src/main/java/stagepier/exchange/EventQueue.java
+++ b/router/src/main/java/stagepier/exchange/EventQueue.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stagepier.logging.FaultLog;
 import stagepier.overload.LoopDelay;
 import stagepier.tasks.GuardedTask;
 
@@ -116,10 +117,10 @@
     private static void run(Runnable event) {
         try {
             event.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // A fault in one event must not stop the router; a request left without an answer is answered by its
             // overdue timer.
-            LOG.error("an event of the decision module failed; continuing with the next event", e);
+            FaultLog.error(LOG, "an event of the decision module failed; continuing with the next event", e);
         }
     }
 }
--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -13,6 +13,7 @@
 import java.util.function.ToIntFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stagepier.logging.FaultLog;
 import stagepier.memcache.MalformedException;
 import stagepier.memcache.RingBuffer;
 
@@ -189,11 +190,28 @@
         if (cause instanceof java.io.IOException) {
             endInput();
         } else {
-            LOG.error("closing a connection after an internal error", cause);
-            abort(CloseReason.FAULT);
+            fail(cause);
         }
     }
 
+    /**
+     * Runs a step of this link, and aborts the link if the step throws: an event loop goes on after what a task or a
+     * listener throws, and the rest of the step would never be done.
+     */
+    public final void runGuarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            fail(e);
+        }
+    }
+
+    /** Aborts the link after a fault of this program, since its state is no longer reliable. */
+    private void fail(Throwable fault) {
+        FaultLog.error(LOG, "closed a connection after an internal error", fault);
+        abort(CloseReason.FAULT);
+    }
+
     /**
      * Handles a close or reset by the peer. Input that arrived before and waits in the ring for room elsewhere must not
      * be lost: it is processed first, and the link is closed after that.
@@ -374,41 +392,51 @@
         return outbound.size() == 0;
     }
 
-    /** Writes what is queued and what {@link #fill} adds, until the socket accepts no more. */
+    /**
+     * Writes what is queued and what {@link #fill} adds, until the socket accepts no more. A fault ends this link alone,
+     * since the caller may be in a step of another link.
+     */
     protected final void pump() {
         if (pumping) {
             return;
         }
         pumping = true;
         try {
-            while (!writing && (!closed || lingeringClose != null) && isActive()) {
-                if (!closed) {
-                    fill();
-                }
-                ByteBuffer front = outbound.front();
-                if (!front.hasRemaining()) {
-                    return;
-                }
-                writeChunk(front);
-            }
+            runGuarded(this::writeQueued);
         } finally {
             pumping = false;
         }
     }
 
+    private void writeQueued() {
+        while (!writing && (!closed || lingeringClose != null) && isActive()) {
+            if (!closed) {
+                fill();
+            }
+            ByteBuffer front = outbound.front();
+            if (!front.hasRemaining()) {
+                return;
+            }
+            writeChunk(front);
+        }
+    }
+
     private void writeChunk(ByteBuffer front) {
         int n = front.remaining();
         writing = true;
-        channel.writeAndFlush(Unpooled.wrappedBuffer(front)).addListener(done -> {
-            writing = false;
-            if (done.isSuccess()) {
-                outbound.skip(n);
-                writtenBytes += n;
-                afterWrite();
-            } else {
-                endInput();
-            }
-        });
+        channel.writeAndFlush(Unpooled.wrappedBuffer(front))
+                .addListener(done -> runGuarded(() -> onChunkDone(n, done.isSuccess())));
+    }
+
+    private void onChunkDone(int bytes, boolean written) {
+        writing = false;
+        if (written) {
+            outbound.skip(bytes);
+            writtenBytes += bytes;
+            afterWrite();
+        } else {
+            endInput();
+        }
     }
 
     private void afterWrite() {
--- a/router/src/main/java/stagepier/logging/package-info.java
+++ b/router/src/main/java/stagepier/logging/package-info.java
@@ -1,2 +1,2 @@
-/** Rate limits for log lines, so that the log stays readable when many operations fail at once. */
+/** Log lines about failures: limited in their rate, and written without failing themselves. */
 package stagepier.logging;
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -333,7 +333,9 @@
         Answer answer = parser.next(bytes, first != null && !first.isEnded());
         if (answer == null && parser.isBlocked()) {
             // Deferred to a task: the caller that releases the memory has not finished its own step.
-            pool.pools().valueMemory().await(() -> pool.pools().loop().execute(this::onMemoryReleased));
+            pool.pools()
+                    .valueMemory()
+                    .await(() -> pool.pools().loop().execute(() -> runGuarded(this::onMemoryReleased)));
         }
         return answer;
     }
@@ -369,13 +371,15 @@
     private void scheduleProcessing() {
         if (!continuationScheduled) {
             continuationScheduled = true;
-            pool.pools().loop().execute(() -> {
-                continuationScheduled = false;
-                if (!isClosed()) {
-                    processInput();
-                    readOn();
-                }
-            });
+            pool.pools().loop().execute(() -> runGuarded(this::continueProcessing));
+        }
+    }
+
+    private void continueProcessing() {
+        continuationScheduled = false;
+        if (!isClosed()) {
+            processInput();
+            readOn();
         }
     }
 
--- a/router/src/main/java/stagepier/tasks/GuardedTask.java
+++ b/router/src/main/java/stagepier/tasks/GuardedTask.java
@@ -2,10 +2,11 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stagepier.logging.FaultLog;
 
 /**
- * A periodic step that continues after an exception. An event loop does not report the exception of a scheduled task,
- * and never runs a task with a fixed delay again after one.
+ * A periodic step that continues after an exception or an error, such as a lack of memory. An event loop does not report
+ * what a scheduled task throws, and never runs a task with a fixed delay again after that.
  */
 public final class GuardedTask implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(GuardedTask.class);
@@ -22,13 +23,13 @@
         this.step = step;
     }
 
-    /** Runs the step and logs any exception. */
+    /** Runs the step and logs what it throws. */
     @Override
     public void run() {
         try {
             step.run();
-        } catch (RuntimeException e) {
-            LOG.error("task step failed, the task continues: {}", name, e);
+        } catch (RuntimeException | Error e) {
+            FaultLog.error(LOG, "task step failed, the task continues: " + name, e);
         }
     }
 }
