Count the time that commands lie unread behind a full link against their deadlines

Cause: the time of arrival was taken from the read, though the link had not read meanwhile; and it was cleared only while the link took commands, so that a link that was full and had no input kept the time of commands taken long before.

Change: a link remembers since when bytes may lie in its socket, until a read finds less than it could take; the time of arrival is cleared whenever the buffer is empty. Behind a streamed value nothing changes.

The embedded client that four tests use stands in one place now, EmbeddedClient; their checks are as they were.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -118,6 +118,8 @@
      * unread in the socket; NaN if there are none.
      */
     private double arrivedAt = Double.NaN;
+    /** Time since which bytes may lie in the socket because the link did not read; NaN if there are none. */
+    private double unreadSince = Double.NaN;
     /** Whether it has unprocessed bytes and is queued at the listener. */
     private boolean isQueued;
 
@@ -202,7 +204,7 @@
             partialSince = Double.NaN;
             handle(command);
         }
-        if (acceptsCommands()) {
+        if (unread() == 0 || acceptsCommands()) {
             // The remaining bytes are part of a command, whose time starts with its last byte.
             arrivedAt = Double.NaN;
         }
@@ -278,22 +280,43 @@
         double now = owner.now();
         lastBytesAt = now;
         socketEmptyAt = Double.NEGATIVE_INFINITY;
-        double arrival = owner.earliestArrival(now);
-        if (Double.isNaN(arrivedAt) && acceptsCommands()) {
-            arrivedAt = hadCommand ? arrival : Math.min(arrival, earliestConnectAt);
+        double arrival = earliestArrival(now);
+        if (Double.isNaN(arrivedAt) && flows == 0) {
+            arrivedAt = arrival;
         }
         updateMemory();
+        noteUnread(now);
         if (!isQueued) {
             isQueued = true;
             owner.onBytes(this);
         }
     }
 
+    /** The earliest time at which the bytes that have just been read can have arrived. */
+    private double earliestArrival(double now) {
+        double arrival = owner.earliestArrival(now);
+        if (!Double.isNaN(unreadSince)) {
+            arrival = Math.min(arrival, unreadSince);
+        }
+        if (!socketMayHoldMore()) {
+            unreadSince = Double.NaN;
+        }
+        return hadCommand ? arrival : Math.min(arrival, earliestConnectAt);
+    }
+
+    /** Remembers since when bytes may stay in the socket because the link does not read. */
+    private void noteUnread(double now) {
+        if (Double.isNaN(unreadSince) && flows == 0 && !wantsInput()) {
+            unreadSince = now;
+        }
+    }
+
     /** Processes the bytes that have arrived; called by the listener. */
     void processQueued() {
         isQueued = false;
         digest();
         updateMemory();
+        noteUnread(owner.now());
         readOn();
     }
 
@@ -362,7 +385,11 @@
         double now = owner.now();
         while (now - socketEmptyAt > CONNECTED_CHECK_VALID && !isClosed()) {
             socketEmptyAt = now;
+            boolean reads = wantsInput();
             readNow();
+            if (reads && socketEmptyAt == now) {
+                unreadSince = Double.NaN;
+            }
         }
         return !isClosed();
     }
--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -43,6 +43,8 @@
     private boolean closed;
     /** No more input will arrive, but what is in the ring is still to be processed. */
     private boolean inputEnded;
+    /** Whether the last read took as much as it could, so that the socket may hold more. */
+    private boolean lastReadFull;
     /** Null until the connection is closed. */
     private CloseReason closeReason;
     /** The lingering close in progress, or null. */
@@ -101,6 +103,7 @@
             }
             return;
         }
+        lastReadFull = !bytes.isWritable();
         try {
             for (ByteBuffer piece : bytes.nioBuffers()) {
                 inbound.put(piece);
@@ -373,6 +376,11 @@
         return inbound.size();
     }
 
+    /** Returns whether the socket may hold more input than the last read took. */
+    protected final boolean socketMayHoldMore() {
+        return lastReadFull;
+    }
+
     /** Returns the maximum number of bytes of one read. */
     protected int readMost() {
         return MAX_READ_BYTES;
--- a/router/src/test/java/stagepier/client/ClientDrainTest.java
+++ b/router/src/test/java/stagepier/client/ClientDrainTest.java
@@ -4,12 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.embedded.EmbeddedChannel;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -56,7 +51,7 @@
     private final EmbeddedChannel time = new EmbeddedChannel();
     private ModuleHost host;
     private ClientListener clients;
-    private EmbeddedChannel client;
+    private EmbeddedClient client;
 
     @BeforeEach
     void connectClient() {
@@ -65,25 +60,16 @@
         host = new ModuleHost(time.eventLoop(), clock, delay, SettingsParser.parse(SETTINGS));
         host.connect(new PendingModule(), new NoOpTransport() {});
         clients = new ClientListener(time.eventLoop(), clock, delay, SLOTS, host, () -> "END", drain);
-        client = new EmbeddedChannel(adopting());
+        client = new EmbeddedClient(clients);
         drain.started();
     }
 
-    private ChannelInitializer<Channel> adopting() {
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                clients.adopt(channel);
-            }
-        };
-    }
-
     /** A client whose channel throws once at the next check after the test has armed it. */
-    private final class FaultyChannel extends EmbeddedChannel {
+    private final class FaultyClient extends EmbeddedClient {
         private boolean fails;
 
-        FaultyChannel() {
-            super(adopting());
+        FaultyClient() {
+            super(clients);
         }
 
         @Override
@@ -110,7 +96,7 @@
         for (String id : ids) {
             text.append("mg k v O").append(id).append(" Pc=read,d=4000\r\n");
         }
-        client.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+        client.write(text.toString());
         advance(1);
     }
 
@@ -124,15 +110,6 @@
         client.runPendingTasks();
     }
 
-    private String answers() {
-        StringBuilder text = new StringBuilder();
-        for (ByteBuf bytes = client.readOutbound(); bytes != null; bytes = client.readOutbound()) {
-            text.append(bytes.toString(StandardCharsets.ISO_8859_1));
-            bytes.release();
-        }
-        return text.toString();
-    }
-
     @Test
     void idleLinkIsClosed() {
         submit("a");
@@ -147,7 +124,7 @@
         pause();
         assertTrue(client.isOpen(), "an answer is pending");
         refuseNext();
-        assertEquals("SERVER_ERROR busy 100\r\n", answers());
+        assertEquals("SERVER_ERROR busy 100\r\n", client.answers());
         assertFalse(client.isOpen());
     }
 
@@ -160,15 +137,15 @@
         submit("c");
         refuseNext();
         refuseNext();
-        assertEquals("SERVER_ERROR busy 100\r\n".repeat(3), answers());
+        assertEquals("SERVER_ERROR busy 100\r\n".repeat(3), client.answers());
         assertFalse(client.isOpen());
     }
 
     @ParameterizedTest
     @ValueSource(ints = {IDLE_CLOSED_MS, LAST_MS})
     void failedCheckOfOneLinkDoesNotKeepOtherLinksOpen(int drainedFor) {
-        FaultyChannel faulty = new FaultyChannel();
-        EmbeddedChannel other = new EmbeddedChannel(adopting());
+        FaultyClient faulty = new FaultyClient();
+        EmbeddedClient other = new EmbeddedClient(clients);
         advance(LAST_MS);
         faulty.fails = true;
         drain.pause(clock.now());
@@ -180,8 +157,8 @@
 
     @Test
     void clientsConnectedPastTheDrainDeadlineAreCounted() {
-        EmbeddedChannel withinCommand = new EmbeddedChannel(adopting());
-        withinCommand.writeInbound(Unpooled.copiedBuffer("hello\r\nhel", StandardCharsets.ISO_8859_1));
+        EmbeddedClient withinCommand = new EmbeddedClient(clients);
+        withinCommand.write("hello\r\nhel");
         submit("a");
         refuseNext();
         advance(LAST_MS);
@@ -211,7 +188,7 @@
         drain.resume();
         advance(CLOSING_IDLE_MS);
         refuseNext();
-        assertEquals("SERVER_ERROR busy 100\r\n", answers());
+        assertEquals("SERVER_ERROR busy 100\r\n", client.answers());
         assertTrue(client.isOpen());
     }
 }
--- a/router/src/test/java/stagepier/client/InternalErrorTest.java
+++ b/router/src/test/java/stagepier/client/InternalErrorTest.java
@@ -4,12 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.embedded.EmbeddedChannel;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.BeforeEach;
@@ -52,17 +47,12 @@
         private static final long serialVersionUID = 1L;
     }
 
-    /** A client whose channel throws an error when the slots are checked while it is armed. */
-    private final class Client extends EmbeddedChannel {
+    /** A client whose channel throws an error once at its next check after a test has armed it. */
+    private final class Client extends EmbeddedClient {
         private boolean fails;
 
         Client() {
-            super(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    clients.adopt(channel);
-                }
-            });
+            super(clients);
         }
 
         @Override
@@ -75,18 +65,9 @@
         }
 
         void send(String text) {
-            writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+            write(text);
             advance(1);
         }
-
-        String answers() {
-            StringBuilder text = new StringBuilder();
-            for (ByteBuf bytes = readOutbound(); bytes != null; bytes = readOutbound()) {
-                text.append(bytes.toString(StandardCharsets.ISO_8859_1));
-                bytes.release();
-            }
-            return text.toString();
-        }
     }
 
     @BeforeEach
--- a/router/src/test/java/stagepier/client/UnreadAnswersTest.java
+++ b/router/src/test/java/stagepier/client/UnreadAnswersTest.java
@@ -3,10 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
@@ -45,16 +41,11 @@
             "Obligations":{"DrainGrace":1}}""";
 
     /** A client that can leave its answers unread, with a socket that buffers none of them. */
-    private final class Client extends EmbeddedChannel {
+    private final class Client extends EmbeddedClient {
         private boolean reads;
 
         Client(boolean reads) {
-            super(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    clients.adopt(channel);
-                }
-            });
+            super(clients);
             this.reads = reads;
         }
 
@@ -66,7 +57,7 @@
         }
 
         void send(String text) {
-            writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+            write(text);
             loop.runPendingTasks();
             loop.runScheduledPendingTasks();
         }
@@ -76,15 +67,6 @@
             flush();
             runPendingTasks();
         }
-
-        String answers() {
-            StringBuilder text = new StringBuilder();
-            for (ByteBuf bytes = readOutbound(); bytes != null; bytes = readOutbound()) {
-                text.append(bytes.toString(StandardCharsets.ISO_8859_1));
-                bytes.release();
-            }
-            return text.toString();
-        }
     }
 
     private final ManualClock clock = new ManualClock();
