Free the value of a write once it has its answer, though attempts are still out

Cache servers that hang keep their attempts on their links until an answer or the close of the link, seconds after the deadline, and each attempt kept the value of its write, up to 64 KiB, though no further attempt may start. Writes of clients that send many and leave were kept the same way, outside the account of any link.

Cause: an attempt holds its exchange, and the exchange its command, for as long as the attempt has a place on its link.

Change: an exchange drops the value when it is finished. What remains of the command (id, key, class) is needed until the end.

--- a/router/src/main/java/stagepier/exchange/Exchange.java
+++ b/router/src/main/java/stagepier/exchange/Exchange.java
@@ -11,7 +11,7 @@
  */
 public final class Exchange {
     private final long id;
-    private final Command command;
+    private Command command;
     private final ReplyListener listener;
     private final double takenAt;
     private final double deadlineAt;
@@ -29,7 +29,7 @@
         this.deadlineAt = deadlineAt;
     }
 
-    /** Returns the command to forward. */
+    /** Returns the command to forward; without the value of a write once the request is finished. */
     public Command command() {
         return command;
     }
@@ -88,9 +88,13 @@
         overdueTimer = timer;
     }
 
-    /** Marks the final answer as no longer pending and cancels the overdue timer. */
+    /**
+     * Marks the final answer as no longer pending, cancels the overdue timer, and drops the value of a write: attempts
+     * that are still out keep this object until their answers arrive, and no further attempt starts.
+     */
     void finish() {
         finished = true;
+        command = command.withoutValue();
         overdueTimer.cancel(false);
     }
 }
--- a/router/src/main/java/stagepier/memcache/Command.java
+++ b/router/src/main/java/stagepier/memcache/Command.java
@@ -32,6 +32,11 @@
         return words.get(0);
     }
 
+    /** Returns this command without the value of a write, for what remains to be known of it once it is answered. */
+    public Command withoutValue() {
+        return new Command(kind, words, NO_VALUE);
+    }
+
     /** Returns the request id; empty if there is none. */
     public String id() {
         return flag('O');
--- a/router/src/test/java/stagepier/exchange/ModuleHostTest.java
+++ b/router/src/test/java/stagepier/exchange/ModuleHostTest.java
@@ -91,6 +91,40 @@
         loop.shutdownGracefully();
     }
 
+    /** Returns a write of which an attempt is out that nobody answers. */
+    private Exchange takeWriteThatHangs() throws MalformedException {
+        List<Exchange> sent = new ArrayList<>();
+        host.connect(new Module(), new NoOpTransport() {
+            @Override
+            public Transmission send(Exchange x, int attempt, long server, double timeout) {
+                sent.add(x);
+                return () -> {};
+            }
+        });
+        RingBuffer ring = new RingBuffer();
+        ring.put("ms k 5 Oa Pc=c,d=900\r\nvalue\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        host.take((x, reply) -> replies.add(reply), CommandParser.next(ring), Double.POSITIVE_INFINITY);
+        return sent.get(0);
+    }
+
+    /** Prevents attempts that hang at cache servers from filling the heap with values of writes that are answered. */
+    @Test
+    void valueOfAnAnsweredWriteIsFreedThoughAnAttemptIsStillOut() throws Exception {
+        Exchange write = takeWriteThatHangs();
+        assertEquals(5, write.command().value().length);
+        host.fail(write.id());
+        assertEquals(1, replies.size());
+        assertEquals(0, write.command().value().length);
+    }
+
+    /** Prevents clients that send many writes and leave from filling the heap with their values. */
+    @Test
+    void valueOfAWriteIsFreedWhenItsClientHasGoneThoughAnAttemptIsStillOut() throws Exception {
+        Exchange write = takeWriteThatHangs();
+        host.clientGone(write);
+        assertEquals(0, write.command().value().length);
+    }
+
     /** Without the lookup result MISS, as the simulator reports for writes, a write would make its server look slow. */
     @Test
     void answeredWriteIsReportedAsMiss() throws Exception {
