Keep the listening socket open after a lack of memory in accept

Cause: Netty closes a listening channel after whatever accept throws, but for an IOException (read in the library's code): an OutOfMemoryError or an exception of this program ends it for good. And a connection that had been accepted when an error came was not closed.

--- a/router/src/main/java/stagepier/link/InterruptibleServerSocketChannel.java
+++ b/router/src/main/java/stagepier/link/InterruptibleServerSocketChannel.java
@@ -24,9 +24,18 @@
         try {
             accepted.add(new InterruptibleSocketChannel(this, connection));
             return 1;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             connection.close();
             throw e;
         }
     }
+
+    /**
+     * A fault in accepting one connection says nothing of the listening socket, which is closed by its owner alone. Netty
+     * would close it after all but an {@link java.io.IOException}.
+     */
+    @Override
+    protected boolean closeOnReadError(Throwable cause) {
+        return !isActive();
+    }
 }
