Move the age of a client's input out of ClientLink, and test the refusal for want of memory

Since when unread bytes can have been there is a job of its own: InputAge, pure, times passed in.

UnreadAnswersTest has a case more: with 500 clients that leave one answer of 64,000 bytes each unread, a request is refused at once with `SERVER_ERROR busy 1000`, and served again when they have read. The log of a request that is turned away tells whether memory was the reason.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -111,15 +111,8 @@
     private double lastRequestAt = Double.NEGATIVE_INFINITY;
     /** Number of requests that were passed to the routing module. */
     private int requestCount;
-    /** Earliest time at which the client can have connected, since the connection may have waited in the backlog. */
-    private final double earliestConnectAt;
-    /**
-     * Earliest time at which the first of the bytes not yet taken can have arrived, allowing for the time that they lay
-     * unread in the socket; NaN if there are none.
-     */
-    private double arrivedAt = Double.NaN;
-    /** Time since which bytes may lie in the socket because the link did not read; NaN if there are none. */
-    private double unreadSince = Double.NaN;
+    /** Since when the bytes not yet taken can have been there, in the buffer or in the socket. */
+    private final InputAge inputAge;
     /** Whether it has unprocessed bytes and is queued at the listener. */
     private boolean isQueued;
 
@@ -140,7 +133,7 @@
 
     ClientLink(ClientListener owner, Channel channel, double earliestConnectAt) {
         this.owner = owner;
-        this.earliestConnectAt = earliestConnectAt;
+        inputAge = new InputAge(earliestConnectAt);
         memory = owner.openMemoryAccount();
         openedAt = owner.now();
         lastActiveAt = openedAt;
@@ -205,8 +198,7 @@
             handle(command);
         }
         if (unread() == 0 || acceptsCommands()) {
-            // The remaining bytes are part of a command, whose time starts with its last byte.
-            arrivedAt = Double.NaN;
+            inputAge.onCommandsTaken();
         }
         if (unread() == 0) {
             partialSince = Double.NaN;
@@ -280,9 +272,9 @@
         double now = owner.now();
         lastBytesAt = now;
         socketEmptyAt = Double.NEGATIVE_INFINITY;
-        double arrival = earliestArrival(now);
-        if (Double.isNaN(arrivedAt) && flows == 0) {
-            arrivedAt = arrival;
+        double arrival = inputAge.ofRead(owner.earliestArrival(now), !hadCommand, socketMayHoldMore());
+        if (flows == 0) {
+            inputAge.onKept(arrival);
         }
         updateMemory();
         noteUnread(now);
@@ -292,22 +284,10 @@
         }
     }
 
-    /** The earliest time at which the bytes that have just been read can have arrived. */
-    private double earliestArrival(double now) {
-        double arrival = owner.earliestArrival(now);
-        if (!Double.isNaN(unreadSince)) {
-            arrival = Math.min(arrival, unreadSince);
-        }
-        if (!socketMayHoldMore()) {
-            unreadSince = Double.NaN;
-        }
-        return hadCommand ? arrival : Math.min(arrival, earliestConnectAt);
-    }
-
-    /** Remembers since when bytes may stay in the socket because the link does not read. */
+    /** Notes if bytes may stay in the socket from now on; commands behind a streamed value are not reckoned with. */
     private void noteUnread(double now) {
-        if (Double.isNaN(unreadSince) && flows == 0 && !wantsInput()) {
-            unreadSince = now;
+        if (flows == 0 && !wantsInput()) {
+            inputAge.onReadingStopped(now);
         }
     }
 
@@ -353,7 +333,7 @@
         reserve(entry, command);
         requestCount++;
         // The module may answer synchronously, before take returns.
-        Exchange exchange = owner.host().take(entry, command, Double.isNaN(arrivedAt) ? owner.now() : arrivedAt);
+        Exchange exchange = owner.host().take(entry, command, inputAge.arrivedAt(owner.now()));
         if (entry.answer == null) {
             entry.exchange = exchange;
         }
@@ -388,7 +368,7 @@
             boolean reads = wantsInput();
             readNow();
             if (reads && socketEmptyAt == now) {
-                unreadSince = Double.NaN;
+                inputAge.onSocketEmpty();
             }
         }
         return !isClosed();
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -371,7 +371,11 @@
 
     void onRejected(Command command) {
         rejected++;
-        REQUESTS.debug("id={} turned away drain={}", command.id(), drain.state());
+        REQUESTS.debug(
+                "id={} turned away drain={} memory={}",
+                command.id(),
+                drain.state(),
+                memory.isExhausted() ? "exhausted" : "enough");
     }
 
     void onMalformed() {
--- a/router/src/test/java/stagepier/client/UnreadAnswersTest.java
+++ b/router/src/test/java/stagepier/client/UnreadAnswersTest.java
@@ -155,6 +155,23 @@
         }
     }
 
+    @Test
+    void requestsAreRefusedAtOnceWhileTooMuchIsUnreadAndServedAgainAfterwards() {
+        List<Client> readers =
+                IntStream.range(0, 500).mapToObj(i -> new Client(false)).toList();
+        for (Client reader : readers) {
+            reader.send(reads(1));
+            answerAll();
+        }
+        Client usual = new Client(true);
+        usual.send(reads(1));
+        assertEquals("SERVER_ERROR busy 1000\r\n", usual.answers());
+        readers.forEach(Client::readOn);
+        usual.send(reads(1));
+        answerAll();
+        assertTrue(usual.answers().startsWith("VA " + VALUE_BYTES + " Ox" + lastId));
+    }
+
     @Test
     void commandsOfOneClientAreTakenAtOnceWhileThereIsRoom() {
         new Client(true).send(reads(COMMANDS_AT_ONCE));
