Refuse requests for want of memory by what is held, not by what is expected

What callers would have seen: where many reads of small values are open and one large value comes, every expected value counts as large for a moment, and requests of all clients were refused with `busy 1000` though nothing was held.

Change: requests are refused from 28 MiB of unread answers and open requests on; expected values only decide whether a link that has open requests takes another one.

--- a/router/src/main/java/stagepier/overload/ClientMemory.java
+++ b/router/src/main/java/stagepier/overload/ClientMemory.java
@@ -15,7 +15,7 @@
     private static final long SHARED_BYTES_MAX = 18 << 20;
     /** Bytes of unread answers of all links from which on a link that has some gets no further value. */
     private static final long UNREAD_BYTES_MAX = 24 << 20;
-    /** Bytes owed on all links from which on no link may take a request or get a value. */
+    /** Bytes of unread answers and open requests of all links from which on no link may take a request or get a value. */
     private static final long OWED_BYTES_MAX = 28 << 20;
 
     private final ValueSizeEstimate valueSize;
@@ -60,7 +60,7 @@
         /** Returns whether this link may owe another value. */
         public boolean hasShare() {
             long owed = output + requests + (values + 1) * valueSize.bytes();
-            return owed <= SHARED_BYTES_MAX - owedBytes();
+            return owed <= SHARED_BYTES_MAX - outputBytes - reservedBytes();
         }
 
         /** Removes this link from the account of all links. */
@@ -79,9 +79,9 @@
         return new Account();
     }
 
-    /** Returns whether so much is owed that new requests have to be rejected. */
+    /** Returns whether so much is held for clients that new requests have to be rejected. */
     public boolean isExhausted() {
-        return owedBytes() >= OWED_BYTES_MAX;
+        return outputBytes + requestBytes >= OWED_BYTES_MAX;
     }
 
     /**
@@ -93,10 +93,6 @@
         return outputBytes >= (behindUnread ? UNREAD_BYTES_MAX : OWED_BYTES_MAX);
     }
 
-    private long owedBytes() {
-        return outputBytes + reservedBytes();
-    }
-
     /** Returns the bytes of buffered input of all links. */
     public long inputBytes() {
         return inputBytes;
--- a/router/src/test/java/stagepier/client/UnreadAnswersTest.java
+++ b/router/src/test/java/stagepier/client/UnreadAnswersTest.java
@@ -182,6 +182,16 @@
         assertEquals(20 * COMMANDS_AT_ONCE, sent.size());
     }
 
+    @Test
+    void oneLargeValueAmongManySmallOnesThatAreExpectedKeepsNobodyFromBeingServed() {
+        serveSmallValues(1000);
+        IntStream.range(0, 20).forEach(i -> new Client(true).send(reads(COMMANDS_AT_ONCE)));
+        host.ended(sent.remove(), 0, 1, Api.Outcome.OK, clock.now(), ResponseInfo.NONE, value);
+        Client usual = new Client(true);
+        usual.send(reads(1));
+        assertEquals("", usual.answers(), "the request is open, not refused");
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {4, 75, 170})
     void valuesThatSuddenlyGrowTakeAtMostHalfOfTheHeap(int readers) {
