--- a/review/rig-2/src/PipelinedValue.java
+++ b/review/rig-2/src/PipelinedValue.java
@@ -10,7 +10,7 @@
  */
 final class PipelinedValue {
     private static final int SERVERS = 6;
-    private static final int CLIENTS = 12;
+    private static final int CLIENTS = 30;
     private static final int LARGE = 1 << 20;
     private static final int PIECE = 16 * 1024;
     private static final double PIECE_INTERVAL = 0.02;
