Drop the review's cases that the earlier review has, and put the others in order

Case 6 (a write that may run once runs twice) and case 10 (a value is cut off while its server stands still) show what review/2 and review/3 show; their stand-ins stay in review/rig-2 as plays. Case 8 becomes 6 and case 9 becomes 10, the gravest first.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -f "$root/router/target/stagepier.jar" ] && [ -d "$root/review/rig-2/out" ] || exit 2
-exec java -Xmx512m -cp "$root/review/rig-2/out" DroppedRequest "$root" "$here/record.txt"
+exec java -Xmx512m -cp "$root/review/rig-2/out" UnreadCommand "$root" "$here/record.txt"
