--- a/review/rig-2/src/Deployment.java
+++ b/review/rig-2/src/Deployment.java
@@ -7,7 +7,8 @@
 final class Deployment {
     final List<CacheServer> servers = new ArrayList<>();
     final Agent agent;
-    final Rig.Router router;
+    /** The router; null if the case makes its own. */
+    Rig.Router router;
     private final String[] zones;
     private final String[] kinds;
 
--- a/review/rig-2/src/Rig.java
+++ b/review/rig-2/src/Rig.java
@@ -88,16 +88,35 @@
     /** One router as deployed. */
     final class Router {
         final String name;
-        final int port = freePort();
+        final int port;
+        /** The console's port; 0 if there is none. */
+        final int consolePort;
+        /** Whether the clients' listening socket is this process's own descriptor 0, which the router inherits. */
+        private final boolean passed;
         private final Path config;
         private final Path folder;
+        private final Path log;
         private Process process;
 
         /** @param settings the settings object as JSON text */
         Router(String name, int discoveryPort, int sockets, String settings) throws IOException {
+            this(name, freePort(), 0, false, discoveryPort, sockets, settings);
+        }
+
+        /**
+         * @param name     processes of one name share the folder that lasts
+         * @param passed   whether the clients' listening socket is descriptor 0 of this process
+         * @param settings the settings object as JSON text
+         */
+        Router(String name, int port, int consolePort, boolean passed, int discoveryPort, int sockets, String settings)
+                throws IOException {
             this.name = name;
+            this.port = port;
+            this.consolePort = consolePort;
+            this.passed = passed;
             folder = Files.createDirectories(temporary.resolve(name));
-            config = temporary.resolve(name + ".json");
+            config = temporary.resolve(name + "-" + consolePort + ".json");
+            log = temporary.resolve(name + "-" + consolePort + ".log");
             Files.writeString(
                     config,
                     """
@@ -113,25 +132,49 @@
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", deployCommand("run"))
                     .directory(root.toFile())
                     .redirectErrorStream(true)
-                    .redirectOutput(temporary.resolve(name + ".log").toFile());
+                    .redirectOutput(log.toFile());
             builder.environment().put("GW_NAME", name);
             builder.environment().put("GW_LISTEN", "127.0.0.1:" + port);
             builder.environment().put("GW_CONFIG", config.toString());
             builder.environment().put("TMPDIR", folder.toString());
+            if (passed) {
+                builder.redirectInput(ProcessBuilder.Redirect.INHERIT);
+                builder.environment().put("GW_PASSED_SOCKET", "0");
+            }
+            if (consolePort != 0) {
+                builder.environment().put("GW_CONSOLE", "127.0.0.1:" + consolePort);
+            }
             process = builder.start();
             processes.add(process);
             double giveUpAt = now() + 30;
             while (!isReady()) {
                 if (now() > giveUpAt || !process.isAlive()) {
                     throw new IllegalStateException("router " + name + " is not ready: "
-                            + Files.readString(temporary.resolve(name + ".log")));
+                            + Files.readString(log));
                 }
                 Thread.sleep(50);
             }
-            log("router " + name + " answers MN");
+            Rig.this.log("router " + name + " is ready");
+        }
+
+        /** Says a line to the console and returns its answer; null if there is none. */
+        String call(String line) {
+            try (Client caller = new Client("console", consolePort)) {
+                caller.send(line + "\n");
+                String answer = caller.readLine(2);
+                if (!line.equals("STATUS")) {
+                    Rig.this.log("console " + consolePort + ": " + line + " -> " + answer);
+                }
+                return answer;
+            } catch (IOException e) {
+                return null;
+            }
         }
 
         private boolean isReady() {
+            if (consolePort != 0) {
+                return String.valueOf(call("STATUS")).startsWith("OK");
+            }
             try (Client client = new Client("ready-check", port)) {
                 client.send("mn\r\n");
                 return "MN".equals(client.readLine(1));
@@ -146,7 +189,7 @@
 
         /** Copies the router's log into the record. */
         void logOutput() throws IOException {
-            Files.readAllLines(temporary.resolve(name + ".log")).forEach(line -> log("router " + name + ": " + line));
+            Files.readAllLines(log).forEach(line -> Rig.this.log("router " + name + ": " + line));
         }
 
         /** Copies the counters whose names contain a word into the record. */
@@ -155,7 +198,7 @@
                 client.send("stats\r\n");
                 for (String line = client.readLine(2); line != null && !line.equals("END"); line = client.readLine(2)) {
                     if (Stream.of(words).anyMatch(line::contains)) {
-                        log(line);
+                        Rig.this.log(line);
                     }
                 }
             }
