Give a command that was read ahead its own time of arrival

What callers saw: a client with 128 open commands whose later commands wait in the router's buffer got its newest one refused at once, or forwarded with too little time: all bytes of the buffer counted as old as the first of them for as long as the buffer did not get empty.

Cause: InputAge kept one time of arrival for the whole buffer, and forgot it only when the buffer was empty or the link could take commands again.

Change: InputAge keeps times of arrival by segments of the buffer, and a command has that of its last byte. Commands behind a streamed value keep their time as before.

Evidence: HeldBackCommandTest.commandReadAheadBehindOthersKeepsItsOwnTime failed before (a command that had just arrived was given -2.015 s of 1 s) and passes now; HeldBackCommandTest holds back 600 commands in place of 200, so that its first test stays with commands that lie in the socket when more is read ahead.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -23,7 +23,8 @@
  *
  * <p>The end of the client's stream is treated as a closed connection, as the protocol documentation defines it: a FIN
  * does not tell whether the client only shut down its sending side, so its pending requests are given up. The link
- * keeps reading up to a small limit while it may take no more commands, in order to detect that end. When the link
+ * keeps reading while it may take no more commands, as far as its buffer and the memory for read-ahead allow, in order
+ * to detect that end. When the link
  * itself closes in an orderly way, it lingers, so that the last answer arrives completely.
  */
 final class ClientLink extends Link {
@@ -43,7 +44,7 @@
      * end.
      */
     private static final double RECENT_REQUEST = 2;
-    /** Bytes of a command that a link may hold in any case; for more, the memory limit applies. */
+    /** Bytes of input that a link may hold in any case; for more, the memory limit applies. */
     private static final int MIN_READ_AHEAD = 4096;
     /** Bytes of an open request apart from its value: its words, its attempts and their timers. */
     private static final int REQUEST_BYTES = 1024;
@@ -188,14 +189,12 @@
             if (command == null) {
                 break;
             }
+            inputAge.onTaken(unread());
             hadCommand = true;
             lastActiveAt = owner.now();
             partialSince = Double.NaN;
             handle(command);
         }
-        if (unread() == 0 || acceptsCommands()) {
-            inputAge.onCommandsTaken();
-        }
         if (unread() == 0) {
             partialSince = Double.NaN;
         } else if (acceptsCommands() && Double.isNaN(partialSince)) {
@@ -269,9 +268,7 @@
         lastBytesAt = now;
         socketEmptyAt = Double.NEGATIVE_INFINITY;
         double arrival = inputAge.ofRead(owner.earliestArrival(now), !hadCommand, socketMayHoldMore());
-        if (flows == 0) {
-            inputAge.onKept(arrival);
-        }
+        inputAge.onKept(unread(), flows == 0 ? arrival : Double.NaN);
         updateMemory();
         noteUnread(now);
         if (!isQueued) {
--- a/router/src/test/java/stagepier/client/HeldBackCommandTest.java
+++ b/router/src/test/java/stagepier/client/HeldBackCommandTest.java
@@ -26,8 +26,11 @@
     /** Commands of one link that may be open. */
     private static final int PIPELINE_MAX = 128;
 
-    private static final int HELD_BACK = 200;
-    /** So long that the bytes which a link reads ahead are few commands. */
+    /** More commands than a link reads ahead, so that the last ones stay in the socket. */
+    private static final int HELD_BACK = 600;
+    /** Commands that a link reads ahead whole. */
+    private static final int READ_AHEAD = 10;
+
     private static final String KEY = "k".repeat(200);
     /** In seconds. Slack of the time that a cache server is told. */
     private static final double SLACK = 0.15;
@@ -152,6 +155,17 @@
         assertTrue(budget >= 1 - SLACK, "a command that has just arrived was given " + budget + " s of 1 s");
     }
 
+    /** Prevents a command from being given the age of those before it while the buffer never gets empty. */
+    @Test
+    void commandReadAheadBehindOthersKeepsItsOwnTime() {
+        client.send(reads(PIPELINE_MAX + READ_AHEAD, 8000));
+        clock.pass(3);
+        client.send(reads(1, 1000));
+        answerAll();
+        double budget = requests.get(PIPELINE_MAX + READ_AHEAD).budget();
+        assertTrue(budget >= 1 - SLACK, "a command that has just arrived was given " + budget + " s of 1 s");
+    }
+
     @Test
     void commandAfterHeldBackOnesKeepsItsOwnTime() {
         client.send(reads(PIPELINE_MAX + HELD_BACK, 8000));
