Read ahead to the end of the stream behind hundreds of commands

Cause: behind 128 open commands a link read 4 KiB ahead, and the end of the stream lay behind the rest. Ruled out: an end that was read but not acted on; once it is read, no attempt begins.

Change: behind commands that it may not take a link reads as much as its buffer holds, while the input of all client links is below 2 MiB, and 4 KiB in any case.

Evidence: ConnectionRaceTest.closeBehindHundredsOfPipelinedCommandsIsDetected failed before ("close detected too late") and passes now.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -150,13 +150,22 @@
 
     @Override
     protected boolean wantsInput() {
-        return unread() < MIN_READ_AHEAD || acceptsCommands() && owner.hasInputMemory(nothingOwed());
+        return unread() < MIN_READ_AHEAD || input().free() > 0 && mayReadMore();
+    }
+
+    /**
+     * Whether more than the minimum of input may be held. Behind commands that may not be taken yet it is read only in
+     * order to detect the end of the stream.
+     */
+    private boolean mayReadMore() {
+        return acceptsCommands()
+                ? owner.hasInputMemory(nothingOwed())
+                : closingReason == null && owner.hasReadAheadMemory();
     }
 
-    /** Limits the bytes that are held behind commands that may not be taken yet. */
     @Override
     protected int readMost() {
-        return acceptsCommands() ? super.readMost() : MIN_READ_AHEAD - unread();
+        return acceptsCommands() || mayReadMore() ? super.readMost() : MIN_READ_AHEAD - unread();
     }
 
     private boolean acceptsCommands() {
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -43,6 +43,8 @@
     private static final int LINKS_PER_BATCH = 32;
     /** Limit for the buffered input of all client links, in bytes. */
     private static final long INPUT_BYTES_MAX = 8 << 20;
+    /** Buffered input of all client links, in bytes, up to which links read behind commands that they may not take. */
+    private static final long READ_AHEAD_BYTES_MAX = INPUT_BYTES_MAX / 4;
 
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
     /** Logs the outcome of single requests at debug level. */
@@ -257,6 +259,14 @@
         return slots.hasMemory(nothingOwed ? input : 2 * input);
     }
 
+    /**
+     * Whether a link may buffer more than a minimum of input behind commands that it may not take yet. This is only
+     * needed to detect that a client has gone, so it leaves most of the memory to commands that can be taken.
+     */
+    boolean hasReadAheadMemory() {
+        return memory.inputBytes() < READ_AHEAD_BYTES_MAX;
+    }
+
     /** Notes the length of a value that has come for a client. */
     void onValue(int length) {
         memory.onValue(length);
--- a/router/src/test/java/stagepier/app/ConnectionRaceTest.java
+++ b/router/src/test/java/stagepier/app/ConnectionRaceTest.java
@@ -297,6 +297,26 @@
         assertEquals(128, counter("client_commands_get"), "commands beyond the limit were executed");
     }
 
+    /** Prevents executions for a client that has sent hundreds of commands at once and has closed behind them. */
+    @Test
+    void closeBehindHundredsOfPipelinedCommandsIsDetected() throws Exception {
+        cache.hold(true);
+        Socket client = connect();
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 600; i++) {
+            text.append(read());
+        }
+        Rehearsal.write(client, text.toString());
+        cache.awaitHeld(cache);
+        StandInAgent.await(() -> counter("client_commands_get") >= 128);
+        long from = System.nanoTime();
+        client.close();
+        StandInAgent.await(() -> counter("requests_unanswered") == 0 && counter("client_links") == 0);
+        assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(500), "close detected too late");
+        assertTrue(counter("requests_client_gone") > 0);
+        assertEquals(128, counter("client_commands_get"), "commands beyond the limit were executed");
+    }
+
     /** Input beyond the limit of open commands is buffered within a bound, and later executed in order. */
     @Test
     void commandsBeyondLimitAreServedInOrderWithBoundedBuffer() throws Exception {
