Admit long commands to input memory in order, and never blame the wait on a client

Cause: the parts filled the limit on input, the router stopped reading the others in the middle of their writes, and gave them up for sending nothing. Ruled out: delay of the loop, as the fault shows on emulated sockets without any.

Change: InputAdmission gives a command of more than 4 KiB all the memory that it needs, first come, first served; a link that waits for it counts as owed, and for 0.8 s after it is admitted too, since what was sent meanwhile is still to be read.

Evidence: InputMemoryTest failed before with just that error and passes now; its second test holds that parts are still rejected within 3 s.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -17,6 +17,7 @@
 import stagepier.overload.ClientMemory;
 import stagepier.overload.ConnectionSlots;
 import stagepier.overload.ConnectionSlots.Behaviour;
+import stagepier.overload.InputAdmission;
 
 /**
  * A client's connection. Commands are read from it, and answers are written to it in the order of the commands.
@@ -95,12 +96,15 @@
 
     private final ClientListener owner;
     private final ClientMemory.Account memory;
+    private final InputAdmission.Claim inputClaim;
     private final ArrayDeque<PendingAnswer> pending = new ArrayDeque<>();
     private final double openedAt;
     /** Time of the last client activity: a command was taken, or bytes of an answer were read. */
     private double lastActiveAt;
     /** Time at which the first part of an incomplete command arrived; NaN if there is none. */
     private double partialSince = Double.NaN;
+    /** Time at which a long command was last admitted after a wait; negative infinity before that. */
+    private double inputAdmittedAt = Double.NEGATIVE_INFINITY;
     /** Time at which bytes last arrived. */
     private double lastBytesAt;
     /**
@@ -138,6 +142,7 @@
         this.owner = owner;
         inputAge = new InputAge(earliestConnectAt);
         memory = owner.openMemoryAccount();
+        inputClaim = owner.openInputClaim(this);
         openedAt = owner.now();
         lastActiveAt = openedAt;
         attach(channel);
@@ -154,18 +159,17 @@
     }
 
     /**
-     * Whether more than the minimum of input may be held. Behind commands that may not be taken yet it is read only in
-     * order to detect the end of the stream.
+     * Whether more than the minimum of input may be held: for a long command that is admitted, or in order to detect the
+     * end of the stream.
      */
     private boolean mayReadMore() {
-        return acceptsCommands()
-                ? owner.hasInputMemory(nothingOwed())
-                : closingReason == null && owner.hasReadAheadMemory();
+        return inputClaim.isAdmitted()
+                || !inputClaim.isWaiting() && closingReason == null && owner.hasReadAheadMemory();
     }
 
     @Override
     protected int readMost() {
-        return acceptsCommands() || mayReadMore() ? super.readMost() : MIN_READ_AHEAD - unread();
+        return mayReadMore() ? super.readMost() : MIN_READ_AHEAD - unread();
     }
 
     private boolean acceptsCommands() {
@@ -199,6 +203,7 @@
                 break;
             }
             inputAge.onTaken(unread());
+            inputClaim.release();
             hadCommand = true;
             lastActiveAt = owner.now();
             partialSince = Double.NaN;
@@ -209,11 +214,30 @@
         } else if (acceptsCommands() && Double.isNaN(partialSince)) {
             partialSince = owner.now();
         }
+        claimInputMemory(bytes);
+    }
+
+    /** Claims memory for the command that has arrived in part, if it is long. */
+    private void claimInputMemory(RingBuffer bytes) throws MalformedException {
+        if (isClosed() || unread() < MIN_READ_AHEAD || !acceptsCommands()) {
+            return;
+        }
+        inputClaim.request(RingBuffer.capacityFor(CommandParser.lengthOfNext(bytes)), !nothingOwed());
+    }
+
+    /** Notes the end of a wait for memory: what the client has sent meanwhile is read from now on. */
+    void onInputAdmitted() {
+        inputAdmittedAt = owner.now();
+    }
+
+    /** Whether a long command is not whole because this router has not read it, as far as is known. */
+    private boolean isHeldUpByMemory() {
+        return inputClaim.isWaiting() || owner.now() - inputAdmittedAt < PIECE_INTERVAL_MAX;
     }
 
     /** The current behaviour of the client, as input to {@link ConnectionSlots}. */
     Behaviour behaviour() {
-        if (isQueued) {
+        if (isQueued || isHeldUpByMemory()) {
             return Behaviour.OWED;
         }
         if (!nothingOwed()) {
@@ -265,7 +289,7 @@
         abort(CloseReason.SLOT_GIVEN_UP);
     }
 
-    /** Continues reading if it had stopped because of the memory limit. */
+    /** Continues reading if it had stopped for want of memory. */
     void resume() {
         readOn();
     }
@@ -465,6 +489,7 @@
     protected void onMalformed(MalformedException e) {
         owner.onMalformed();
         closingReason = CloseReason.MALFORMED;
+        inputClaim.release();
         replyLine("CLIENT_ERROR " + e.getMessage());
     }
 
@@ -602,6 +627,7 @@
             }
         }
         pending.clear();
+        inputClaim.release();
         answerBytes = 0;
         requestBytes = 0;
         openReads = 0;
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -28,6 +28,7 @@
 import stagepier.memcache.Protocol;
 import stagepier.overload.ClientMemory;
 import stagepier.overload.ConnectionSlots;
+import stagepier.overload.InputAdmission;
 import stagepier.overload.LoopDelay;
 import stagepier.tasks.GuardedTask;
 
@@ -67,6 +68,7 @@
     private final Clock clock;
     private final LoopDelay delay;
     private final ConnectionSlots slots;
+    private final InputAdmission inputAdmission = new InputAdmission(INPUT_BYTES_MAX);
     private final ClientMemory memory = new ClientMemory(Protocol.LARGEST_VALUE);
     private final ListeningSocket socket;
     private final ArrayDeque<ClientLink> readyLinks = new ArrayDeque<>();
@@ -250,18 +252,18 @@
         return memory.open();
     }
 
-    /**
-     * Whether a link may buffer more than a minimum of input. Links that are owed answers may use half of the limit, so
-     * that their next commands do not keep the first ones of other links from being read.
-     */
-    boolean hasInputMemory(boolean nothingOwed) {
-        long input = memory.inputBytes();
-        return slots.hasMemory(nothingOwed ? input : 2 * input);
+    /** Returns the claim of a new link to the memory for long commands. */
+    InputAdmission.Claim openInputClaim(ClientLink link) {
+        return inputAdmission.open(() -> {
+            link.onInputAdmitted();
+            // Reads in a task: the caller is in a step of the link that has given the memory back.
+            loop.execute(() -> link.runGuarded(link::resume));
+        });
     }
 
     /**
-     * Whether a link may buffer more than a minimum of input behind commands that it may not take yet. This is only
-     * needed to detect that a client has gone, so it leaves most of the memory to commands that can be taken.
+     * Whether a link may buffer more than a minimum of input that is not part of an admitted command. It is only needed
+     * to detect that a client has gone, so it leaves most of the memory to commands.
      */
     boolean hasReadAheadMemory() {
         return memory.inputBytes() < READ_AHEAD_BYTES_MAX;
@@ -414,6 +416,7 @@
         to.accept("client_places_full", timesSlotsFull);
         to.accept("client_requests_turned_away", rejected);
         to.accept("client_input_malformed", malformed);
+        to.accept("client_links_waiting_for_memory", inputAdmission.waiting());
         to.accept("client_bytes_held", memory.heldBytes());
         to.accept("client_bytes_reserved", memory.reservedBytes());
         to.accept("client_values_dropped", valuesDropped);
--- a/router/src/main/java/stagepier/memcache/CommandParser.java
+++ b/router/src/main/java/stagepier/memcache/CommandParser.java
@@ -40,7 +40,18 @@
         }
     }
 
-    private static Command write(RingBuffer in, int line, String[] words) throws MalformedException {
+    /**
+     * Returns the number of bytes of the next command, which has not arrived whole; that of the longest one until its
+     * line has.
+     *
+     * @throws MalformedException if its length cannot be determined
+     */
+    public static int lengthOfNext(RingBuffer in) throws MalformedException {
+        int line = Protocol.lineLength(in);
+        return line < 0 ? Protocol.LARGEST_MESSAGE : line + valueLength(Protocol.words(in, line)) + 2;
+    }
+
+    private static int valueLength(String[] words) throws MalformedException {
         int length = words.length < 3 ? -1 : Protocol.valueLength(words[2]);
         if (length < 0) {
             throw new MalformedException("bad data length");
@@ -48,6 +59,11 @@
         if (length > Protocol.LARGEST_VALUE) {
             throw new MalformedException("object too large");
         }
+        return length;
+    }
+
+    private static Command write(RingBuffer in, int line, String[] words) throws MalformedException {
+        int length = valueLength(words);
         if (in.size() < line + length + 2) {
             return null;
         }
--- a/router/src/main/java/stagepier/memcache/RingBuffer.java
+++ b/router/src/main/java/stagepier/memcache/RingBuffer.java
@@ -31,6 +31,15 @@
         return bytes.length;
     }
 
+    /** Returns the memory that a buffer takes which has grown to hold that many bytes. */
+    public static int capacityFor(int size) {
+        int capacity = INITIAL_BYTES;
+        while (capacity < size) {
+            capacity = Math.min(capacity * 2, Protocol.LARGEST_MESSAGE);
+        }
+        return capacity;
+    }
+
     /** Returns how many more bytes can be added, including by growing. */
     public int free() {
         return Protocol.LARGEST_MESSAGE - size;
@@ -126,11 +135,7 @@
     }
 
     private void grow(int needed) {
-        int to = Math.max(INITIAL_BYTES, bytes.length);
-        while (to < needed) {
-            to = Math.min(to * 2, Protocol.LARGEST_MESSAGE);
-        }
-        byte[] larger = new byte[to];
+        byte[] larger = new byte[capacityFor(needed)];
         System.arraycopy(copy(0, size), 0, larger, 0, size);
         bytes = larger;
         head = 0;
--- a/router/src/main/java/stagepier/overload/ConnectionSlots.java
+++ b/router/src/main/java/stagepier/overload/ConnectionSlots.java
@@ -87,13 +87,6 @@
         return links < slots;
     }
 
-    /**
-     * Whether a link may use more than the minimum of memory. Prevents messages that never end from filling the heap.
-     */
-    public boolean hasMemory(long held) {
-        return held < bytes;
-    }
-
     public Availability level(double now, int links, long held) {
         if (links >= slots) {
             fullAt = now;
