Collect a large value first where commands are pending behind it

Cause: commands that were taken before the value began are pending behind it, and nothing can be written behind a part of a value. Its only safe end is a close.

Change: with commands behind it a value is collected whole before its answer begins, within 12 MiB for all links; if it breaks off, or is not whole by its deadline, the answer is "SERVER_ERROR failed" and the connection goes on. Without any it is passed on as it comes. A link whose value breaks off lingers now even with output queued, so that answers before the value arrive.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -6,6 +6,7 @@
 import stagepier.exchange.Exchange;
 import stagepier.exchange.Reply;
 import stagepier.exchange.ReplyListener;
+import stagepier.exchange.ValueFlow;
 import stagepier.invariants.Invariant;
 import stagepier.link.CloseReason;
 import stagepier.link.Link;
@@ -78,6 +79,8 @@
     private final class PendingAnswer implements ReplyListener {
         private Exchange exchange;
         private AnswerBytes answer;
+        /** The large value of its answer, if it is collected before the answer begins; otherwise null. */
+        private WholeValue wholeValue;
         /** Bytes of the request that are held until its answer is known; 0 for a command that is no request. */
         private int requestBytes;
         /** Whether its answer may have a value. */
@@ -92,6 +95,18 @@
         public boolean isConnected() {
             return checkConnected();
         }
+
+        /** Gives up a large value, or the memory of one that is whole. */
+        private void releaseValue() {
+            if (wholeValue != null) {
+                wholeValue.giveUp();
+                wholeValue.release();
+            }
+        }
+
+        private int collectingBytes() {
+            return wholeValue == null ? 0 : wholeValue.collectingBytes();
+        }
     }
 
     private final ClientListener owner;
@@ -130,6 +145,9 @@
     /** Whether the link closes as soon as an answer is written and no other command is pending. */
     private boolean closesAfterAnswer;
 
+    /** Whether a value has broken off after its first bytes. */
+    private boolean valueBroken;
+
     private int answerBytes;
     /** Bytes of the requests whose answers are not known yet. */
     private int requestBytes;
@@ -191,7 +209,9 @@
         } else {
             // The first read does not count, since a link may always have one.
             int expectedValues = Math.max(0, openReads - 1);
-            memory.update(inputCapacity(), outputCapacity() + answerBytes, requestBytes, expectedValues);
+            int collecting =
+                    pending.stream().mapToInt(PendingAnswer::collectingBytes).sum();
+            memory.update(inputCapacity(), outputCapacity() + answerBytes + collecting, requestBytes, expectedValues);
         }
     }
 
@@ -408,11 +428,44 @@
         free(entry);
         if (reply.flow() != null) {
             flows++;
+            if (entry != pending.peekLast()) {
+                collect(entry, exchange, reply.flow());
+                return;
+            }
             reply.flow().onChange(() -> onFlowChanged(entry));
         }
         setAnswer(entry, isDropped(reply) ? ReplyEncoder.line(ReplyEncoder.FAILED) : encode(exchange, reply));
     }
 
+    /**
+     * Collects a large value before its answer begins, because commands are pending behind it: if the value broke off
+     * after its first bytes, the connection would have to be closed, and they would get no answer.
+     */
+    private void collect(PendingAnswer entry, Exchange exchange, ValueFlow flow) {
+        WholeValue value = new WholeValue(
+                flow, owner.wholeValueMemory(), owner::execute, () -> onCollected(entry, exchange.command()));
+        entry.wholeValue = value;
+        owner.executeAt(exchange.deadlineAt(), () -> runGuarded(value::giveUp));
+        value.start();
+        updateMemory();
+    }
+
+    private void onCollected(PendingAnswer entry, Command command) {
+        if (isClosed()) {
+            return;
+        }
+        flows--;
+        WholeValue value = entry.wholeValue;
+        setAnswer(
+                entry,
+                value.isWhole() ? ReplyEncoder.value(command, value.bytes()) : ReplyEncoder.line(ReplyEncoder.FAILED));
+        if (!isClosed()) {
+            // Commands that arrived behind the value may be taken now.
+            digest();
+            readOn();
+        }
+    }
+
     private static AnswerBytes encode(Exchange exchange, Reply reply) {
         return ReplyEncoder.encode(exchange.command(), reply);
     }
@@ -431,6 +484,7 @@
             pump();
         } else if (entry.answer.isStarted()) {
             // Only a closed connection tells the client that the value is incomplete.
+            valueBroken = true;
             close(CloseReason.VALUE_BROKEN);
         } else {
             flows--;
@@ -465,6 +519,7 @@
             }
             answerBytes -= first.answer.length();
             flows -= first.answer.flow() == null ? 0 : 1;
+            first.releaseValue();
             pending.remove();
         }
     }
@@ -604,12 +659,13 @@
     }
 
     /**
-     * Lingers only if all answers have been handed to the socket, so that the last one arrives completely. Does not
-     * wait for a client that leaves its answers unread.
+     * Lingers only if all answers have been handed to the socket, so that the last one arrives completely, or if a value
+     * has broken off, so that the answers before it arrive. Otherwise does not wait for a client that leaves its answers
+     * unread.
      */
     @Override
     protected boolean lingers() {
-        return nothingQueued();
+        return nothingQueued() || valueBroken;
     }
 
     @Override
@@ -625,6 +681,7 @@
             } else if (entry.answer != null && entry.answer.flow() != null) {
                 entry.answer.flow().abandon();
             }
+            entry.releaseValue();
         }
         pending.clear();
         inputClaim.release();
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -30,6 +30,7 @@
 import stagepier.overload.ConnectionSlots;
 import stagepier.overload.InputAdmission;
 import stagepier.overload.LoopDelay;
+import stagepier.overload.MemoryBudget;
 import stagepier.tasks.GuardedTask;
 
 /**
@@ -47,6 +48,9 @@
     /** Buffered input of all client links, in bytes, up to which links read behind commands that they may not take. */
     private static final long READ_AHEAD_BYTES_MAX = INPUT_BYTES_MAX / 4;
 
+    /** Limit for large values that are collected because commands are pending behind them, in bytes. */
+    private static final long WHOLE_VALUE_BYTES_MAX = 12 << 20;
+
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
     /** Logs the outcome of single requests at debug level. */
     private static final Logger REQUESTS = LoggerFactory.getLogger("stagepier.requests");
@@ -68,6 +72,7 @@
     private final Clock clock;
     private final LoopDelay delay;
     private final ConnectionSlots slots;
+    private final MemoryBudget wholeValueMemory = new MemoryBudget(WHOLE_VALUE_BYTES_MAX);
     private final InputAdmission inputAdmission = new InputAdmission(INPUT_BYTES_MAX);
     private final ClientMemory memory = new ClientMemory(Protocol.LARGEST_VALUE);
     private final ListeningSocket socket;
@@ -269,6 +274,21 @@
         return memory.inputBytes() < READ_AHEAD_BYTES_MAX;
     }
 
+    /** The memory for large values that are collected before their answers begin. */
+    MemoryBudget wholeValueMemory() {
+        return wholeValueMemory;
+    }
+
+    /** Runs a step in a task of its own. */
+    void execute(Runnable step) {
+        loop.execute(step);
+    }
+
+    /** Runs a step at a time of the clock, in seconds. */
+    void executeAt(double time, Runnable step) {
+        loop.schedule(step, (long) Math.ceil(Math.max(0, time - clock.now()) * 1e6), TimeUnit.MICROSECONDS);
+    }
+
     /** Notes the length of a value that has come for a client. */
     void onValue(int length) {
         memory.onValue(length);
@@ -420,6 +440,7 @@
         to.accept("client_bytes_held", memory.heldBytes());
         to.accept("client_bytes_reserved", memory.reservedBytes());
         to.accept("client_values_dropped", valuesDropped);
+        to.accept("client_whole_values_waited", wholeValueMemory.waits());
         for (Command.Kind kind : Command.Kind.values()) {
             to.accept("client_commands_" + kind.name().toLowerCase(Locale.ROOT), commands[kind.ordinal()]);
         }
--- a/router/src/main/java/stagepier/client/ReplyEncoder.java
+++ b/router/src/main/java/stagepier/client/ReplyEncoder.java
@@ -35,6 +35,11 @@
                 : new AnswerBytes(head(command, reply.body().length), reply.body());
     }
 
+    /** Returns the answer to a read whose streamed value was collected. */
+    static AnswerBytes value(Command command, byte[] value) {
+        return new AnswerBytes(head(command, value.length), value);
+    }
+
     private static byte[] head(Command command, int length) {
         return Protocol.line("VA " + length + " O" + command.id());
     }
