Count any byte that a client makes room for as reading, and look for it

Cause: a link with ready answers is given up when its socket takes nothing for 4 s. The selector reports room only once much of the socket's buffer is free, which grows to megabytes, and a chunk counted only when it was written whole.

Change: while answers wait, a write is tried each 0.5 s without the selector, and any byte that the socket takes counts. The limit of 4 s stays as it is.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -55,6 +55,9 @@
     /** In seconds. A client that was found connected within this time is assumed to be still connected. */
     private static final double CONNECTED_CHECK_VALID = 0.02;
 
+    /** In seconds. Time between two looks whether a client reads its answers. */
+    private static final double READING_CHECK_INTERVAL = 0.5;
+
     private static final String COMMAND_TIMED_OUT = "CLIENT_ERROR command not finished in time";
     /**
      * Rejection while this process ends: another router can serve the request immediately, but this process will not.
@@ -145,6 +148,10 @@
     /** Whether the link closes as soon as an answer is written and no other command is pending. */
     private boolean closesAfterAnswer;
 
+    /** Time at which {@link #checkReading} last looked. */
+    private double readingCheckedAt = Double.NEGATIVE_INFINITY;
+    /** Number of bytes that the socket had accepted then. */
+    private long takenAtCheck;
     /** Whether a value has broken off after its first bytes. */
     private boolean valueBroken;
 
@@ -273,6 +280,24 @@
                 : requestCount == 0 ? Behaviour.PROBE : requestCount == 1 ? Behaviour.ONCE : Behaviour.REGULAR;
     }
 
+    /**
+     * Finds out whether the client reads its answers, from the room that it makes in the socket: looks for it if none was
+     * seen for a while.
+     */
+    void checkReading() {
+        double now = owner.now();
+        if (nothingQueued() || now - readingCheckedAt < READING_CHECK_INTERVAL) {
+            return;
+        }
+        readingCheckedAt = now;
+        long before = takenAtCheck;
+        writeNow();
+        takenAtCheck = takenBytes();
+        if (takenAtCheck > before) {
+            lastActiveAt = now;
+        }
+    }
+
     /** Time since which it shows this behaviour. */
     double since(Behaviour behaviour) {
         return switch (behaviour) {
--- a/router/src/main/java/stagepier/client/ClientListener.java
+++ b/router/src/main/java/stagepier/client/ClientListener.java
@@ -168,6 +168,7 @@
             logPressure(now);
         }
         for (ClientLink link : new ArrayList<>(links)) {
+            link.runGuarded(link::checkReading);
             ConnectionSlots.Behaviour behaviour = link.behaviour();
             // Input of the link may lie unread: the delay of this router must not count against the client.
             if (now - link.since(behaviour) > ConnectionSlots.holdLimit(behaviour, level) + inputDelay) {
--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -165,6 +165,16 @@
         }
     }
 
+    /**
+     * Writes what the socket has room for without waiting for the selector, which reports room only once much of the
+     * socket's buffer is free: up to some megabytes, for which a slow peer takes seconds.
+     */
+    protected final void writeNow() {
+        if (!closed && writing && isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.forceFlush();
+        }
+    }
+
     /** Handles the end of the peer's stream on a channel that may be half-closed. */
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
--- a/router/src/test/java/stagepier/app/RouterFixture.java
+++ b/router/src/test/java/stagepier/app/RouterFixture.java
@@ -47,6 +47,7 @@
     /** Action of the module when it receives a list of servers. */
     Runnable onList = () -> {};
 
+    private final ClientListener clients;
     private final HoldableConnector connector;
     private final int port;
 
@@ -84,7 +85,7 @@
                 parsed.idleClose(),
                 parsed.streams());
         host.connect(new Module(), servers);
-        ClientListener clients = new ClientListener(loop, clock, delay, 300, host, () -> "END", DrainStates.serving());
+        clients = new ClientListener(loop, clock, delay, 300, host, () -> "END", DrainStates.serving());
         onLoop(() -> {
             servers.ready(SERVER, new InetSocketAddress(InetAddress.getLoopbackAddress(), cache.getLocalPort()), 0);
             return null;
@@ -161,6 +162,24 @@
         }
     }
 
+    /** Returns the number of connections of clients. */
+    long clientLinks() throws Exception {
+        long[] found = {-1};
+        onLoop(() -> {
+            clients.count((n, value) -> found[0] = n.equals("client_links") ? value : found[0]);
+            return null;
+        });
+        return found[0];
+    }
+
+    void awaitClientLinks(long links) throws Exception {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RouterProcess.WAIT_MS);
+        while (clientLinks() != links) {
+            assertInTime(until, "client_links is " + clientLinks());
+            Thread.sleep(2);
+        }
+    }
+
     private static void assertInTime(long until, String state) {
         if (System.nanoTime() > until) {
             throw new AssertionError(state);
