Wait for what a cache server still gives of a large value

Cause: an incomplete answer was malformed after 0.15 of the shortest deadline without a byte; a value that had begun, after 0.4 s past the deadline, by that time or four times its longest pause, which is none in a value that comes evenly.

Change: a value that is passed on is broken off after 5 s without a byte; one whose head has come has until the deadline of its request, and its link is not silent meanwhile. Other incomplete answers get 0.25 s at the least, since servers stand still for up to 0.2 s.

--- a/router/src/main/java/stagepier/memcache/AnswerParser.java
+++ b/router/src/main/java/stagepier/memcache/AnswerParser.java
@@ -33,6 +33,8 @@
     private byte[] body = Answer.NO_BODY;
     private boolean collecting;
     private boolean blocked;
+    /** Set while the head of a value that is to be streamed has arrived, and no byte of the value. */
+    private boolean awaitsFirstByte;
     /** Set while a value is streamed, not collected. */
     private boolean streaming;
 
@@ -57,6 +59,11 @@
         return largeValueWords != null;
     }
 
+    /** Returns whether the head of a large value has arrived that is streamed from its first byte on. */
+    public boolean awaitsLargeValue() {
+        return awaitsFirstByte;
+    }
+
     /** Returns whether the parser waits for memory; the connection must not be read meanwhile. */
     public boolean isBlocked() {
         return blocked;
@@ -171,7 +178,8 @@
             blocked = keep && !streams && !budget.take(announced);
             // Streaming starts only when the first byte has arrived, since an announced length may be followed by
             // nothing.
-            if (blocked || streams && in.size() == line) {
+            awaitsFirstByte = streams && in.size() == line;
+            if (blocked || awaitsFirstByte) {
                 return null;
             }
             in.skip(line);
--- a/router/src/main/java/stagepier/server/LinkActivity.java
+++ b/router/src/main/java/stagepier/server/LinkActivity.java
@@ -22,8 +22,6 @@
     private double answerWithoutIdAt = Double.NEGATIVE_INFINITY;
     /** Number of answers to later requests that arrived on other links since data was last received on this one. */
     private int overtakes;
-    /** Longest pause, in seconds, between two pieces of the large value that is being received. */
-    private double longestPause;
 
     LinkActivity(SilenceDetector silenceDetector, double now) {
         this.silenceDetector = silenceDetector;
@@ -38,20 +36,11 @@
         return lastBytesAt;
     }
 
-    double longestPause() {
-        return longestPause;
-    }
-
     /** Restarts the measurement when the link comes up, or is used again with no answer pending. */
     void restart(double now) {
         lastAnswerAt = now;
     }
 
-    /** Resets the longest pause at the start of a large value. */
-    void onValueStarted() {
-        longestPause = 0;
-    }
-
     /** Notes that the router reads again after back-pressure, which had stopped the server from sending. */
     void onResumed(double now) {
         lastBytesAt = now;
@@ -61,10 +50,8 @@
      * Notes that bytes were received.
      *
      * @param insideValue whether they belong to a large value
-     * @param serverPaused whether the pause before them was the server's, not caused by back-pressure
      */
-    void onBytes(double now, boolean insideValue, boolean serverPaused) {
-        longestPause = Math.max(longestPause, insideValue && serverPaused ? now - lastBytesAt : 0);
+    void onBytes(double now, boolean insideValue) {
         lastBytesAt = now;
         overtakes = 0;
         lastAnswerAt = insideValue ? lastBytesAt : lastAnswerAt;
--- a/router/src/main/java/stagepier/server/ServerLink.java
+++ b/router/src/main/java/stagepier/server/ServerLink.java
@@ -101,7 +101,7 @@
 
     /** Seconds until the link counts as silent while the server answers on other links; infinite if it does not. */
     double silentIn(double now) {
-        return inFlight.isEmpty() || parser.isBlocked() || hasFlow()
+        return inFlight.isEmpty() || parser.isBlocked() || parser.awaitsLargeValue() || hasFlow()
                 ? Double.POSITIVE_INFINITY
                 : activity.silentIn(waitTime(now));
     }
@@ -362,7 +362,6 @@
                 scheduleProcessing();
             }
         });
-        activity.onValueStarted();
         pool.pools().onFlowStarted();
         first.onValueStarted(head, flow);
     }
@@ -433,7 +432,7 @@
 
     @Override
     protected void onInput(RingBuffer bytes) throws MalformedException {
-        activity.onBytes(pool.pools().now(), hasFlow(), !isBackPressured());
+        activity.onBytes(pool.pools().now(), hasFlow());
         while (true) {
             if (hasFlow() && !advanceFlow(bytes)) {
                 startStallTimer();
@@ -498,22 +497,18 @@
     }
 
     /**
-     * Returns the time at which an incomplete answer counts as stalled. A value that is being forwarded is waited for
-     * until the client's deadline plus the time by which an answer may be late, and after that for a few times the
-     * longest pause that its server has made in it. So a server that writes in pieces and has just started at the
-     * deadline is not cut off, and a client does not wait forever.
+     * Returns the time at which an incomplete answer counts as stalled. A value that is being forwarded cannot be asked
+     * for again, so a pause in it may be long. The first byte of a large value is waited for until the deadline of its
+     * request: a server that has written the head is still at work, and another one would have to start anew.
      */
     private double stallDeadline() {
-        double stallTimeout = pool.pools().stallTimeout();
-        Execution first = inFlight.peek();
         double bytesAt = activity.lastBytesAt();
-        if (!hasFlow() || first == null) {
-            return bytesAt + stallTimeout;
+        if (isFlowWanted()) {
+            return bytesAt + ServerPools.FLOW_STALL_MAX;
         }
-        double afterPauses = bytesAt + Math.max(stallTimeout, ServerPools.FLOW_PAUSE_FACTOR * activity.longestPause());
-        return Math.min(
-                bytesAt + ServerPools.FLOW_STALL_MAX,
-                Math.max(afterPauses, first.deadline() + ServerPools.FLOW_LATE_MAX));
+        double stalledAt = bytesAt + pool.pools().stallTimeout();
+        Execution first = inFlight.peek();
+        return first != null && parser.awaitsLargeValue() ? Math.max(stalledAt, first.deadline()) : stalledAt;
     }
 
     /**
--- a/router/src/main/java/stagepier/server/ServerPools.java
+++ b/router/src/main/java/stagepier/server/ServerPools.java
@@ -36,17 +36,12 @@
      * An incomplete answer of which no byte arrives for this long is malformed; as a fraction of the shortest deadline.
      */
     private static final double STALL_FRACTION = 0.15;
+    /** In seconds. Lower limit of that time: a server that stands still for a moment goes on after up to 0.2 s. */
+    private static final double STALL_MIN = 0.25;
     /** In seconds. A silent link without pending executions is closed after this time. */
     static final double SILENT_CLOSE_AFTER = 5;
     /** In seconds. The transfer of a large value is aborted if no byte of it arrives for this long. */
     static final double FLOW_STALL_MAX = 5;
-    /**
-     * In seconds. A large value is waited for until this long after the deadline of its request; a client counts it as
-     * lost from half a second after the deadline.
-     */
-    static final double FLOW_LATE_MAX = 0.4;
-    /** After that, it is waited for this many times the longest pause that its server has made in it so far. */
-    static final double FLOW_PAUSE_FACTOR = 4;
     /** Bytes that all links together may buffer of values in transfer, and the limits for each link. */
     private static final int FLOW_BYTES_MAX = 6 << 20;
 
@@ -139,7 +134,7 @@
     }
 
     double stallTimeout() {
-        return STALL_FRACTION * shortestDeadline;
+        return Math.max(STALL_MIN, STALL_FRACTION * shortestDeadline);
     }
 
     double shortestDeadline() {
