Begin nothing for a client whose end lies out of sight behind unread input

Cause: the end of a stream is seen only once all before it is read, and a link that does not read counted its client as connected. Reading on without bound is no way out: one client would fill the heap.

Change: a client counts as connected for 0.1 s after the last look that found its socket empty, or the latest time at which its bytes can have arrived. After that its attempts are not sent, and the routing module ends the request.

--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -48,12 +48,19 @@
     private static final double RECENT_REQUEST = 2;
     /** Bytes of input that a link may hold in any case; for more, the memory limit applies. */
     private static final int MIN_READ_AHEAD = 4096;
+    /** Bytes of input that a link may hold apart from a long command, if there is memory. */
+    private static final int READ_AHEAD_MAX = 32 * 1024;
     /** Bytes of an open request apart from its value: its words, its attempts and their timers. */
     private static final int REQUEST_BYTES = 1024;
     /** Length in bytes from which on a value is dropped if there is no memory for it; receipts are shorter. */
     private static final int DROPPABLE_VALUE = 4096;
     /** In seconds. A client that was found connected within this time is assumed to be still connected. */
     private static final double CONNECTED_CHECK_VALID = 0.02;
+    /**
+     * In seconds. Time for which a client counts as connected while the end of its stream cannot be seen. An attempt must
+     * not begin later than this after a client has closed.
+     */
+    private static final double CONNECTED_ASSUMED_MAX = 0.1;
 
     /** In seconds. Time between two looks whether a client reads its answers. */
     private static final double READING_CHECK_INTERVAL = 0.5;
@@ -131,6 +138,9 @@
      */
     private double socketEmptyAt = Double.NEGATIVE_INFINITY;
 
+    /** Latest time at which the client is known to have been connected. */
+    private double connectedAt;
+
     private boolean hadCommand;
     /** Time at which the last request was taken; negative infinity before the first one. */
     private double lastRequestAt = Double.NEGATIVE_INFINITY;
@@ -170,6 +180,7 @@
         inputClaim = owner.openInputClaim(this);
         openedAt = owner.now();
         lastActiveAt = openedAt;
+        connectedAt = openedAt;
         attach(channel);
     }
 
@@ -189,12 +200,18 @@
      */
     private boolean mayReadMore() {
         return inputClaim.isAdmitted()
-                || !inputClaim.isWaiting() && closingReason == null && owner.hasReadAheadMemory();
+                || unread() < READ_AHEAD_MAX
+                        && !inputClaim.isWaiting()
+                        && closingReason == null
+                        && owner.hasReadAheadMemory();
     }
 
     @Override
     protected int readMost() {
-        return mayReadMore() ? super.readMost() : MIN_READ_AHEAD - unread();
+        if (!mayReadMore()) {
+            return MIN_READ_AHEAD - unread();
+        }
+        return inputClaim.isAdmitted() ? super.readMost() : Math.min(super.readMost(), READ_AHEAD_MAX - unread());
     }
 
     private boolean acceptsCommands() {
@@ -347,6 +364,7 @@
         socketEmptyAt = Double.NEGATIVE_INFINITY;
         double arrival = inputAge.ofRead(owner.earliestArrival(now), !hadCommand, socketMayHoldMore());
         inputAge.onKept(unread(), flows == 0 ? arrival : Double.NaN);
+        connectedAt = Math.max(connectedAt, arrival);
         updateMemory();
         noteUnread(now);
         if (!isQueued) {
@@ -427,22 +445,23 @@
     }
 
     /**
-     * Whether the client is still connected, judged by all input up to this moment. A connection whose client has shut
+     * Whether the client is known to be connected, judged by all input up to this moment. A connection whose client has shut
      * down its sending side counts as closed, because a client's close looks the same from here. The socket is read
      * first: if the client closed while its request lay unread, the end of the stream follows the request directly, and
-     * an attempt would otherwise start before it is read.
+     * an attempt would otherwise start before it is read. Input that the link does not read may have the end of the
+     * stream behind it, so that the client counts as connected only for a short time after the last look.
      */
     private boolean checkConnected() {
         double now = owner.now();
         while (now - socketEmptyAt > CONNECTED_CHECK_VALID && !isClosed()) {
             socketEmptyAt = now;
-            boolean reads = wantsInput();
-            readNow();
-            if (reads && socketEmptyAt == now) {
+            boolean hasRead = readNow();
+            if (hasRead && socketEmptyAt == now) {
                 inputAge.onSocketEmpty();
+                connectedAt = now;
             }
         }
-        return !isClosed();
+        return !isClosed() && socketEmptyAt - connectedAt <= CONNECTED_ASSUMED_MAX;
     }
 
     private void onReply(PendingAnswer entry, Exchange exchange, Reply reply) {
--- a/router/src/main/java/stagepier/link/Link.java
+++ b/router/src/main/java/stagepier/link/Link.java
@@ -149,20 +149,22 @@
         }
     }
 
-    /** Reads what has arrived by now without waiting for the selector. */
-    protected final void readNow() {
-        if (!closed
-                && inbound.free() > 0
-                && wantsInput()
-                && isActive()
-                && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            unsafe.read();
+    /**
+     * Reads what has arrived by now without waiting for the selector; returns whether it has looked, which it does not
+     * while the link wants no input.
+     */
+    protected final boolean readNow() {
+        boolean looks = !closed && inbound.free() > 0 && wantsInput() && isActive();
+        boolean hasLooked = looks && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe;
+        if (hasLooked) {
+            ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
         }
         if (!closed && channel != null && !channel.isOpen()) {
             // Whichever code read the end of the stream, the channel reports its close by a later task, and nothing may
             // be written until then.
             endInput();
         }
+        return hasLooked;
     }
 
     /**
--- a/router/src/test/java/stagepier/app/ConnectionRaceTest.java
+++ b/router/src/test/java/stagepier/app/ConnectionRaceTest.java
@@ -317,6 +317,30 @@
         assertEquals(128, counter("client_commands_get"), "commands beyond the limit were executed");
     }
 
+    /** Prevents executions for a client whose close lies behind more input than the router and its socket hold. */
+    @Test
+    void nothingBeginsWhileTheEndOfTheClientCannotBeSeen() throws Exception {
+        cache.hold(true);
+        Socket client = connect();
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 20_000; i++) {
+            text.append(read());
+        }
+        Rehearsal.write(client, text.toString());
+        cache.awaitHeld(cache);
+        StandInAgent.await(() -> counter("client_commands_get") >= 128);
+        client.close();
+        long closedAt = System.nanoTime();
+        // Longer than an attempt may begin after the close.
+        TimeUnit.MILLISECONDS.sleep(400);
+        cache.hold(false);
+        StandInAgent.await(() -> counter("requests_unanswered") == 0 && counter("client_links") == 0);
+        long late = cache.commands().stream()
+                .filter(c -> c.atNanos() - closedAt > TimeUnit.MILLISECONDS.toNanos(150))
+                .count();
+        assertEquals(0, late, "requests that began over 0.15 s after the close");
+    }
+
     /** Input beyond the limit of open commands is buffered within a bound, and later executed in order. */
     @Test
     void commandsBeyondLimitAreServedInOrderWithBoundedBuffer() throws Exception {
