Count a server as removed once a later one is listed at its address

While a list names a server that has gone and another one that has come up at its address, requests for the first went to the process of the second.

Cause: entries of the list were applied each by itself.

Change: a server that is listed as up makes one at the same address that started earlier count as gone. A late entry of the earlier one changes nothing for the later.

Evidence: HostGroupTest.serverWhoseAddressALaterOneHasIsGone failed before, for a whole list and a change, and passes now.

--- a/router/src/main/java/stagepier/discovery/HostGroup.java
+++ b/router/src/main/java/stagepier/discovery/HostGroup.java
@@ -101,14 +101,42 @@
                 hosts.put(host.member().id(), host);
             }
         }
+        List<Host> replaced = removeReplaced(listed);
+        replaced.forEach(host -> before.remove(host.member().id()));
         generation = version;
         listed.forEach(host -> rememberName(host.name()));
         return new Change(
                 complete,
-                listed.stream().map(this::withBan).toList(),
+                Stream.concat(listed.stream(), replaced.stream())
+                        .map(this::withBan)
+                        .toList(),
                 complete ? List.copyOf(before.values()) : List.of());
     }
 
+    /**
+     * Removes servers at whose addresses the message lists others that have started later: the new process must not get
+     * the requests of the old one while the list still names both. Returns them as gone.
+     */
+    private List<Host> removeReplaced(List<Host> listed) {
+        List<Host> replaced = new ArrayList<>();
+        for (Host newer : listed) {
+            if (newer.member().state() != Api.MemberState.READY
+                    || hosts.get(newer.member().id()) != newer) {
+                continue;
+            }
+            for (Host older : List.copyOf(hosts.values())) {
+                if (newer.address().equals(older.address())
+                        && older.member().id() != newer.member().id()
+                        && older.member().startedAt() < newer.member().startedAt()) {
+                    hosts.remove(older.member().id());
+                    replaced.add(withStateAndStart(
+                            older, Api.MemberState.GONE, older.member().startedAt()));
+                }
+            }
+        }
+        return replaced;
+    }
+
     /**
      * Applies a message that discovery has just sent.
      *
--- a/router/src/test/java/stagepier/discovery/HostGroupTest.java
+++ b/router/src/test/java/stagepier/discovery/HostGroupTest.java
@@ -52,6 +52,32 @@
         assertFalse(applyMessage(5, true).left().iterator().hasNext());
     }
 
+    private static String entryAt(int id, int port, int startedAtMs) {
+        return entry(id, "up").replace(":" + (9000 + id), ":" + port).replace(":2500", ":" + startedAtMs);
+    }
+
+    /** Prevents requests for a server that has gone from being sent to the process that has come up at its address. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void serverWhoseAddressALaterOneHasIsGone(boolean complete) {
+        applyMessage(1, true, entryAt(1, 9001, 1000), entryAt(2, 9002, 1000));
+        HostGroup.Change change = applyMessage(2, complete, entryAt(1, 9001, 1000), entryAt(3, 9001, 2000));
+        HostGroup.Host last = change.hosts().get(change.hosts().size() - 1);
+        assertEquals("s-00000001", last.name());
+        assertEquals(Api.MemberState.GONE, last.member().state());
+        assertEquals("", group.zone("s-00000001"), "still in force");
+        assertEquals("a", group.zone("s-00000003"));
+    }
+
+    /** A late entry of the server that has gone must not remove the one that has its address now. */
+    @Test
+    void serverKeepsItsAddressWhenAnEarlierOneIsListedThere() {
+        applyMessage(1, true, entryAt(3, 9001, 2000));
+        HostGroup.Change change = applyMessage(2, false, entryAt(1, 9001, 1000));
+        assertEquals("a", group.zone("s-00000003"));
+        assertTrue(change.hosts().stream().noneMatch(host -> host.name().equals("s-00000003")));
+    }
+
     /** For an answer that names a server twice, the last entry is in force and no other one is left over. */
     @Test
     void lastEntryOfAServerThatIsListedTwiceIsInForce() {
