--- a/router/src/main/java/stagepier/client/ClientLink.java
+++ b/router/src/main/java/stagepier/client/ClientLink.java
@@ -5,7 +5,6 @@
 import java.util.function.ToIntFunction;
 import stagepier.exchange.Exchange;
 import stagepier.exchange.Reply;
-import stagepier.exchange.ReplyListener;
 import stagepier.exchange.ValueFlow;
 import stagepier.invariants.Invariant;
 import stagepier.link.CloseReason;
@@ -85,40 +84,6 @@
         }
     };
 
-    /** The position of one answer in the order of commands. */
-    private final class PendingAnswer implements ReplyListener {
-        private Exchange exchange;
-        private AnswerBytes answer;
-        /** The large value of its answer, if it is collected before the answer begins; otherwise null. */
-        private WholeValue wholeValue;
-        /** Bytes of the request that are held until its answer is known; 0 for a command that is no request. */
-        private int requestBytes;
-        /** Whether its answer may have a value. */
-        private boolean isRead;
-
-        @Override
-        public void answered(Exchange x, Reply reply) {
-            onReply(this, x, reply);
-        }
-
-        @Override
-        public boolean isConnected() {
-            return checkConnected();
-        }
-
-        /** Gives up a large value, or the memory of one that is whole. */
-        private void releaseValue() {
-            if (wholeValue != null) {
-                wholeValue.giveUp();
-                wholeValue.release();
-            }
-        }
-
-        private int collectingBytes() {
-            return wholeValue == null ? 0 : wholeValue.collectingBytes();
-        }
-    }
-
     private final ClientListener owner;
     private final ClientMemory.Account memory;
     private final InputAdmission.Claim inputClaim;
@@ -417,7 +382,7 @@
     private void submit(Command command) {
         owner.invariants().check(Invariant.SERVED_ONLY_AFTER_START, owner.hasStarted(), () -> "id=" + command.id());
         lastRequestAt = owner.now();
-        PendingAnswer entry = new PendingAnswer();
+        PendingAnswer entry = new PendingAnswer(this);
         pending.add(entry);
         reserve(entry, command);
         requestCount++;
@@ -451,7 +416,7 @@
      * an attempt would otherwise start before it is read. Input that the link does not read may have the end of the
      * stream behind it, so that the client counts as connected only for a short time after the last look.
      */
-    private boolean checkConnected() {
+    boolean checkConnected() {
         double now = owner.now();
         while (now - socketEmptyAt > CONNECTED_CHECK_VALID && !isClosed()) {
             socketEmptyAt = now;
@@ -464,7 +429,7 @@
         return !isClosed() && socketEmptyAt - connectedAt <= CONNECTED_ASSUMED_MAX;
     }
 
-    private void onReply(PendingAnswer entry, Exchange exchange, Reply reply) {
+    void onReply(PendingAnswer entry, Exchange exchange, Reply reply) {
         entry.exchange = null;
         if (entry.isRead && reply.kind() == Reply.Kind.SERVED) {
             owner.onValue(reply.body().length);
@@ -538,7 +503,7 @@
     }
 
     private void replyLine(String text) {
-        PendingAnswer entry = new PendingAnswer();
+        PendingAnswer entry = new PendingAnswer(this);
         pending.add(entry);
         setAnswer(entry, ReplyEncoder.line(text));
     }
