--- a/router/src/test/java/stagepier/app/ConnectionRaceTest.java
+++ b/router/src/test/java/stagepier/app/ConnectionRaceTest.java
@@ -278,13 +278,7 @@
     void closeBehindTooManyPipelinedCommandsIsDetected() throws Exception {
         cache.hold(true);
         Socket client = connect();
-        StringBuilder text = new StringBuilder();
-        for (int i = 0; i < 130; i++) {
-            text.append(read());
-        }
-        Rehearsal.write(client, text.toString());
-        cache.awaitHeld(cache);
-        StandInAgent.await(() -> counter("client_commands_get") >= 128);
+        writeReads(client, 130);
         assertEquals(128, counter("client_commands_get"), "more than 128 commands read");
         assertTrue(counter("requests_unanswered") > 0);
         long from = System.nanoTime();
@@ -302,13 +296,7 @@
     void closeBehindHundredsOfPipelinedCommandsIsDetected() throws Exception {
         cache.hold(true);
         Socket client = connect();
-        StringBuilder text = new StringBuilder();
-        for (int i = 0; i < 600; i++) {
-            text.append(read());
-        }
-        Rehearsal.write(client, text.toString());
-        cache.awaitHeld(cache);
-        StandInAgent.await(() -> counter("client_commands_get") >= 128);
+        writeReads(client, 600);
         long from = System.nanoTime();
         client.close();
         StandInAgent.await(() -> counter("requests_unanswered") == 0 && counter("client_links") == 0);
@@ -317,18 +305,23 @@
         assertEquals(128, counter("client_commands_get"), "commands beyond the limit were executed");
     }
 
-    /** Prevents executions for a client whose close lies behind more input than the router and its socket hold. */
-    @Test
-    void nothingBeginsWhileTheEndOfTheClientCannotBeSeen() throws Exception {
-        cache.hold(true);
-        Socket client = connect();
+    /** Writes reads at once, and waits until as many are open as a link may have. */
+    private void writeReads(Socket client, int count) throws Exception {
         StringBuilder text = new StringBuilder();
-        for (int i = 0; i < 20_000; i++) {
+        for (int i = 0; i < count; i++) {
             text.append(read());
         }
         Rehearsal.write(client, text.toString());
         cache.awaitHeld(cache);
         StandInAgent.await(() -> counter("client_commands_get") >= 128);
+    }
+
+    /** Prevents executions for a client whose close lies behind more input than the router and its socket hold. */
+    @Test
+    void nothingBeginsWhileTheEndOfTheClientCannotBeSeen() throws Exception {
+        cache.hold(true);
+        Socket client = connect();
+        writeReads(client, 20_000);
         client.close();
         long closedAt = System.nanoTime();
         // Longer than an attempt may begin after the close.
