Give each test of TcpFleetRpc a loopback host of its own

Its log has a second link, from a port that is not the test's, whose sender "is not another member of the fleet". The test takes ports that were free a moment ago, on the host that all tests share, so a link of another test may come to one; which one it was the log does not tell. The members listen on a host of 127.0.0.0/8 that no other test has now, and their ports are held while they are chosen. No check has changed.

--- a/router/src/test/java/stagepier/fleet/TcpFleetRpcTest.java
+++ b/router/src/test/java/stagepier/fleet/TcpFleetRpcTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -33,6 +34,9 @@
 class TcpFleetRpcTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
+    /** Number of the loopback host that was used last. */
+    private static final AtomicInteger LAST_HOST = new AtomicInteger();
+
     private final SortedMap<String, InetSocketAddress> members = new TreeMap<>();
     private final List<Process> processes = new ArrayList<>();
 
@@ -95,12 +99,23 @@
         }
     }
 
+    /**
+     * Gives the members addresses on a loopback host of this test alone. On a shared host a port may be one that another
+     * test has just given up, and links of that test may still come to it.
+     */
     @BeforeEach
     void addresses() throws IOException {
+        long pid = ProcessHandle.current().pid();
+        int number = LAST_HOST.incrementAndGet();
+        String host = "127.%d.%d.%d".formatted(1 + pid / 256 % 254, pid % 256, 1 + number % 254);
+        List<ServerSocket> free = new ArrayList<>();
         for (String name : List.of("a", "b", "c")) {
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-                members.put(name, new InetSocketAddress("127.0.0.1", free.getLocalPort()));
-            }
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host));
+            free.add(socket);
+            members.put(name, new InetSocketAddress(host, socket.getLocalPort()));
+        }
+        for (ServerSocket socket : free) {
+            socket.close();
         }
     }
 
