Keep bans in a log that both processes of an upgrade append to in one order

Cause: a call was compared with the bans in memory, which are read from the shared folder every 0.1 s. One that agreed with them wrote nothing, and the opposite call of the other process was then read as the newest. The file of a server was replaced whatever it held, pending writes and deletions compared and wrote in two steps, and the order was that of the clocks of two processes. Ruled out: the list of servers, which is applied below the bans, and the end of the old process; the fault shows with two processes that both go on.

Change: a call is an entry of a log, a file named by server and version that is created by a hard link and never changed. It is compared with the log at that moment and appended right behind what it was compared with, or compared again if another process came first. The version decides what holds. Files of the previous release are read and written beside the log.

--- a/router/src/main/java/stagepier/app/ConsoleOperations.java
+++ b/router/src/main/java/stagepier/app/ConsoleOperations.java
@@ -9,7 +9,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stagepier.bans.Ban;
-import stagepier.bans.BanFiles;
+import stagepier.bans.SharedBans;
 import stagepier.console.ConsoleCommand;
 import stagepier.console.Operations;
 import stagepier.discovery.HostGroup;
@@ -31,7 +31,7 @@
     /** Null if this router is not part of a fleet. */
     private final FleetCoordinator fleet;
     /** Null if there is no shared folder. */
-    private final BanFiles files;
+    private final SharedBans sharedBans;
 
     ConsoleOperations(
             Clock clock,
@@ -45,15 +45,15 @@
         this.hosts = hosts;
         this.changeListener = changeListener;
         String shared = System.getenv("TMPDIR");
-        files = shared == null || shared.isEmpty() ? null : new BanFiles(Path.of(shared));
-        if (files == null) {
+        sharedBans = shared == null || shared.isEmpty() ? null : new SharedBans(Path.of(shared));
+        if (sharedBans == null) {
             LOG.warn("TMPDIR is not set: bans from the console are lost when this process ends");
         }
     }
 
     /** Must run before the first list is applied, so that no request goes to a server that is already banned. */
     void start(EventLoop loop) {
-        if (files != null) {
+        if (sharedBans != null) {
             readBans();
             loop.scheduleWithFixedDelay(
                     new GuardedTask("read bans of other processes", this::readBans),
@@ -63,9 +63,10 @@
         }
     }
 
+    /** Applies what other processes have decided until now. */
     private void readBans() {
-        report(hosts.apply(files.readChanges()));
-        hosts.bans().forget(clock.now()).forEach(files::delete);
+        report(hosts.apply(sharedBans.readChanges()));
+        hosts.bans().forget(clock.now()).forEach(sharedBans::delete);
     }
 
     private void report(HostGroup.Change change) {
@@ -102,22 +103,36 @@
     }
 
     private Result setBanned(String server, boolean banned) {
+        if (sharedBans != null) {
+            readBans();
+        }
         if (!hosts.knows(server)) {
             return Result.no("no cache server " + server + " was ever listed");
         }
-        if (hosts.bans().isBanned(server) == banned) {
-            return Result.yes(server + (banned ? " is out already" : " is not out"));
-        }
-        String frozen = banned || fleet == null
+        String frozen = banned || fleet == null || !hosts.bans().isBanned(server)
                 ? null
                 : fleet.refusal(new Change(Change.Kind.RESTORE, server, hosts.zone(server)));
         if (frozen != null) {
             return Result.no(server + " stays out: " + frozen);
         }
-        Ban ban = new Ban(server, banned, hosts.bans().stamp(server, clock.now()));
-        String saveWarning = files == null || files.save(ban) ? "" : ", but other processes are not told yet";
-        report(hosts.apply(List.of(ban)));
-        return Result.yes(server + (banned ? " is out" : " is back") + saveWarning);
+        SharedBans.Decision decision = decide(server, banned);
+        if (decision.ban() != null) {
+            report(hosts.apply(List.of(decision.ban())));
+        }
+        String state = banned
+                ? decision.changed() ? " is out" : " is out already"
+                : decision.changed() ? " is back" : " is not out";
+        return Result.yes(server + state + (decision.stored() ? "" : ", but other processes are not told yet"));
+    }
+
+    private SharedBans.Decision decide(String server, boolean banned) {
+        if (sharedBans != null) {
+            return sharedBans.decide(server, banned, clock.now());
+        }
+        Ban last = hosts.bans().latest(server);
+        boolean changed = hosts.bans().isBanned(server) != banned;
+        Ban next = changed ? Ban.next(server, banned, last, clock.now()) : last;
+        return new SharedBans.Decision(next, changed, true);
     }
 
     void count(ObjLongConsumer<String> to) {
--- a/router/src/main/java/stagepier/bans/Bans.java
+++ b/router/src/main/java/stagepier/bans/Bans.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * Cache servers that operators took out or put back. The latest decision on a server is in force, whichever process
- * received it. Does no I/O and reads no clock.
+ * Cache servers that operators took out or put back, as far as this process knows. The decision with the highest
+ * version is in force, whichever process received it. Does no I/O and reads no clock.
  */
 public final class Bans {
     /**
@@ -30,19 +30,18 @@
         return last == null || last.out() ? 0 : last.since();
     }
 
-    /**
-     * Returns the time stamp of a decision made now: after all earlier decisions on that server, and rounded to
-     * microseconds, as it is stored.
-     */
-    public double stamp(String server, double now) {
-        Ban last = latest.get(server);
-        return Math.rint((last == null ? now : Math.max(now, last.since() + 1e-3)) * 1e6) / 1e6;
+    /** Returns the decision in force on a server, or null if there is none. */
+    public Ban latest(String server) {
+        return latest.get(server);
     }
 
-    /** Applies a decision made in this or another process; returns whether it is newer than the one in force. */
+    /**
+     * Applies a decision made in this or another process; returns whether it changed what is in force. Of two decisions
+     * with the same version the one given later holds: the earlier one was not stored.
+     */
     public boolean take(Ban ban) {
         Ban last = latest.get(ban.server());
-        if (last != null && (last.since() > ban.since() || last.equals(ban))) {
+        if (last != null && (last.version() > ban.version() || last.equals(ban))) {
             return false;
         }
         latest.put(ban.server(), ban);
--- a/router/src/main/java/stagepier/discovery/HostGroup.java
+++ b/router/src/main/java/stagepier/discovery/HostGroup.java
@@ -261,7 +261,8 @@
         List<Host> changed = new ArrayList<>();
         for (Ban ban : updates) {
             Host host = hosts.get(Ids.ofServer(ban.server()));
-            if (bans.take(ban) && host != null) {
+            Host before = host == null ? null : withBan(host);
+            if (bans.take(ban) && host != null && !withBan(host).equals(before)) {
                 changed.add(withBan(host));
             }
         }
--- a/router/src/test/java/stagepier/discovery/HostGroupTest.java
+++ b/router/src/test/java/stagepier/discovery/HostGroupTest.java
@@ -106,17 +106,18 @@
     void bannedServerDrainsWhateverTheListSaysAndRestoredServerStartedThen() {
         applyMessage(1, true, entry(1, "up"), entry(2, "up"));
         assertEquals(
-                List.of(1L), states(group.apply(List.of(new Ban("s-00000001", true, 100))), Api.MemberState.DRAINING));
+                List.of(1L),
+                states(group.apply(List.of(new Ban("s-00000001", true, 100, 1))), Api.MemberState.DRAINING));
         assertEquals(
                 List.of(),
-                group.apply(List.of(new Ban("s-00000001", true, 100))).hosts(),
+                group.apply(List.of(new Ban("s-00000001", true, 100, 1))).hosts(),
                 "the ban is not new");
         assertEquals(List.of(1L), states(applyMessage(2, false, entry(1, "up")), Api.MemberState.DRAINING));
         assertEquals(
                 List.of(1L), states(applyMessage(3, true, entry(1, "up"), entry(2, "up")), Api.MemberState.DRAINING));
         applyMessage(4, false, entry(1, "removed"));
         assertEquals(List.of(1L), states(applyMessage(5, false, entry(1, "up")), Api.MemberState.DRAINING));
-        HostGroup.Change back = group.apply(List.of(new Ban("s-00000001", false, 101)));
+        HostGroup.Change back = group.apply(List.of(new Ban("s-00000001", false, 101, 2)));
         assertEquals(List.of(1L), states(back, Api.MemberState.READY));
         assertEquals(101, back.hosts().get(0).member().startedAt());
         assertEquals(
@@ -131,7 +132,7 @@
         applyMessage(2, false, entry(1, "removed"));
         assertTrue(group.knows("s-00000001"));
         assertFalse(group.knows("s-00000002"));
-        group.apply(List.of(new Ban("s-00000002", true, 5)));
+        group.apply(List.of(new Ban("s-00000002", true, 5, 3)));
         assertTrue(group.knows("s-00000002"), "banned by a process that knew it");
     }
 
