Read the bans of the other process before anything is sent after a stall

Cause: after a stall nothing is sent before the list of servers is fresh, but the bans were read by a timer of their own, behind what had been read of the clients.

Change: what refreshes the list after a stall reads the bans first. The shared folder is part of the configuration now, so that a test can start a router with one in its own JVM.

--- a/router/src/main/java/stagepier/app/Config.java
+++ b/router/src/main/java/stagepier/app/Config.java
@@ -26,6 +26,7 @@
  * @param passed  whether the clients' listening socket is inherited as descriptor 0, which other processes share
  * @param name    name of this router, or ""
  * @param fleet   path of the file that lists the members of the fleet, or ""
+ * @param shared  folder that this process shares with its predecessor and its successor, or null if there is none
  */
 record Config(
         InetSocketAddress listen,
@@ -38,7 +39,8 @@
         InetSocketAddress console,
         boolean passed,
         String name,
-        String fleet) {
+        String fleet,
+        Path shared) {
     private static final int DEFAULT_SOCKETS = 1024;
     private static final int MIN_SOCKETS = 128;
 
@@ -88,7 +90,8 @@
                     console(o, environment),
                     passed(environment),
                     name(o, environment),
-                    environment.getOrDefault("GW_FLEET", ""));
+                    environment.getOrDefault("GW_FLEET", ""),
+                    shared(environment));
         } catch (JsonParseException
                 | IllegalStateException
                 | UnsupportedOperationException
@@ -132,6 +135,11 @@
         return o.has("name") ? o.get("name").getAsString() : environment.getOrDefault("GW_NAME", "");
     }
 
+    private static Path shared(Map<String, String> environment) {
+        String folder = environment.getOrDefault("TMPDIR", "");
+        return folder.isEmpty() ? null : Path.of(folder);
+    }
+
     private static boolean passed(Map<String, String> environment) {
         String descriptor = environment.getOrDefault("GW_PASSED_SOCKET", "");
         if (!descriptor.isEmpty() && !descriptor.equals("0")) {
--- a/router/src/main/java/stagepier/app/ConsoleOperations.java
+++ b/router/src/main/java/stagepier/app/ConsoleOperations.java
@@ -1,7 +1,6 @@
 package stagepier.app;
 
 import io.netty.channel.EventLoop;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -38,14 +37,14 @@
             Drain drain,
             HostGroup hosts,
             Consumer<HostGroup.Change> changeListener,
-            FleetCoordinator fleet) {
+            FleetCoordinator fleet,
+            SharedBans sharedBans) {
         this.fleet = fleet;
         this.clock = clock;
         this.drain = drain;
         this.hosts = hosts;
         this.changeListener = changeListener;
-        String shared = System.getenv("TMPDIR");
-        sharedBans = shared == null || shared.isEmpty() ? null : new SharedBans(Path.of(shared));
+        this.sharedBans = sharedBans;
         if (sharedBans == null) {
             LOG.warn("TMPDIR is not set: bans from the console are lost when this process ends");
         }
@@ -53,8 +52,8 @@
 
     /** Must run before the first list is applied, so that no request goes to a server that is already banned. */
     void start(EventLoop loop) {
+        readBans();
         if (sharedBans != null) {
-            readBans();
             loop.scheduleWithFixedDelay(
                     new GuardedTask("read bans of other processes", this::readBans),
                     BAN_POLL_INTERVAL_MS,
@@ -64,7 +63,10 @@
     }
 
     /** Applies what other processes have decided until now. */
-    private void readBans() {
+    void readBans() {
+        if (sharedBans == null) {
+            return;
+        }
         report(hosts.apply(sharedBans.readChanges()));
         hosts.bans().forget(clock.now()).forEach(sharedBans::delete);
     }
@@ -103,9 +105,7 @@
     }
 
     private Result setBanned(String server, boolean banned) {
-        if (sharedBans != null) {
-            readBans();
-        }
+        readBans();
         if (!hosts.knows(server)) {
             return Result.no("no cache server " + server + " was ever listed");
         }
--- a/router/src/main/java/stagepier/app/Router.java
+++ b/router/src/main/java/stagepier/app/Router.java
@@ -21,6 +21,7 @@
 import org.slf4j.LoggerFactory;
 import stagepier.Api;
 import stagepier.RoutingPolicy;
+import stagepier.bans.SharedBans;
 import stagepier.client.ClientListener;
 import stagepier.console.ConsoleListener;
 import stagepier.discovery.DiscoveryWatch;
@@ -124,14 +125,17 @@
                 settings.listOnRequest() ? WatchTimes.ofSharedService(drainGrace) : WatchTimes.ofAgent(drainGrace);
         watch = new DiscoveryWatch(
                 loop, config.discovery(), times, hosts, this::changed, host::membersFailed, new Random(config.seed()));
-        host.connectList(watch::refresh);
+        host.connectList(this::refreshServers);
         peers = config.peers() == null ? null : new PeerSocket(loop, config.peers(), host::reported);
         if (peers != null) {
             host.connectPeers(
                     new PeerReports(settings, config.settings().names().zones().size(), config.seed()), peers::send);
         }
         drain.addListener((from, to) -> LOG.info("state {} -> {}", from, to));
-        operations = config.console() == null ? null : new ConsoleOperations(clock, drain, hosts, this::changed, fleet);
+        SharedBans bans = config.shared() == null ? null : new SharedBans(config.shared());
+        operations = config.console() == null
+                ? null
+                : new ConsoleOperations(clock, drain, hosts, this::changed, fleet, bans);
         if (fleet != null) {
             fleet.setUpShadow(new ShadowCoordinator.RouterContext(
                     loop, clock, config.settings(), config.sockets(), host, pressure, drain));
@@ -253,6 +257,14 @@
                 new GuardedTask("heartbeat", this::heartbeat), intervalUs, intervalUs, TimeUnit.MICROSECONDS);
     }
 
+    /** After this process stalled: reads the bans of other processes, then refreshes the list and runs the callback. */
+    private void refreshServers(Runnable callback) {
+        if (operations != null) {
+            new GuardedTask("read bans after a stall", operations::readBans).run();
+        }
+        watch.refresh(callback);
+    }
+
     private void changed(HostGroup.Change change) {
         if (!change.complete() && change.hosts().isEmpty()) {
             // If the process was suspended before this was read, further changes may be pending.
--- a/router/src/test/java/stagepier/app/BanOrderTest.java
+++ b/router/src/test/java/stagepier/app/BanOrderTest.java
@@ -26,6 +26,7 @@
     private static final long SEED = 63;
     private static final int DRAWS = 100;
     private static final int MAX_DELAY_MS = 200;
+    private static final int CLIENTS = 40;
     private static final int KILLS = 5;
     private static final int MAX_KILL_DELAY_MS = 60;
     /** The drain grace of the settings: by then, a call binds each process. */
@@ -182,4 +183,48 @@
             awaitServersOut(1, "a ban after kill " + kill);
         }
     }
+
+    /** Guards against requests to a server that was taken out at the other process while this one was suspended. */
+    @Test
+    void processThatWasSuspendedReadsTheBansBeforeItSendsAnything() throws Exception {
+        RouterProcess suspended = start();
+        RouterProcess running = start();
+        List<Socket> clients = new ArrayList<>();
+        try {
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.add(suspended.connect());
+                askAndRead(clients.get(i), i);
+            }
+            assertTrue(one.answered() > 0, "the server is in use");
+            suspended.signal("STOP");
+            call(running, SERVER, true);
+            long calledAt = System.nanoTime();
+            for (int i = 0; i < CLIENTS; i++) {
+                Rehearsal.write(clients.get(i), request(CLIENTS + i));
+            }
+            long left = TimeUnit.MILLISECONDS.toNanos(GRACE_MS) - (System.nanoTime() - calledAt);
+            TimeUnit.NANOSECONDS.sleep(left);
+            long before = one.answered();
+            suspended.signal("CONT");
+            for (Socket client : clients) {
+                Rehearsal.reader(client).readLine();
+            }
+            assertEquals(before, one.answered(), "requests to the server after the grace");
+        } finally {
+            for (Socket client : clients) {
+                client.close();
+            }
+        }
+    }
+
+    private static String request(int number) {
+        return "mg key%d v Os%d Pc=read,d=1900\r\n".formatted(number, number);
+    }
+
+    private static void askAndRead(Socket client, int number) throws IOException {
+        Rehearsal.write(client, request(number));
+        BufferedReader in = Rehearsal.reader(client);
+        assertTrue(in.readLine().startsWith("VA 2 "));
+        in.readLine();
+    }
 }
