--- a/router/src/test/java/stagepier/app/ConnectionRaceTest.java
+++ b/router/src/test/java/stagepier/app/ConnectionRaceTest.java
@@ -12,7 +12,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -90,21 +89,11 @@
 
     /** Stalls the router's loop during a step, so that everything it writes is read in one turn of the loop. */
     private void inOneLoopTurn(Rehearsal.Step step) throws Exception {
-        CountDownLatch stalled = new CountDownLatch(1);
-        CountDownLatch resume = new CountDownLatch(1);
-        router.loop().execute(() -> {
-            stalled.countDown();
-            try {
-                resume.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        stalled.await();
+        StalledLoop stalled = new StalledLoop(router.loop());
         try {
             step.run();
         } finally {
-            resume.countDown();
+            stalled.resume();
         }
     }
 
--- a/router/src/test/java/stagepier/app/OverloadTest.java
+++ b/router/src/test/java/stagepier/app/OverloadTest.java
@@ -10,7 +10,6 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -143,17 +142,7 @@
     /** After a stall of the loop, unread requests count from their arrival, and no server is treated as failed. */
     @Test
     void afterStallExpiredRequestsAreRefusedAtOnceAndOthersServed() throws Exception {
-        CountDownLatch stalled = new CountDownLatch(1);
-        CountDownLatch resume = new CountDownLatch(1);
-        router.loop().execute(() -> {
-            stalled.countDown();
-            try {
-                resume.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        stalled.await();
+        StalledLoop stalled = new StalledLoop(router.loop());
         for (int i = 0; i < 300; i++) {
             clients.get(i % 20).write(read(i % 20 == 0 ? 1900 : 200));
         }
@@ -162,7 +151,7 @@
         while (new Clock().now() - from < 0.3) {
             Thread.onSpinWait();
         }
-        resume.countDown();
+        stalled.resume();
         double resumed = new Clock().now();
         for (int i = 0; i < 300; i++) {
             assertEquals(i % 20 == 0, clients.get(i % 20).served(), "request " + i);
--- a/router/src/test/java/stagepier/app/StalledLoopBanTest.java
+++ b/router/src/test/java/stagepier/app/StalledLoopBanTest.java
@@ -11,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -87,17 +86,7 @@
         }
         assertTrue(one.answered() > 0, "the server is in use");
         StandInAgent.await(() -> !agent.hasNoPendingCall());
-        CountDownLatch stalled = new CountDownLatch(1);
-        CountDownLatch resume = new CountDownLatch(1);
-        router.loop().execute(() -> {
-            stalled.countDown();
-            try {
-                resume.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        stalled.await();
+        StalledLoop stalled = new StalledLoop(router.loop());
         assertTrue(new SharedBans(shared)
                 .decide("s-00000001", true, new Clock().now())
                 .stored());
@@ -107,7 +96,7 @@
         }
         // The grace has to pass, in which the server may get requests.
         TimeUnit.MILLISECONDS.sleep(GRACE_MS);
-        resume.countDown();
+        stalled.resume();
         for (Socket client : clients) {
             assertNotNull(Rehearsal.reader(client).readLine(), "closed without an answer");
         }
